--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"oxbowwick/internal/wire"
+	"masthill/internal/wire"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"strconv"
 
-	"oxbowwick/control"
+	"masthill/control"
 )
 
 // fields walks the values of one event in order and keeps the first error.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"io"
 	"strconv"
 
-	"oxbowwick/control"
+	"masthill/control"
 )
 
 type host struct {
