--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,339 @@
+// Package caller is the server side of the platform's protocol: the listener, the callers' transactions and
+// the readiness test.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masthill/internal/exchange"
+	"masthill/internal/sip"
+)
+
+const (
+	// writeFor is the deadline of a write to a caller. An answer that takes longer is not whole in time.
+	writeFor = time.Second
+	// releaseFor is how long a release waits for a connection to go out on: PROTOCOL has it sent within 8 s.
+	releaseFor = 7 * time.Second
+	// releasesMost bounds the releases that wait.
+	releasesMost = 1024
+	// owner marks the calls of this side: any of its connections may end a call (PROTOCOL).
+	owner = "sip"
+	// patienceMost is a day: no caller waits longer, and larger figures would overflow.
+	patienceMost = 24 * 3600 * 1000
+)
+
+// Core is what this side tells the exchange.
+type Core interface {
+	Arrive(s exchange.Setup, from exchange.Caller)
+	GiveUp(id, owner string, from exchange.Caller)
+	HangUp(id, owner string)
+}
+
+// Class is one class of call, by its name in the settings.
+type Class struct {
+	Name     string
+	Deadline time.Duration // patience of a set-up that names none
+}
+
+// Options is what a Server is made from.
+type Options struct {
+	Core    Core
+	Log     *slog.Logger
+	Classes []Class
+	Tenants []string
+	MaxOpen int // connections held at once
+}
+
+// Server takes calls from callers that speak the platform's protocol.
+type Server struct {
+	Options
+	ending atomic.Bool
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	txns   map[string]*txn
+	late   []release // that found no connection
+}
+
+// conn is one caller's connection.
+type conn struct {
+	*sip.Conn
+	server *Server
+}
+
+// txn is one set-up of a caller, until it has its refusal or its call is over.
+type txn struct {
+	*conn
+	id, number string
+	echo       []byte // headers for the answer
+	seq        uint64
+	stood      bool
+}
+
+type release struct {
+	msg   []byte
+	until time.Time
+}
+
+// New makes a server.
+func New(o Options) *Server {
+	return &Server{Options: o, conns: map[*conn]bool{}, txns: map[string]*txn{}}
+}
+
+// Drain makes the readiness test fail, so that the front sends no more.
+func (s *Server) Drain() { s.ending.Store(true) }
+
+// Serve accepts connections until the listener is closed, and serves them until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	pause := time.Millisecond
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil { // out of descriptors, say: what is open still gets its answers
+			s.Log.Error("accept failed", "err", err)
+			time.Sleep(pause)
+			pause = min(2*pause, 100*time.Millisecond)
+			continue
+		}
+		pause = time.Millisecond
+		s.mu.Lock()
+		over := len(s.conns) >= s.MaxOpen
+		cn := &conn{sip.NewConn(c, writeFor), s}
+		if !over {
+			s.conns[cn] = true
+		}
+		s.mu.Unlock()
+		if over {
+			s.Log.Warn("caller connection ended", "reason", "over_limit", "peer", c.RemoteAddr().String())
+			c.Close()
+			continue
+		}
+		g.Go(func() error { s.serve(ctx, cn); return nil })
+	}
+	return g.Wait()
+}
+
+// Close ends all connections after what is queued has been written.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Conn.Close()
+	}
+}
+
+func (s *Server) serve(ctx context.Context, c *conn) {
+	began := time.Now()
+	s.flushLate(c)
+	reason, err := c.Run(ctx, c.take)
+	s.mu.Lock()
+	delete(s.conns, c)
+	var left []string
+	for id, t := range s.txns {
+		if t.conn == c && !t.stood {
+			left = append(left, id)
+			delete(s.txns, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range left {
+		s.Core.GiveUp(id, owner, s)
+	}
+	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", len(left),
+		"age_ms", time.Since(began).Milliseconds(), "err", err)
+}
+
+// take handles one message of a caller.
+func (c *conn) take(m *sip.Message) error {
+	if m.Status != 0 {
+		return nil // 'release heard', which is free
+	}
+	id := string(m.Get("Call-ID"))
+	switch string(m.Method) {
+	case "INVITE":
+		if status, why := c.setup(m, id); status != 0 {
+			c.server.Log.Warn("set-up turned down", "status", status, "why", why, "peer", c.Remote())
+			c.Send(sip.Answer(m, status))
+		}
+	case "CANCEL":
+		c.server.forget(id, false)
+		c.server.Core.GiveUp(id, owner, nil)
+	case "BYE":
+		status := 481
+		if c.server.forget(id, true) {
+			status = 200
+		}
+		c.Send(sip.Answer(m, status))
+		c.server.Core.HangUp(id, owner)
+	case "OPTIONS":
+		status := 200
+		if c.server.ending.Load() {
+			status = 503
+		}
+		c.Send(sip.Answer(m, status))
+	case "ACK", "NOTIFY":
+	default:
+		c.Send(sip.Answer(m, 405))
+	}
+	return nil
+}
+
+// forget drops a transaction that its caller ended.
+func (s *Server) forget(id string, stood bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.txns[id]
+	if t == nil || stood && !t.stood {
+		return false
+	}
+	delete(s.txns, id)
+	return true
+}
+
+// setup takes a set-up, or tells the status that turns it down. What the call keeps is copied out of the read
+// buffer here.
+func (c *conn) setup(m *sip.Message, id string) (status int, why string) {
+	seq, method, ok := m.CSeq()
+	switch {
+	case !callID(id):
+		return 400, "Call-ID is not 16 hex digits"
+	case !ok || string(method) != "INVITE":
+		return 400, "CSeq does not name INVITE"
+	case len(m.User()) == 0:
+		return 400, "no number in the first line"
+	}
+	number := string(m.User())
+	call := exchange.Setup{ID: id, Owner: owner, Class: -1, Name: string(m.Get("Subject")), Number: number,
+		Tenant: string(m.Get("Organization")), Desc: bytes.Clone(m.Body), Dest: -1, Taken: m.At,
+		Retry: string(m.Get("X-Retry")) == "1"}
+	for k, class := range c.server.Classes {
+		if class.Name == call.Name {
+			call.Class, call.Until = k, m.At.Add(class.Deadline)
+		}
+	}
+	if call.Class < 0 {
+		return 400, "unknown class in Subject"
+	}
+	if call.Tenant != "" && !contains(c.server.Tenants, call.Tenant) {
+		return 400, "unknown tenant in Organization"
+	}
+	if p := m.Get("X-Patience"); p != nil {
+		ms, err := strconv.ParseInt(string(p), 10, 64)
+		if err != nil || ms <= 0 || ms > patienceMost {
+			return 400, "X-Patience is no time"
+		}
+		call.Until = m.At.Add(time.Duration(ms) * time.Millisecond)
+	}
+	for _, fact := range strings.Split(string(m.Get("X-Facts")), ";") {
+		name, value, _ := strings.Cut(strings.TrimSpace(fact), ":")
+		n, err := strconv.Atoi(value)
+		switch {
+		case name == "dest" && err != nil:
+			return 400, "dest in X-Facts is no number"
+		case name == "dest":
+			call.Dest = n
+		case name == "again":
+			call.Again = n == 1
+		}
+	}
+	s := c.server
+	s.mu.Lock()
+	s.txns[id] = &txn{conn: c, id: id, number: number, echo: sip.Echo(m), seq: seq}
+	s.mu.Unlock()
+	s.Core.Arrive(call, s)
+	return 0, ""
+}
+
+func contains(list []string, name string) bool {
+	for _, s := range list {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+func callID(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
+
+// Answer implements exchange.Caller.
+func (s *Server) Answer(id string, f exchange.Final) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.txns[id]
+	if t == nil {
+		return
+	}
+	status := map[exchange.Verdict]int{exchange.Stands: 200, exchange.Refused: 503, exchange.Failed: 500}[f.Verdict]
+	b := append(sip.AppendStatus(make([]byte, 0, 512+len(f.Desc)), status), t.echo...)
+	if f.Verdict == exchange.Stands {
+		t.stood, t.echo = true, nil
+	} else {
+		delete(s.txns, id)
+	}
+	if f.Wait > 0 {
+		b = fmt.Appendf(b, "X-Later-Ms: %d\r\n", f.Wait.Milliseconds())
+	}
+	t.Send(sip.AppendBody(b, f.Desc))
+}
+
+// Release implements exchange.Caller. A call that stands belongs to no connection: where its own has gone,
+// any other will do, and the next one to open where there is none.
+func (s *Server) Release(id string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.txns[id]
+	if t == nil {
+		t = &txn{id: id, number: id}
+	}
+	delete(s.txns, id)
+	cause := "Q.850;cause=16"
+	if cut {
+		cause = "Q.850;cause=41"
+	}
+	b := sip.AppendRequest(nil, "BYE", t.number)
+	b = sip.AppendHeader(b, "Via", "SIP/2.0/TCP masthill;branch=z9hG4bK"+id+".r")
+	b = sip.AppendHeader(b, "Call-ID", id)
+	b = fmt.Appendf(b, "CSeq: %d BYE\r\n", t.seq+1)
+	b = sip.AppendBody(sip.AppendHeader(b, "Reason", cause), nil)
+	if t.conn != nil && s.conns[t.conn] {
+		t.Send(b)
+		return
+	}
+	for c := range s.conns {
+		c.Send(b)
+		return
+	}
+	if len(s.late) < releasesMost {
+		s.late = append(s.late, release{b, time.Now().Add(releaseFor)})
+	}
+}
+
+func (s *Server) flushLate(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.late {
+		if time.Now().Before(r.until) {
+			c.Send(r.msg)
+		}
+	}
+	s.late = nil
+}
--- /dev/null
+++ b/internal/exchange/core.go
@@ -0,0 +1,387 @@
+package exchange
+
+import (
+	"log/slog"
+	"time"
+
+	"masthill/control"
+)
+
+const (
+	// keepFor and keepMost bound the memory of final answers for callers that send a set-up again: longer than
+	// any class's deadline, and at the busiest rates of one instance a few thousand; keepBytes bounds their
+	// descriptions beside the 192 MB of an instance.
+	keepFor, keepMost, keepBytes = 30 * time.Second, 8192, 8 << 20
+	// releaseMargin is added to the told release wait: the module counts from its event, the rule from when
+	// the CANCEL has been written.
+	releaseMargin = 15 * int64(time.Millisecond)
+	// unknownMost bounds the memory of servers that were on a list and have gone.
+	unknownMost = 1024
+)
+
+// call is a call in hand: waiting for its answer, or standing.
+type call struct {
+	Setup
+	from     Caller
+	sent     int  // attempts so far
+	out      bool // the last of them is out
+	server   uint64
+	sentAt   int64
+	clearAt  int64 // no attempt before this
+	stands   bool
+	desc     []byte
+	answered int64
+}
+
+// kept is a final answer that a caller may ask for again.
+type kept struct {
+	id, owner string
+	f         Final
+	over      bool // it stood and is over
+	cut       bool
+	at        int64
+}
+
+// core is the state that one goroutine owns.
+type core struct {
+	clock   func() time.Time
+	log     *slog.Logger
+	record  func(Record)
+	module  *control.Controller
+	set     control.Settings
+	offices Offices
+
+	now    int64
+	alarms alarms
+	seq    uint64
+
+	calls map[string]*call
+	open  int // calls without a final answer
+	known map[uint64]Office
+	kept  map[string]*kept
+	queue []*kept // in order of time
+	bytes int     // of descriptions kept
+
+	events []control.Event // for the module, in order
+	busy   bool
+}
+
+func newCore(o Options, module *control.Controller) *core {
+	if o.Record == nil {
+		o.Record = func(Record) {}
+	}
+	return &core{clock: o.Now, log: o.Log, record: o.Record, module: module, set: o.Settings,
+		calls: map[string]*call{}, known: map[uint64]Office{}, kept: map[string]*kept{}}
+}
+
+// tell gives the module an event and does what it decides. Events that come up meanwhile wait their turn: the
+// module is never entered twice.
+func (c *core) tell(ev control.Event) {
+	c.events = append(c.events, ev)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.events) > 0 {
+		ev = c.events[0]
+		c.events = c.events[1:]
+		for _, a := range c.module.Handle(c.now, ev) {
+			c.act(a)
+		}
+	}
+	c.events, c.busy = nil, false
+}
+
+func (c *core) act(a control.Action) {
+	if a.Kind == control.Remind {
+		tag := a.Tag
+		c.after(time.Duration(a.Wait), func() { c.tell(control.Event{Kind: control.Ring, Tag: tag}) })
+		return
+	}
+	if a.Kind == control.Listen {
+		return // the list comes unasked
+	}
+	cl := c.calls[a.Call]
+	if cl == nil || cl.stands {
+		return
+	}
+	switch a.Kind {
+	case control.Send:
+		c.send(cl, a)
+	case control.Cancel:
+		if cl.out && cl.sent-1 == a.Attempt {
+			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt))
+			c.withdraw(cl, control.Recalled)
+		}
+	case control.Refuse:
+		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(a.Wait)})
+	case control.Fail:
+		c.final(cl, Final{Verdict: Failed})
+	}
+}
+
+// send starts an attempt. The module keeps the rules itself; what it would break here comes back to it as
+// never sent.
+func (c *core) send(cl *call, a control.Action) {
+	office, ok := c.known[a.Server]
+	if cl.out || c.now < cl.clearAt || !ok || office.State != control.In {
+		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.out,
+			"clear_in_ms", (cl.clearAt-c.now)/1e6, "listed", ok)
+		if !cl.out {
+			cl.sent++
+			c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server,
+				Outcome: control.Superseded})
+		}
+		return
+	}
+	n := cl.sent
+	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
+	c.after(time.Duration(a.Wait), func() {
+		if c.calls[cl.ID] == cl && cl.out && cl.sent == n+1 {
+			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt))
+			c.withdraw(cl, control.Overdue)
+		}
+	})
+	c.offices.Invite(Attempt{ID: cl.ID, Class: cl.Name, Number: cl.Number, Desc: cl.Desc, N: n,
+		Server: a.Server, Wait: time.Duration(a.Wait)})
+}
+
+// withdraw gives up the attempt that is out.
+func (c *core) withdraw(cl *call, o control.Outcome) {
+	c.offices.Cancel(cl.server, cl.ID, cl.sent-1)
+	c.back(cl, Ending{Outcome: o})
+}
+
+// back takes the end of the attempt that is out.
+func (c *core) back(cl *call, e Ending) {
+	cl.out = false
+	if e.Outcome == control.Overdue || e.Outcome == control.Severed || e.Outcome == control.Recalled {
+		cl.clearAt = c.now + c.set.ClearWait
+	}
+	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
+		Outcome: e.Outcome, Note: e.Note, WaitMS: e.WaitMS, Report: e.Report, Ended: c.calls[cl.ID] != cl})
+}
+
+func (c *core) arrive(s Setup, from Caller) {
+	if cl := c.calls[s.ID]; cl != nil {
+		if cl.Owner != s.Owner {
+			from.Answer(s.ID, Final{Verdict: Failed})
+			return
+		}
+		if cl.from = from; cl.stands {
+			from.Answer(s.ID, Final{Verdict: Stands, Desc: cl.desc})
+		}
+		return
+	}
+	if k := c.kept[s.ID]; k != nil {
+		if k.owner != s.Owner {
+			from.Answer(s.ID, Final{Verdict: Failed})
+			return
+		}
+		if from.Answer(s.ID, k.f); k.over {
+			from.Release(s.ID, k.cut)
+		}
+		return
+	}
+	cl := &call{Setup: s, from: from}
+	c.calls[s.ID] = cl
+	c.open++
+	notAfter := s.Until.Add(-answerLead).UnixNano()
+	// The module ends every call in time by itself. Should it ever not, the caller is still owed an answer.
+	c.after(time.Duration(notAfter-c.now), func() {
+		if c.calls[cl.ID] != cl || cl.stands {
+			return
+		}
+		if cl.out {
+			c.withdraw(cl, control.Overdue)
+		}
+		if c.calls[cl.ID] == cl {
+			c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
+			c.final(cl, Final{Verdict: Failed})
+		}
+	})
+	c.tell(control.Event{Kind: control.Arrival, Call: s.ID, Class: s.Class, Key: s.Number, NotAfter: notAfter,
+		FarEnd: s.Dest, Resent: s.Retry})
+}
+
+// final gives a call its one final answer.
+func (c *core) final(cl *call, f Final) {
+	if c.calls[cl.ID] != cl || cl.stands {
+		return
+	}
+	c.open--
+	cl.answered = c.now
+	if f.Verdict == Stands {
+		cl.stands, cl.desc = true, f.Desc
+	} else {
+		delete(c.calls, cl.ID)
+		c.keep(&kept{id: cl.ID, owner: cl.Owner, f: f, at: c.now})
+		c.write(cl, f.Verdict.String(), f.Wait, false)
+	}
+	cl.from.Answer(cl.ID, f)
+}
+
+func (c *core) write(cl *call, verdict string, wait time.Duration, cut bool) {
+	r := Record{ID: cl.ID, Owner: cl.Owner, Class: cl.Name, Tenant: cl.Tenant, Number: cl.Number,
+		Verdict: verdict, Attempts: cl.sent, Server: cl.server, Taken: cl.Taken, Wait: wait, Cut: cut,
+		Ended: time.Unix(0, c.now)}
+	if cl.answered > 0 {
+		r.Answered = time.Unix(0, cl.answered)
+	}
+	c.record(r)
+}
+
+// keep remembers a final answer, and forgets the oldest ones beyond the bounds.
+func (c *core) keep(k *kept) {
+	c.kept[k.id] = k
+	c.queue = append(c.queue, k)
+	c.bytes += len(k.f.Desc)
+	for len(c.queue) > keepMost || c.bytes > keepBytes ||
+		len(c.queue) > 0 && c.now-c.queue[0].at > int64(keepFor) {
+		old := c.queue[0]
+		c.queue[0] = nil
+		c.queue = c.queue[1:]
+		c.bytes -= len(old.f.Desc)
+		if c.kept[old.id] == old {
+			delete(c.kept, old.id)
+		}
+	}
+}
+
+func (c *core) giveUp(id, owner string, from Caller) {
+	cl := c.calls[id]
+	if cl == nil || cl.Owner != owner || from != nil && cl.from != from {
+		return
+	}
+	if cl.stands { // its answer crossed the caller's leaving
+		c.hangUp(id, owner)
+		return
+	}
+	delete(c.calls, id)
+	c.open--
+	c.keep(&kept{id: id, owner: owner, f: Final{Verdict: Failed}, at: c.now})
+	c.write(cl, "left", 0, false)
+	c.tell(control.Event{Kind: control.Aborted, Call: id})
+	if cl.out {
+		c.withdraw(cl, control.Recalled)
+	}
+}
+
+// over ends a standing call: the module learns it, and the memory of its answer begins.
+func (c *core) over(cl *call, e Ending, cut bool) {
+	delete(c.calls, cl.ID)
+	c.keep(&kept{id: cl.ID, owner: cl.Owner, f: Final{Verdict: Stands, Desc: cl.desc}, over: true, cut: cut,
+		at: c.now})
+	c.write(cl, Stands.String(), 0, cut)
+	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
+		Outcome: e.Outcome, Report: e.Report, Ended: true})
+}
+
+func (c *core) hangUp(id, owner string) {
+	cl := c.calls[id]
+	if cl == nil || !cl.stands || cl.Owner != owner {
+		return
+	}
+	c.offices.Bye(cl.server, id, cl.sent-1, false)
+	c.over(cl, Ending{Outcome: control.Recalled}, false)
+}
+
+func (c *core) stood(server uint64, id string, n int, desc []byte) {
+	cl := c.calls[id]
+	current := cl != nil && cl.server == server && cl.sent == n+1
+	if current && cl.stands {
+		return // told again
+	}
+	if !current || !cl.out {
+		c.offices.Bye(server, id, n, true) // the answer crossed the end of its attempt
+		return
+	}
+	cl.out = false
+	c.final(cl, Final{Verdict: Stands, Desc: desc})
+	c.tell(control.Event{Kind: control.Stands, Call: id, Server: server, Elapsed: c.now - cl.sentAt})
+}
+
+func (c *core) ended(server uint64, id string, n int, e Ending) {
+	if cl := c.calls[id]; cl != nil && cl.out && cl.server == server && cl.sent == n+1 {
+		c.back(cl, e)
+	} else if e.Report != nil {
+		c.state(server, e.Report)
+	}
+}
+
+func (c *core) released(server uint64, id string, cut bool, report []float64) {
+	cl := c.calls[id]
+	if cl == nil || !cl.stands || cl.server != server {
+		if report != nil {
+			c.state(server, report)
+		}
+		return
+	}
+	e := Ending{Outcome: control.Completed, Report: report}
+	if cut {
+		e.Outcome = control.Severed
+	}
+	c.over(cl, e, cut)
+	cl.from.Release(id, cut)
+}
+
+// lost cuts all that stood at an office whose process died.
+func (c *core) lost(server uint64) {
+	for id, cl := range c.calls {
+		if cl.stands && cl.server == server {
+			c.released(server, id, true, nil)
+		}
+	}
+}
+
+func (c *core) state(server uint64, report []float64) {
+	c.tell(control.Event{Kind: control.Probed, Server: server, Report: report})
+}
+
+// members takes a change of the list. A processor that started anew, or is gone, has cut what stood there.
+func (c *core) members(changed []Office, full bool) {
+	if full {
+		now := map[uint64]bool{}
+		for _, o := range changed {
+			now[o.Server] = true
+		}
+		for id, o := range c.known {
+			if !now[id] {
+				o.State = control.Out
+				c.known[id] = o
+			}
+		}
+	}
+	ev := control.Event{Kind: control.Members, Full: full}
+	var dead []uint64
+	for _, o := range changed {
+		before, ok := c.known[o.Server]
+		if ok && (before.ReadyAt != o.ReadyAt || o.State == control.Out) {
+			dead = append(dead, o.Server)
+		}
+		c.known[o.Server] = o
+		ev.Entries = append(ev.Entries, o.Entry)
+	}
+	for id, o := range c.known {
+		if o.State == control.Out && len(c.known) > unknownMost {
+			delete(c.known, id)
+		}
+	}
+	c.offices.List(changed, full)
+	c.tell(ev)
+	for _, id := range dead {
+		c.lost(id)
+	}
+}
+
+func (c *core) refuseAll() {
+	for _, cl := range c.calls {
+		if !cl.stands {
+			c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
+			if cl.out {
+				c.withdraw(cl, control.Recalled)
+			}
+			c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,285 @@
+// Package exchange is the core: the one place where callers' and offices' sides meet. It keeps the call table,
+// the attempts and the timers round the decision module, and enforces what no decision may break: one final
+// answer a call, one attempt out at a time, the release wait, and a release after a call has ended. It knows
+// no wire; callers and offices are interfaces.
+package exchange
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"masthill/control"
+)
+
+const (
+	// inboxMost bounds the events that wait for the core, over which the sides' readers wait in turn. The
+	// core takes some hundred thousand a second, so this is well under a tenth of a second's work.
+	inboxMost = 8192
+	// answerLead is how long before its caller leaves the core looks at a call as over: the answer has to be
+	// written and read whole before that, on a core that other instances share.
+	answerLead = 25 * time.Millisecond
+)
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The final answers.
+const (
+	Stands  Verdict = iota // an office took the call
+	Refused                // turned away; trying again is harmless
+	Failed                 // given up
+)
+
+func (v Verdict) String() string { return [...]string{"stands", "refused", "failed"}[v] }
+
+// Final is a call's one final answer.
+type Final struct {
+	Verdict Verdict
+	Desc    []byte        // of the office, where the call stands
+	Wait    time.Duration // how long the caller shall keep away; 0: no advice
+}
+
+// Setup is a call as a caller's side hands it over. Nothing in it may change afterwards.
+type Setup struct {
+	ID     string // 16 hex digits; offices know the call by it
+	Owner  string // who may join the call again or end it
+	Class  int
+	Name   string // of the class
+	Tenant string
+	Number string
+	Desc   []byte
+	Dest   int // pool of first choice
+	Retry  bool
+	Again  bool
+	Taken  time.Time // its last byte
+	Until  time.Time // its caller leaves
+}
+
+// Caller is where a call came from. Its methods are called by the core and must not block.
+type Caller interface {
+	Answer(id string, f Final)
+	Release(id string, cut bool) // the call stood and is over; cut: before its time
+}
+
+// Attempt is one set-up on its way to an office.
+type Attempt struct {
+	ID, Class, Number string
+	Desc              []byte
+	N                 int // 0, 1, 2 ... within the call
+	Server            uint64
+	Wait              time.Duration // how long it is waited for
+}
+
+// Office is one entry of the list of offices.
+type Office struct {
+	control.Entry
+	Addr string
+}
+
+// Offices is the side of the offices. Its methods are called by the core and must not block.
+type Offices interface {
+	List(changed []Office, full bool)
+	Invite(a Attempt)
+	Cancel(server uint64, id string, n int)
+	Bye(server uint64, id string, n int, cut bool)
+	Suspect(server uint64, since time.Time) // an attempt sent at that time got no answer
+}
+
+// Ending is how an attempt or a standing call ended at an office.
+type Ending struct {
+	Outcome control.Outcome
+	Note    int
+	WaitMS  int64
+	Report  []float64 // in the order of the settings' fields; nil: none
+}
+
+// Record is one finished call for the store of record.
+type Record struct {
+	ID, Owner, Class, Tenant, Number string
+	Verdict                          string
+	Attempts                         int
+	Server                           uint64
+	Taken, Answered, Ended           time.Time
+	Wait                             time.Duration
+	Cut                              bool
+}
+
+// Options is what an Exchange is made from.
+type Options struct {
+	Settings control.Settings
+	Seed     uint64
+	Now      func() time.Time
+	Log      *slog.Logger
+	Record   func(Record) // called by the core, must not block; nil: no store
+}
+
+// Exchange runs the core. Its methods may be called from any goroutine, also from within the core's calls.
+type Exchange struct {
+	core  *core
+	mu    sync.Mutex
+	room  *sync.Cond
+	inbox []func()
+	wake  chan struct{}
+}
+
+// New makes an exchange; Run starts it. The offices' side is set by Connect, as the two need each other.
+func New(o Options) (*Exchange, error) {
+	told := o.Settings
+	told.ClearWait += releaseMargin
+	module, err := control.New(told, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	x := &Exchange{wake: make(chan struct{}, 1)}
+	x.room = sync.NewCond(&x.mu)
+	x.core = newCore(o, module)
+	return x, nil
+}
+
+// Connect names the offices' side. To be called once, before Run.
+func (x *Exchange) Connect(o Offices) { x.core.offices = o }
+
+// post hands the core an event. Readers wait while the inbox is full; what the core itself causes must not.
+func (x *Exchange) post(wait bool, f func()) {
+	x.mu.Lock()
+	for wait && len(x.inbox) >= inboxMost {
+		x.room.Wait()
+	}
+	x.inbox = append(x.inbox, f)
+	x.mu.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes events in order until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var batch []func()
+	for {
+		x.mu.Lock()
+		batch, x.inbox = x.inbox, batch[:0]
+		x.room.Broadcast()
+		x.mu.Unlock()
+		for k, f := range batch {
+			x.core.tick()
+			f()
+			batch[k] = nil
+		}
+		x.core.tick()
+		if len(batch) > 0 {
+			continue
+		}
+		timer.Reset(x.core.rest())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-x.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// Arrive hands over a set-up. A set-up that the owner sent before joins the running call or gets the recorded
+// answer.
+func (x *Exchange) Arrive(s Setup, from Caller) { x.post(true, func() { x.core.arrive(s, from) }) }
+
+// GiveUp tells that a caller no longer waits. With a caller given, only if the call is still that caller's
+// (it may have been joined from elsewhere).
+func (x *Exchange) GiveUp(id, owner string, from Caller) {
+	x.post(true, func() { x.core.giveUp(id, owner, from) })
+}
+
+// HangUp tells that a caller ended its standing call.
+func (x *Exchange) HangUp(id, owner string) { x.post(true, func() { x.core.hangUp(id, owner) }) }
+
+// Stood tells that an office took attempt n of a call.
+func (x *Exchange) Stood(server uint64, id string, n int, desc []byte) {
+	x.post(true, func() { x.core.stood(server, id, n, desc) })
+}
+
+// Ended tells that attempt n of a call ended before it stood. It never blocks: the core may have caused it.
+func (x *Exchange) Ended(server uint64, id string, n int, e Ending) {
+	x.post(false, func() { x.core.ended(server, id, n, e) })
+}
+
+// Released tells that an office released a call that stood.
+func (x *Exchange) Released(server uint64, id string, cut bool, report []float64) {
+	x.post(true, func() { x.core.released(server, id, cut, report) })
+}
+
+// State tells an office's report that came unasked.
+func (x *Exchange) State(server uint64, report []float64) {
+	x.post(true, func() { x.core.state(server, report) })
+}
+
+// Lost tells that an office's process died: all that stood there is cut.
+func (x *Exchange) Lost(server uint64) { x.post(false, func() { x.core.lost(server) }) }
+
+// Members tells a change of the list of offices.
+func (x *Exchange) Members(changed []Office, full bool) {
+	x.post(true, func() { x.core.members(changed, full) })
+}
+
+// Open tells how many calls still wait for their answer.
+func (x *Exchange) Open() int {
+	n := make(chan int, 1)
+	x.post(false, func() { n <- x.core.open })
+	return <-n
+}
+
+// RefuseAll answers all that still waits, for an end that can't wait longer.
+func (x *Exchange) RefuseAll() {
+	done := make(chan struct{})
+	x.post(false, func() { x.core.refuseAll(); close(done) })
+	<-done
+}
+
+// alarm is one timer of the core.
+type alarm struct {
+	at   int64
+	seq  uint64 // in order of setting, where the times are equal
+	fire func()
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int { return len(a) }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(v any)   { *a = append(*a, v.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	old[len(old)-1] = alarm{}
+	*a = old[:len(old)-1]
+	return last
+}
+
+func (c *core) after(wait time.Duration, fire func()) {
+	c.seq++
+	heap.Push(&c.alarms, alarm{c.now + int64(wait), c.seq, fire})
+}
+
+// tick moves the clock, which never goes back, and rings what is due.
+func (c *core) tick() {
+	c.now = max(c.now, c.clock().UnixNano())
+	for len(c.alarms) > 0 && c.alarms[0].at <= c.now {
+		heap.Pop(&c.alarms).(alarm).fire()
+	}
+}
+
+// rest is the time to the next alarm.
+func (c *core) rest() time.Duration {
+	if len(c.alarms) == 0 {
+		return time.Hour
+	}
+	return time.Duration(max(c.alarms[0].at-c.now, 0))
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,228 @@
+// Package journal reads the list of offices: the part known at the start, and the journal service's
+// server-sent events from there on.
+package journal
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"masthill/control"
+	"masthill/internal/exchange"
+)
+
+const (
+	// lineMost bounds one event: a list of a few thousand offices.
+	lineMost = 1 << 20
+	// silentFor is how long nothing may come, of which the service sends a comment every second.
+	silentFor = 4 * time.Second
+	// retryFirst and retryMost bound the wait before a reconnect. News counts as told 7 s after the service
+	// has it, so a broken stream must be back well before.
+	retryFirst, retryMost = 100 * time.Millisecond, 1500 * time.Millisecond
+)
+
+// Known is the part of the list that the configuration holds.
+type Known struct {
+	Pos     int64             `json:"pos"`
+	Entries []json.RawMessage `json:"entries"`
+}
+
+type event struct {
+	Pos   int64 `json:"pos"`
+	Hosts *struct {
+		Version int64  `json:"version"`
+		Full    bool   `json:"full"`
+		Servers []host `json:"servers"`
+	} `json:"hosts"`
+}
+
+type host struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+var states = map[string]control.Readiness{"SERVING": control.In, "DRAINING": control.Lame, "DELETED": control.Out}
+
+// Decode reads one event.
+func Decode(data []byte) (changed []exchange.Office, full bool, err error) {
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, false, err
+	}
+	if e.Hosts == nil {
+		return nil, false, errors.New("no hosts")
+	}
+	for k, h := range e.Hosts.Servers {
+		state, ok := states[h.State]
+		if !ok {
+			return nil, false, fmt.Errorf("servers[%d].state: unknown %q", k, h.State)
+		}
+		if h.ID == "" || h.Addr == "" && state == control.In {
+			return nil, false, fmt.Errorf("servers[%d]: no id or no addr", k)
+		}
+		changed = append(changed, exchange.Office{Addr: h.Addr, Entry: control.Entry{Cell: h.Cell,
+			Share: h.Weight, Server: Number(h.ID), ReadyAt: h.Started * int64(time.Millisecond), State: state}})
+	}
+	return changed, e.Hosts.Full, nil
+}
+
+// Number makes an office's id the number that the module knows it by: the hex digits after the dash, or a
+// hash of an id of another form.
+func Number(id string) uint64 {
+	_, hex, _ := strings.Cut(id, "-")
+	if n, err := strconv.ParseUint(hex, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
+
+// Client follows the journal service.
+type Client struct {
+	Addr  string
+	Log   *slog.Logger
+	Tell  func(changed []exchange.Office, full bool)
+	Pos   int64 // of the last event taken
+	Retry func(failures int) time.Duration
+}
+
+// Start takes what the configuration holds.
+func (c *Client) Start(k Known) {
+	for _, raw := range k.Entries {
+		c.take(raw)
+	}
+	c.Pos = max(c.Pos, k.Pos)
+}
+
+// take handles one event. A malformed one is logged and passed over: what comes after it still counts.
+func (c *Client) take(data []byte) {
+	changed, full, err := Decode(data)
+	if err != nil {
+		c.Log.Error("journal event unreadable", "pos", c.Pos, "err", err)
+		return
+	}
+	c.Tell(changed, full)
+}
+
+// Run follows the service until ctx ends; broken streams are opened again where they ended.
+func (c *Client) Run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		began := time.Now()
+		heard, err := c.follow(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if failures++; heard {
+			failures = 0
+		}
+		c.Log.Warn("journal connection ended", "reason", "stream_end", "pos", c.Pos, "failures", failures,
+			"age_ms", time.Since(began).Milliseconds(), "err", err)
+		wait := time.NewTimer(c.pause(failures))
+		select {
+		case <-ctx.Done():
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+	return nil
+}
+
+func (c *Client) pause(failures int) time.Duration {
+	if c.Retry != nil {
+		return c.Retry(failures)
+	}
+	wait := min(retryFirst<<min(failures, 5), retryMost)
+	return wait/2 + rand.N(wait/2)
+}
+
+// follow reads one stream; heard tells whether anything came.
+func (c *Client) follow(ctx context.Context) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The silence of a service that has vanished ends the stream: its comments stop.
+	silence := time.AfterFunc(silentFor, cancel)
+	defer silence.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Addr+"/journal", nil)
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Last-Event-ID", strconv.FormatInt(c.Pos, 10))
+	req.Header.Set("Accept", "text/event-stream")
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return c.read(resp.Body, func() { silence.Reset(silentFor) })
+}
+
+// read takes a stream of events; alive is called for each line.
+func (c *Client) read(r io.Reader, alive func()) (heard bool, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4096), lineMost)
+	var data []byte
+	var id string
+	for lines.Scan() {
+		alive()
+		heard = true
+		line := bytes.TrimSuffix(lines.Bytes(), []byte("\r"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case len(line) == 0:
+			if len(data) > 0 {
+				c.dispatch(id, data)
+			}
+			data, id = nil, ""
+		case string(name) == "id":
+			id = string(value)
+		case string(name) == "data":
+			if len(data) > 0 {
+				data = append(data, '\n')
+			}
+			data = append(data, value...)
+		}
+		if len(data) > lineMost {
+			return heard, bufio.ErrTooLong
+		}
+	}
+	if err = lines.Err(); err == nil {
+		err = io.EOF
+	}
+	return heard, err
+}
+
+// dispatch takes one whole event. Its number counts even where the event itself can't be read, lest every
+// reconnect ask for it again; one that was taken before is passed over.
+func (c *Client) dispatch(id string, data []byte) {
+	pos, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		c.Log.Error("journal event without a number", "id", id, "pos", c.Pos)
+	} else if pos <= c.Pos {
+		return
+	} else {
+		c.Pos = pos
+	}
+	c.take(data)
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -146,7 +146,8 @@
 	} `json:"rules"`
 }
 
-func decodeSettings(raw json.RawMessage) (control.Settings, error) {
+// DecodeSettings reads the settings that a front is told, in the first message or in its configuration.
+func DecodeSettings(raw json.RawMessage) (control.Settings, error) {
 	var p params
 	if raw == nil {
 		return control.Settings{}, errors.New("params is missing")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -100,7 +100,7 @@
 		if f.err != nil {
 			return fmt.Errorf("up of %s: %w", id, f.err)
 		}
-		s, err := decodeSettings(params)
+		s, err := DecodeSettings(params)
 		if err != nil {
 			return fmt.Errorf("settings of %s: %w", id, err)
 		}
