Match an office's answer by its Call-ID alone: second attempts were never answered

Checked: a debug trace of attempts and answers (new log level MASTHILL_LOG=debug). Every second attempt of a call (n=1) ended by time-out or by the module's Cancel, while first attempts at the same office took 60 ms; the office's reports agree with its 'full' answers, so these were ruled out. At fault: office.go matched answers by the CSeq number, but offices number as they like (PROTOCOL: Call-ID and the method); the exchange then released what had stood.

Also, for what the same trace showed of a vanished machine: calls there are cut when a new connect does not come up after 3.5 s of silence, as the list told it only 8 s later; the release of a call from before a restart is passed on; an office that ends connections at once sees growing pauses.

--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -38,7 +38,11 @@
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	level := slog.LevelInfo
+	if os.Getenv("MASTHILL_LOG") == "debug" {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	p, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "masthill: configuration:", err)
@@ -56,7 +60,9 @@
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 
-	x, err := exchange.New(exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log})
+	var front *caller.Server
+	x, err := exchange.New(exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log,
+		Stray: func(id string, cut bool) { front.Release(id, cut) }})
 	if err != nil {
 		return err
 	}
@@ -65,7 +71,7 @@
 	x.Connect(offices)
 	feed := &journal.Client{Addr: p.Journal, Log: log, Tell: x.Members}
 	feed.Start(p.Known)
-	front := caller.New(caller.Options{Core: x, Log: log, Classes: p.Classes, Tenants: p.Tenants,
+	front = caller.New(caller.Options{Core: x, Log: log, Classes: p.Classes, Tenants: p.Tenants,
 		MaxOpen: p.Sockets / 2})
 	l, err := net.Listen("tcp", p.Listen)
 	if err != nil {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -15,6 +15,9 @@
 	// releaseMargin is added to the told release wait: the module counts from its event, the rule from when
 	// the CANCEL has been written.
 	releaseMargin = 15 * int64(time.Millisecond)
+	// quietFor is the silence of an office after which the calls that stand there are doubted: its reports
+	// come about once a second while anything changes. quietEvery is how often that is looked at.
+	quietFor, quietEvery = 3 * time.Second, time.Second
 	// unknownMost bounds the memory of servers that were on a list and have gone.
 	unknownMost = 1024
 )
@@ -47,6 +50,7 @@
 	clock   func() time.Time
 	log     *slog.Logger
 	record  func(Record)
+	stray   func(id string, cut bool)
 	module  *control.Controller
 	set     control.Settings
 	offices Offices
@@ -58,6 +62,8 @@
 	calls map[string]*call
 	open  int // calls without a final answer
 	known map[uint64]Office
+	heard map[uint64]int64 // when each server last told anything
+	watch bool             // the look at silent servers is due
 	kept  map[string]*kept
 	queue []*kept // in order of time
 	bytes int     // of descriptions kept
@@ -70,8 +76,11 @@
 	if o.Record == nil {
 		o.Record = func(Record) {}
 	}
-	return &core{clock: o.Now, log: o.Log, record: o.Record, module: module, set: o.Settings,
-		calls: map[string]*call{}, known: map[uint64]Office{}, kept: map[string]*kept{}}
+	if o.Stray == nil {
+		o.Stray = func(string, bool) {}
+	}
+	return &core{clock: o.Now, log: o.Log, record: o.Record, stray: o.Stray, module: module, set: o.Settings,
+		calls: map[string]*call{}, known: map[uint64]Office{}, heard: map[uint64]int64{}, kept: map[string]*kept{}}
 }
 
 // tell gives the module an event and does what it decides. Events that come up meanwhile wait their turn: the
@@ -110,7 +119,7 @@
 		c.send(cl, a)
 	case control.Cancel:
 		if cl.out && cl.sent-1 == a.Attempt {
-			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt))
+			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
 			c.withdraw(cl, control.Recalled)
 		}
 	case control.Refuse:
@@ -135,10 +144,12 @@
 		return
 	}
 	n := cl.sent
+	c.log.Debug("attempt", "call", cl.ID, "n", n, "server", a.Server, "dest", cl.Dest, "wait_ms", a.Wait/1e6,
+		"since_ms", (c.now-cl.Taken.UnixNano())/1e6)
 	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
 	c.after(time.Duration(a.Wait), func() {
 		if c.calls[cl.ID] == cl && cl.out && cl.sent == n+1 {
-			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt))
+			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
 			c.withdraw(cl, control.Overdue)
 		}
 	})
@@ -154,6 +165,8 @@
 
 // back takes the end of the attempt that is out.
 func (c *core) back(cl *call, e Ending) {
+	c.log.Debug("attempt ended", "call", cl.ID, "n", cl.sent-1, "server", cl.server, "outcome", e.Outcome,
+		"note", e.Note, "wait_ms", e.WaitMS, "report", e.Report, "after_ms", (c.now-cl.sentAt)/1e6)
 	cl.out = false
 	if e.Outcome == control.Overdue || e.Outcome == control.Severed || e.Outcome == control.Recalled {
 		cl.clearAt = c.now + c.set.ClearWait
@@ -211,6 +224,8 @@
 	}
 	c.open--
 	cl.answered = c.now
+	c.log.Debug("answer", "call", cl.ID, "verdict", f.Verdict, "later_ms", f.Wait.Milliseconds(), "attempts",
+		cl.sent, "server", cl.server, "after_ms", (c.now-cl.Taken.UnixNano())/1e6)
 	if f.Verdict == Stands {
 		cl.stands, cl.desc = true, f.Desc
 	} else {
@@ -286,22 +301,46 @@
 	c.over(cl, Ending{Outcome: control.Recalled}, false)
 }
 
+// quiet looks for servers that hold calls and say nothing. A connect will tell whether they are still there: of
+// a machine that has vanished nothing else does, and its calls' callers wait for the release.
+func (c *core) quiet() {
+	c.watch = false
+	for _, cl := range c.calls {
+		if cl.stands && c.now-c.heard[cl.server] > int64(quietFor) {
+			c.offices.Suspect(cl.server, time.Unix(0, c.now-int64(quietFor)), true)
+		}
+	}
+	c.pulse()
+}
+
+func (c *core) pulse() {
+	if !c.watch && len(c.calls) > 0 {
+		c.watch = true
+		c.after(quietEvery, c.quiet)
+	}
+}
+
 func (c *core) stood(server uint64, id string, n int, desc []byte) {
+	c.heard[server] = c.now
 	cl := c.calls[id]
-	current := cl != nil && cl.server == server && cl.sent == n+1
-	if current && cl.stands {
+	if cl != nil && cl.stands && cl.server == server {
 		return // told again
 	}
-	if !current || !cl.out {
+	if cl == nil || !cl.out || cl.server != server || cl.sent != n+1 {
 		c.offices.Bye(server, id, n, true) // the answer crossed the end of its attempt
 		return
 	}
+	c.log.Debug("attempt stood", "call", id, "n", n, "server", server, "after_ms", (c.now-cl.sentAt)/1e6)
 	cl.out = false
 	c.final(cl, Final{Verdict: Stands, Desc: desc})
+	c.pulse()
 	c.tell(control.Event{Kind: control.Stands, Call: id, Server: server, Elapsed: c.now - cl.sentAt})
 }
 
 func (c *core) ended(server uint64, id string, n int, e Ending) {
+	if e.Outcome == control.Errored || e.Outcome == control.Saturated {
+		c.heard[server] = c.now
+	}
 	if cl := c.calls[id]; cl != nil && cl.out && cl.server == server && cl.sent == n+1 {
 		c.back(cl, e)
 	} else if e.Report != nil {
@@ -310,11 +349,15 @@
 }
 
 func (c *core) released(server uint64, id string, cut bool, report []float64) {
+	c.heard[server] = c.now
 	cl := c.calls[id]
 	if cl == nil || !cl.stands || cl.server != server {
 		if report != nil {
 			c.state(server, report)
 		}
+		if cl == nil && c.kept[id] == nil {
+			c.stray(id, cut)
+		}
 		return
 	}
 	e := Ending{Outcome: control.Completed, Report: report}
@@ -327,14 +370,18 @@
 
 // lost cuts all that stood at an office whose process died.
 func (c *core) lost(server uint64) {
-	for id, cl := range c.calls {
+	for _, cl := range c.calls {
 		if cl.stands && cl.server == server {
-			c.released(server, id, true, nil)
+			c.log.Info("call cut with its office", "call", cl.ID, "server", server)
+			c.over(cl, Ending{Outcome: control.Severed}, true)
+			cl.from.Release(cl.ID, true)
 		}
 	}
 }
 
 func (c *core) state(server uint64, report []float64) {
+	c.heard[server] = c.now
+	c.log.Debug("state", "server", server, "report", report)
 	c.tell(control.Event{Kind: control.Probed, Server: server, Report: report})
 }
 
@@ -365,6 +412,7 @@
 	for id, o := range c.known {
 		if o.State == control.Out && len(c.known) > unknownMost {
 			delete(c.known, id)
+			delete(c.heard, id)
 		}
 	}
 	c.offices.List(changed, full)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -85,7 +85,8 @@
 	Invite(a Attempt)
 	Cancel(server uint64, id string, n int)
 	Bye(server uint64, id string, n int, cut bool)
-	Suspect(server uint64, since time.Time) // an attempt sent at that time got no answer
+	// Suspect tells that nothing came where something was due since that time; check: calls stand there.
+	Suspect(server uint64, since time.Time, check bool)
 }
 
 // Ending is how an attempt or a standing call ended at an office.
@@ -114,6 +115,9 @@
 	Now      func() time.Time
 	Log      *slog.Logger
 	Record   func(Record) // called by the core, must not block; nil: no store
+	// Stray takes the release of a call that this process never had: one from before its restart, whose
+	// caller still holds it. Called by the core, must not block.
+	Stray func(id string, cut bool)
 }
 
 // Exchange runs the core. Its methods may be called from any goroutine, also from within the core's calls.
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -28,6 +28,10 @@
 	// writeFor is the deadline of a write to an office: with the connect time it stays well inside the second
 	// in which a draining office may still get an attempt.
 	writeFor = 300 * time.Millisecond
+	// silentFor is how long a connection must have been silent for a connect that does not come up to prove
+	// that the machine has vanished: several of the reports that offices send unasked. Callers want the
+	// release within 8 s of the end of their calls.
+	silentFor = 3500 * time.Millisecond
 )
 
 // Core is what this side tells the exchange.
@@ -51,8 +55,8 @@
 
 // Hearer takes what a peer hears.
 type Hearer interface {
-	Stood(id string, n int, desc []byte)
-	Ended(id string, n int, e exchange.Ending)
+	Stood(id string, desc []byte)
+	Ended(id string, e exchange.Ending)
 	Released(id string, cut bool, report []float64)
 	State(report []float64)
 }
@@ -77,11 +81,6 @@
 	group *errgroup.Group
 }
 
-type key struct {
-	id string
-	n  int
-}
-
 // link is one office on the list and the connections to it.
 type link struct {
 	pool    *Pool
@@ -93,18 +92,23 @@
 	cur     *session
 	waiting []exchange.Attempt
 	byes    []bye
+	check   bool // calls stand there and nothing is heard: a connect will tell
 }
 
 type bye struct {
-	key
+	id  string
+	n   int
 	cut bool
 }
 
-// session is one connection of a link, with the attempts out on it.
+// session is one connection of a link, with the attempts out on it: their numbers by call. An office's answer
+// names its call and no attempt (PROTOCOL: the Call-ID and the method of CSeq), so it ends the one that is out.
 type session struct {
 	*link
 	peer  Peer
-	out   map[key]bool
+	out   map[string]int
+	began time.Time
+	ended chan struct{}
 	heard time.Time
 	stale bool // silent where an answer was due: new attempts go over a new connection
 }
@@ -195,7 +199,7 @@
 }
 
 func (s *session) invite(a exchange.Attempt) {
-	s.out[key{a.ID, a.N}] = true
+	s.out[a.ID] = a.N
 	s.peer.Invite(a)
 }
 
@@ -221,9 +225,11 @@
 		}
 	}
 	// Over a connection that has been replaced, its end tells the same.
-	if s := l.cur; s != nil && s.out[key{id, n}] {
-		delete(s.out, key{id, n})
-		s.peer.Cancel(id, n)
+	if s := l.cur; s != nil {
+		if m, ok := s.out[id]; ok && m == n {
+			delete(s.out, id)
+			s.peer.Cancel(id, n)
+		}
 	}
 }
 
@@ -237,64 +243,87 @@
 	case l.cur != nil:
 		l.cur.peer.Bye(id, n, cut)
 	case len(l.byes) < byesMost:
-		l.byes = append(l.byes, bye{key{id, n}, cut})
+		l.byes = append(l.byes, bye{id, n, cut})
 	}
 }
 
-// Suspect is told of an attempt that got no answer. A connection on which nothing at all was heard since then
-// may lead to a machine that has vanished: it stays open and silent for ever, also when the machine is back.
-func (p *Pool) Suspect(server uint64, since time.Time) {
+// Suspect is told of an office from which something was due since that time. A connection on which nothing at
+// all was heard since then may lead to a machine that has vanished: it stays open and silent for ever, also
+// when the machine is back. With check, a new connection is tried even if nothing waits to be sent.
+func (p *Pool) Suspect(server uint64, since time.Time, check bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.links[server]; l != nil && l.cur != nil && l.cur.heard.Before(since) {
-		l.cur.stale = true
+		l.cur.stale, l.check = true, check
+		l.wake()
 	}
 }
 
-// run keeps the link connected: at once when an attempt waits, else at growing intervals.
+// run keeps the link connected: at once when an attempt waits, else at growing intervals, also where an office
+// takes connections only to end them.
 func (l *link) run(ctx context.Context) {
 	pause := redialFirst
+	rest := func() {
+		wait := time.NewTimer(pause/2 + rand.N(pause/2))
+		defer wait.Stop()
+		select {
+		case <-ctx.Done():
+		case <-l.kick:
+		case <-wait.C:
+		}
+		pause = min(2*pause, redialMost)
+	}
 	for ctx.Err() == nil {
+		if s := l.useful(); s != nil {
+			select {
+			case <-ctx.Done():
+			case <-l.kick:
+			case <-s.ended:
+				if time.Since(s.began) > redialMost {
+					pause = redialFirst
+				}
+				rest()
+			}
+			continue
+		}
 		dialCtx, cancel := context.WithTimeout(ctx, l.pool.ConnectWait)
 		peer, err := l.pool.dial(dialCtx, l.addr)
 		cancel()
 		if err != nil {
 			l.down(err)
-			wait := time.NewTimer(pause/2 + rand.N(pause/2))
-			select {
-			case <-ctx.Done():
-			case <-l.kick:
-			case <-wait.C:
-			}
-			wait.Stop()
-			pause = min(2*pause, redialMost)
+			rest()
 			continue
 		}
-		pause = redialFirst
-		s := &session{link: l, peer: peer, out: map[key]bool{}, heard: time.Now()}
+		s := &session{link: l, peer: peer, out: map[string]int{}, began: time.Now(), ended: make(chan struct{})}
+		s.heard = s.began
 		l.pool.up(s)
-		ended := make(chan struct{})
-		l.pool.group.Go(func() error {
-			defer close(ended)
-			s.serve(ctx)
-			return nil
-		})
-		for !l.replace(s) {
-			select {
-			case <-ended:
-			case <-l.kick:
-				continue
-			}
-			break
-		}
+		l.pool.group.Go(func() error { s.serve(ctx); return nil })
 	}
 }
 
-// replace tells whether the session is stale and attempts wait for a new one.
-func (l *link) replace(s *session) bool {
+// useful gives the session in use, or nil where a new connection is wanted. One that spoke again after it had
+// been stale gets what waited.
+func (l *link) useful() *session {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	return s.stale && len(l.waiting) > 0
+	if l.cur == nil || l.cur.stale && (len(l.waiting) > 0 || l.check) {
+		return nil
+	}
+	if !l.cur.stale {
+		l.flush(l.cur)
+	}
+	return l.cur
+}
+
+// flush sends what waited for a connection.
+func (l *link) flush(s *session) {
+	for _, b := range l.byes {
+		s.peer.Bye(b.id, b.n, b.cut)
+	}
+	for _, a := range l.waiting {
+		s.invite(a)
+	}
+	l.waiting, l.byes, l.check = nil, nil, false
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (Peer, error) {
@@ -309,16 +338,19 @@
 	return dial(ctx, addr)
 }
 
-// down takes a connect that failed. Where it was refused no process listens, so all that stood there is cut.
+// down takes a connect that failed. Where it was refused no process listens; where it did not come up and the
+// connection before has long been silent, the machine has vanished. Either way all that stood there is cut.
 func (l *link) down(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	l.pool.Log.Warn("office connect failed", "server", l.server, "addr", l.addr, "err", err)
 	l.pool.mu.Lock()
 	l.fail(control.RefusedConn)
+	l.check = l.cur != nil && l.cur.stale // tried again until one of the two connections speaks
+	gone := errors.Is(err, syscall.ECONNREFUSED) || l.cur != nil && time.Since(l.cur.heard) > silentFor
 	l.pool.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	l.pool.Log.Warn("office connect failed", "server", l.server, "addr", l.addr, "gone", gone, "err", err)
+	if gone {
 		l.pool.Core.Lost(l.server)
 	}
 }
@@ -332,17 +364,12 @@
 	if old != nil {
 		old.peer.Close()
 	}
-	for _, b := range s.byes {
-		s.peer.Bye(b.id, b.n, b.cut)
-	}
-	for _, a := range s.waiting {
-		s.invite(a)
-	}
-	s.waiting, s.byes = nil, nil
+	s.flush(s)
 }
 
 func (s *session) serve(ctx context.Context) {
-	p, began := s.pool, time.Now()
+	p := s.pool
+	defer close(s.ended)
 	reason, err := s.peer.Run(ctx, s)
 	p.mu.Lock()
 	if s.cur == s {
@@ -352,50 +379,52 @@
 	s.out = nil
 	p.mu.Unlock()
 	s.pool.Log.Info("office connection ended", "reason", reason, "server", s.server, "addr", s.addr,
-		"open", len(out), "age_ms", time.Since(began).Milliseconds(), "err", err)
-	for k := range out {
-		p.Core.Ended(s.server, k.id, k.n, exchange.Ending{Outcome: control.Severed})
+		"open", len(out), "age_ms", time.Since(s.began).Milliseconds(), "err", err)
+	for id, n := range out {
+		p.Core.Ended(s.server, id, n, exchange.Ending{Outcome: control.Severed})
 	}
 	if reason == sip.PeerReset {
 		p.Core.Lost(s.server)
 	}
 }
 
-// hear notes that the office speaks; it tells whether the attempt was out on this connection.
-func (s *session) hear(id string, n int) bool {
+// hear notes that the office speaks; it gives the attempt of the call that was out on this connection, -1 for
+// none.
+func (s *session) hear(id string) int {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
-	s.heard, s.stale = time.Now(), false
-	known := s.out[key{id, n}]
-	delete(s.out, key{id, n})
-	return known
+	if s.heard = time.Now(); s.stale {
+		s.stale, s.check = false, false
+		s.wake()
+	}
+	n, ok := s.out[id]
+	if !ok {
+		return -1
+	}
+	delete(s.out, id)
+	return n
 }
 
 // Stood implements Hearer. An answer to an attempt that has ended goes on all the same: the exchange releases
 // what nobody waits for.
-func (s *session) Stood(id string, n int, desc []byte) {
-	s.hear(id, n)
-	s.pool.Core.Stood(s.server, id, n, desc)
+func (s *session) Stood(id string, desc []byte) {
+	s.pool.Core.Stood(s.server, id, s.hear(id), desc)
 }
 
 // Ended implements Hearer.
-func (s *session) Ended(id string, n int, e exchange.Ending) {
-	if s.hear(id, n) {
-		s.pool.Core.Ended(s.server, id, n, e)
-	} else if e.Report != nil {
-		s.pool.Core.State(s.server, e.Report)
-	}
+func (s *session) Ended(id string, e exchange.Ending) {
+	s.pool.Core.Ended(s.server, id, s.hear(id), e)
 }
 
 // Released implements Hearer.
 func (s *session) Released(id string, cut bool, report []float64) {
-	s.hear("", 0)
+	s.hear("")
 	s.pool.Core.Released(s.server, id, cut, report)
 }
 
 // State implements Hearer.
 func (s *session) State(report []float64) {
-	s.hear("", 0)
+	s.hear("")
 	if report != nil {
 		s.pool.Core.State(s.server, report)
 	}
--- /dev/null
+++ b/internal/office/office_test.go
@@ -0,0 +1,246 @@
+package office
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masthill/control"
+	"masthill/internal/exchange"
+	"masthill/internal/netcase"
+	"masthill/internal/sip"
+)
+
+var fields = Fields{"spare", "total", "cpu", "waiting"}
+
+// core notes what the pool tells the exchange.
+type core struct{ told chan string }
+
+func (c core) say(format string, a ...any) { c.told <- fmt.Sprintf(format, a...) }
+func (c core) Stood(s uint64, id string, n int, desc []byte) {
+	c.say("stood %s %d %s", id, n, desc)
+}
+func (c core) Ended(s uint64, id string, n int, e exchange.Ending) {
+	c.say("ended %s %d %d note %d wait %d %v", id, n, e.Outcome, e.Note, e.WaitMS, e.Report)
+}
+func (c core) Released(s uint64, id string, cut bool, r []float64) {
+	c.say("released %s %v %v", id, cut, r)
+}
+func (c core) State(s uint64, r []float64) { c.say("state %v", r) }
+func (c core) Lost(s uint64)               { c.say("lost") }
+
+// bed is a pool with one office behind pipes; dialled gives the office's ends.
+type bed struct {
+	core
+	*Pool
+	dialled chan net.Conn
+	refuse  error
+	silent  bool // connects do not come up
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{core: core{make(chan string, 100)}, dialled: make(chan net.Conn, 10)}
+	dial := func(ctx context.Context, addr string) (Peer, error) {
+		if b.silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if b.refuse != nil {
+			return nil, b.refuse
+		}
+		ours, theirs := net.Pipe()
+		b.dialled <- theirs
+		return &sipPeer{Conn: sip.NewConn(ours, writeFor), name: "n0", fields: fields}, nil
+	}
+	b.Pool = NewPool(Options{Core: b.core, Log: netcase.Quiet(), ConnectWait: 500 * time.Millisecond,
+		Dials: map[string]Dial{"": dial}})
+	go b.Run(t.Context())
+	synctest.Wait()
+	b.List([]exchange.Office{{Entry: control.Entry{Server: 10}, Addr: "a:1"}}, true)
+	return b
+}
+
+func (b *bed) invite(n int) {
+	b.Invite(exchange.Attempt{ID: "9b1f03aa5c7e2d41", Class: "open-log", Number: "17", Desc: []byte("offer"), N: n,
+		Server: 10, Wait: time.Second})
+}
+
+func expect(t *testing.T, told chan string, want string) {
+	t.Helper()
+	if got := <-told; got != want {
+		t.Errorf("told %q, want %q", got, want)
+	}
+}
+
+// hear reads messages at the office until one of that method.
+func hear(t *testing.T, r *sip.Reader, method string) *sip.Message {
+	t.Helper()
+	for {
+		m, err := r.Next()
+		if err != nil {
+			t.Fatalf("waiting for %s: %v", method, err)
+		}
+		if string(m.Method) == method {
+			return m
+		}
+	}
+}
+
+const reply = "Call-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\n"
+
+// An office numbers its answers as it likes: only the Call-ID and the method count. Matched by the CSeq number,
+// second attempts were never answered, and each call that stood at one was released at once.
+func TestAnswerToASecondAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		office := <-b.dialled
+		r := sip.NewReader(office)
+		b.invite(1)
+		m := hear(t, r, "INVITE")
+		if string(m.User()) != "17" || string(m.Get("Subject")) != "open-log" || string(m.Body) != "offer" ||
+			string(m.Get("X-Patience")) != "1000" {
+			t.Errorf("set-up %+v", m)
+		}
+		io.WriteString(office, "SIP/2.0 200 OK\r\n"+reply+"Content-Length: 4\r\n\r\ndesc")
+		expect(t, b.told, "stood 9b1f03aa5c7e2d41 1 desc")
+		hear(t, r, "ACK")
+	})
+}
+
+func TestAnswersToOutcomes(t *testing.T) {
+	for _, tc := range []struct{ in, want string }{
+		{"SIP/2.0 503 X\r\n" + reply + "X-Note: cpu_full\r\nX-Delay: 2300\r\nX-State: x0:12;util:0.5;zz:1\r\n",
+			"ended 9b1f03aa5c7e2d41 0 2 note 3 wait 2300 [12 -1 0.5 -1]"},
+		{"SIP/2.0 503 X\r\n" + reply + "X-Note: all_trunks_busy\r\n", "ended 9b1f03aa5c7e2d41 0 2 note 1 wait 0 []"},
+		{"SIP/2.0 486 X\r\n" + reply + "X-Note: number_busy\r\n", "ended 9b1f03aa5c7e2d41 0 1 note 4 wait 0 []"},
+		{"SIP/2.0 500 X\r\n" + reply, "ended 9b1f03aa5c7e2d41 0 1 note 0 wait 0 []"},
+		{"SIP/2.0 480 X\r\n" + reply, "ended 9b1f03aa5c7e2d41 0 7 note 0 wait 0 []"},
+		{"SIP/2.0 504 X\r\n" + reply, "ended 9b1f03aa5c7e2d41 0 5 note 0 wait 0 []"},
+		{"BYE sip:1@net SIP/2.0\r\nCall-ID: 5\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=41\r\nX-State: x0:1\r\n",
+			"released 5 true [1 -1 -1 -1]"},
+		{"BYE sip:1@net SIP/2.0\r\nCall-ID: 5\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\n", "released 5 false []"},
+		{"NOTIFY sip:1@net SIP/2.0\r\nX-State: x1:40;queue:NaN;x0:3\r\n", "state [3 40 -1 -1]"},
+		{"SIP/2.0 200 OK\r\nCSeq: 1 INVITE\r\n", "ended 9b1f03aa5c7e2d41 0 5 note 0 wait 0 []"}, // unreadable: closed
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t)
+			office := <-b.dialled
+			r := sip.NewReader(office)
+			b.invite(0)
+			hear(t, r, "INVITE")
+			go io.Copy(io.Discard, office)
+			io.WriteString(office, tc.in+"Content-Length: 0\r\n\r\n")
+			expect(t, b.told, tc.want)
+		})
+	}
+}
+
+func TestConnectFailuresAreRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		(<-b.dialled).Close()
+		synctest.Wait()
+		b.refuse = errors.New("refused")
+		time.Sleep(redialFirst) // its own reconnect fails
+		synctest.Wait()
+		b.invite(0)
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 0 4 note 0 wait 0 []")
+		b.Invite(exchange.Attempt{ID: "x", Server: 11})
+		expect(t, b.told, "ended x 0 4 note 0 wait 0 []")
+		// Cancelled before the connect: never sent.
+		b.refuse, b.silent = nil, true
+		b.invite(1)
+		b.Cancel(10, "9b1f03aa5c7e2d41", 1)
+		b.silent = false
+		office := <-b.dialled
+		b.Bye(10, "x", 0, true)
+		if m, err := sip.NewReader(office).Next(); err != nil || string(m.Method) != "BYE" {
+			t.Errorf("%+v, %v", m, err)
+		}
+	})
+}
+
+// A machine that vanishes leaves its connections open and silent. Attempts must go over a new one, and where
+// that does not come up, what stood there is cut: nothing else would tell its callers.
+func TestVanishedMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		office := <-b.dialled
+		go io.Copy(io.Discard, office)
+		b.silent = true
+		time.Sleep(silentFor + time.Second)
+		sent := time.Now()
+		b.invite(0)
+		time.Sleep(time.Second)
+		b.Cancel(10, "9b1f03aa5c7e2d41", 0)
+		b.Suspect(10, sent, false)
+		b.invite(1)
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 1 4 note 0 wait 0 []")
+		expect(t, b.told, "lost")
+		b.silent = false
+		<-b.dialled // and a new connection replaces the dead one
+		if _, err := io.ReadAll(bufio.NewReader(office)); err != nil {
+			t.Errorf("old connection: %v", err)
+		}
+	})
+}
+
+func TestSuspicionEndsWithAnySign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		office := <-b.dialled
+		go io.Copy(io.Discard, office)
+		b.silent = true
+		time.Sleep(time.Second)
+		b.Suspect(10, time.Now(), false)
+		io.WriteString(office, "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n")
+		expect(t, b.told, "state [3 -1 -1 -1]")
+		b.invite(0)
+		office.Close()
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 0 5 note 0 wait 0 []") // it was out on the old connection
+	})
+}
+
+func TestListChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		first := <-b.dialled
+		draining := exchange.Office{Entry: control.Entry{Server: 10, State: control.Lame}, Addr: "a:1"}
+		b.List([]exchange.Office{draining}, false)
+		synctest.Wait()
+		b.Bye(10, "x", 0, false) // calls stand there: the connection stays
+		if m, err := sip.NewReader(first).Next(); err != nil || string(m.Method) != "BYE" {
+			t.Errorf("%+v, %v", m, err)
+		}
+		b.List([]exchange.Office{{Entry: control.Entry{Server: 10, ReadyAt: 5}, Addr: "a:1"}}, false)
+		<-b.dialled // a new processor gets a new connection
+		if _, err := io.ReadAll(first); err != nil {
+			t.Errorf("old connection: %v", err)
+		}
+		b.List(nil, true)
+		b.invite(0)
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 0 4 note 0 wait 0 []")
+	})
+}
+
+func TestReportsFromGarbage(t *testing.T) {
+	netcase.Check(t, func(t *rapid.T) {
+		text := netcase.Garbage(t, []byte("x0:12;x1:40;util:0.3;queue:3"))
+		if r := fields.Parse(text); r != nil && len(r) != len(fields) || slices.ContainsFunc(r, func(x float64) bool { return x != x }) {
+			t.Fatalf("%q gave %v", text, r)
+		}
+	})
+	if got := fmt.Sprint(Fields{"cpu"}.Parse([]byte(" util:0.25 ; x0:1"))); got != "[0.25]" || strings.Contains(got, "-1") {
+		t.Error(got)
+	}
+}
--- a/internal/office/sip.go
+++ b/internal/office/sip.go
@@ -144,10 +144,10 @@
 	n := int(seq) - 1
 	p.Send(sip.AppendBody(p.request("ACK", id, id, n), nil))
 	if m.Status < 300 {
-		h.Stood(id, n, bytes.Clone(m.Body))
+		h.Stood(id, bytes.Clone(m.Body))
 		return nil
 	}
-	h.Ended(id, n, p.ending(m))
+	h.Ended(id, p.ending(m))
 	return nil
 }
 
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -158,7 +158,7 @@
 		return WriteTimeout
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return PeerReset
-	case errors.Is(err, errClosed), errors.Is(err, net.ErrClosed):
+	case errors.Is(err, errClosed), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrClosedPipe):
 		return Closed
 	}
 	return IOError
--- /dev/null
+++ b/internal/sip/conn_test.go
@@ -0,0 +1,65 @@
+package sip
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// run serves one end of a pipe and gives the other.
+func run(t *testing.T, ctx context.Context) (net.Conn, *Conn, chan Reason) {
+	a, b := net.Pipe()
+	c, reason := NewConn(a, time.Second), make(chan Reason, 1)
+	go func() {
+		r, _ := c.Run(ctx, func(m *Message) error {
+			c.Send(Answer(m, 200))
+			return nil
+		})
+		reason <- r
+	}()
+	return b, c, reason
+}
+
+func TestReasons(t *testing.T) {
+	for _, tc := range []struct {
+		want Reason
+		do   func(peer net.Conn, c *Conn, cancel func())
+	}{
+		{PeerClosed, func(p net.Conn, _ *Conn, _ func()) { p.Close() }},
+		{CutShort, func(p net.Conn, _ *Conn, _ func()) { io.WriteString(p, invite[:30]); p.Close() }},
+		{BadFraming, func(p net.Conn, _ *Conn, _ func()) { io.WriteString(p, "?\r\n\r\n") }},
+		{Closed, func(_ net.Conn, c *Conn, _ func()) { c.Close() }},
+		{Closed, func(_ net.Conn, _ *Conn, cancel func()) { cancel() }},
+		// A peer that does not read: after a second the write ends the connection, and so does a full queue.
+		{WriteTimeout, func(p net.Conn, _ *Conn, _ func()) { io.WriteString(p, invite) }},
+		{QueueFull, func(_ net.Conn, c *Conn, _ func()) {
+			for c.Send([]byte("x")) {
+			}
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			peer, c, reason := run(t, ctx)
+			tc.do(peer, c, cancel)
+			if got := <-reason; got != tc.want {
+				t.Errorf("reason %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestCloseWritesWhatIsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer, c, reason := run(t, t.Context())
+		c.Send([]byte("one "))
+		c.Send([]byte("two"))
+		c.Close()
+		if got, err := io.ReadAll(peer); string(got) != "one two" || err != nil || <-reason != Closed {
+			t.Errorf("read %q, %v", got, err)
+		}
+	})
+}
