Add the WebSocket front, servers that speak it, and the store of record

callws: callers over WebSocket with tokens, calls under the caller's own ids, a resend joins or gets the recorded answer; the same JSON to servers whose listed address is ws://. Both fronts check set-ups in exchange.Names. store: records on database/sql off the decision path.

--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -18,10 +18,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/internal/caller"
+	"masthill/internal/callws"
 	"masthill/internal/config"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
 	"masthill/internal/office"
+	"masthill/internal/store"
 )
 
 const (
@@ -32,6 +34,9 @@
 	refuseAfter = 3300 * time.Millisecond
 	// flushFor is the time that the last answers get to be written.
 	flushFor = 200 * time.Millisecond
+	// callersPart and socketsPart are the shares in a hundred of the descriptors for the two fronts' callers. The
+	// platform's callers hold a third at most; the rest is for offices, the journal, the store and spares.
+	callersPart, socketsPart = 40, 30
 	// memoryPart is the part of the memory limit that the Go heap may take; the rest is for the program's own
 	// pages, stacks, socket buffers and files.
 	memoryPart = 0.7
@@ -44,39 +49,70 @@
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	p, err := config.Load(os.Getenv)
+	var own *config.Project
+	if err == nil {
+		own, err = config.LoadProject(os.Getenv)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "masthill: configuration:", err)
 		os.Exit(2)
 	}
-	if err := serve(p, log.With("node", p.Name)); err != nil {
+	if err := serve(p, own, log.With("node", p.Name)); err != nil {
 		fmt.Fprintln(os.Stderr, "masthill:", err)
 		os.Exit(1)
 	}
 }
 
-func serve(p *config.Platform, log *slog.Logger) error {
+// front is one way in for callers.
+type front interface {
+	Drain()
+	Close()
+	Serve(ctx context.Context, l net.Listener) error
+}
+
+func serve(p *config.Platform, own *config.Project, log *slog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 
-	var front *caller.Server
-	x, err := exchange.New(exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log,
-		Stray: func(id string, cut bool) { front.Release(id, cut) }})
+	options := exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log}
+	var records *store.Store
+	if own.Store.Driver != "" {
+		var err error
+		records, err = store.Open(store.Options{Driver: own.Store.Driver, DSN: own.Store.DSN, Instance: p.Name, Log: log})
+		if err != nil {
+			return err
+		}
+		options.Record = records.Put
+	}
+	var calls *caller.Server
+	options.Stray = func(id string, cut bool) { calls.Release(id, cut) }
+	x, err := exchange.New(options)
 	if err != nil {
 		return err
 	}
-	offices := office.NewPool(office.Options{Core: x, Log: log, ConnectWait: p.ConnectWait,
-		Dials: map[string]office.Dial{"": office.SIP(p.Name, p.Settings.Fields)}})
+	calls = caller.New(caller.Options{Core: x, Log: log, Names: p.Names, MaxOpen: p.Sockets * callersPart / 100})
+	offices := office.NewPool(office.Options{Core: x, Log: log, ConnectWait: p.ConnectWait, Dials: map[string]office.Dial{
+		"": office.SIP(p.Name, p.Settings.Fields), "ws": callws.Dial(p.Settings.Fields)}})
 	x.Connect(offices)
 	feed := &journal.Client{Addr: p.Journal, Log: log, Tell: x.Members}
 	feed.Start(p.Known)
-	front = caller.New(caller.Options{Core: x, Log: log, Classes: p.Classes, Tenants: p.Tenants,
-		MaxOpen: p.Sockets / 2})
+
+	fronts := map[front]net.Listener{}
 	l, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return err
 	}
+	fronts[calls] = l
+	if own.CallWS.Listen != "" {
+		if l, err = net.Listen("tcp", own.CallWS.Listen); err != nil {
+			return fmt.Errorf("callws.listen: %w", err)
+		}
+		fronts[callws.New(callws.Options{Core: x, Log: log, Names: p.Names, Callers: own.CallWS.Callers,
+			MaxOpen: p.Sockets * socketsPart / 100})] = l
+		log.Info("serving call control", "listen", l.Addr().String())
+	}
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -84,32 +120,48 @@
 	g.Go(func() error { return x.Run(ctx) })
 	g.Go(func() error { return offices.Run(ctx) })
 	g.Go(func() error { return feed.Run(ctx) })
-	g.Go(func() error { return front.Serve(ctx, l) })
+	if records != nil {
+		g.Go(func() error { return records.Run(ctx) })
+	}
+	for f, l := range fronts {
+		g.Go(func() error { return f.Serve(ctx, l) })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-term:
 		}
-		log.Info("ending", "open", x.Open())
-		began := time.Now()
-		front.Drain()
-		time.Sleep(acceptFor)
-		l.Close()
-		time.Sleep(takeFor - time.Since(began))
-		for x.Open() > 0 && time.Since(began) < refuseAfter {
-			time.Sleep(5 * time.Millisecond)
-		}
-		x.RefuseAll()
-		front.Close()
-		time.Sleep(flushFor)
-		log.Info("ended", "after_ms", time.Since(began).Milliseconds())
+		end(x, fronts, log)
 		stop()
 		return nil
 	})
-	log.Info("serving", "listen", p.Listen, "pos", feed.Pos)
+	log.Info("serving", "listen", fronts[calls].Addr().String(), "pos", feed.Pos)
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
 	return nil
 }
+
+// end is the planned end: new calls are taken as long as they may come, and all that was taken is answered.
+func end(x *exchange.Exchange, fronts map[front]net.Listener, log *slog.Logger) {
+	began := time.Now()
+	log.Info("ending", "open", x.Open())
+	for f := range fronts {
+		f.Drain()
+	}
+	time.Sleep(acceptFor)
+	for _, l := range fronts {
+		l.Close()
+	}
+	time.Sleep(takeFor - time.Since(began))
+	for x.Open() > 0 && time.Since(began) < refuseAfter {
+		time.Sleep(5 * time.Millisecond)
+	}
+	x.RefuseAll()
+	for f := range fronts {
+		f.Close()
+	}
+	time.Sleep(flushFor)
+	log.Info("ended", "after_ms", time.Since(began).Milliseconds())
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -30,8 +30,6 @@
 	releasesMost = 1024
 	// owner marks the calls of this side: any of its connections may end a call (PROTOCOL).
 	owner = "sip"
-	// patienceMost is a day: no caller waits longer, and larger figures would overflow.
-	patienceMost = 24 * 3600 * 1000
 )
 
 // Core is what this side tells the exchange.
@@ -41,18 +39,11 @@
 	HangUp(id, owner string)
 }
 
-// Class is one class of call, by its name in the settings.
-type Class struct {
-	Name     string
-	Deadline time.Duration // patience of a set-up that names none
-}
-
 // Options is what a Server is made from.
 type Options struct {
 	Core    Core
 	Log     *slog.Logger
-	Classes []Class
-	Tenants []string
+	Names   exchange.Names
 	MaxOpen int // connections held at once
 }
 
@@ -217,26 +208,19 @@
 		return 400, "no number in the first line"
 	}
 	number := string(m.User())
-	call := exchange.Setup{ID: id, Owner: owner, Class: -1, Name: string(m.Get("Subject")), Number: number,
-		Tenant: string(m.Get("Organization")), Desc: bytes.Clone(m.Body), Dest: -1, Taken: m.At,
+	call := exchange.Setup{ID: id, Owner: owner, Number: number, Desc: bytes.Clone(m.Body), Dest: -1,
 		Retry: string(m.Get("X-Retry")) == "1"}
-	for k, class := range c.server.Classes {
-		if class.Name == call.Name {
-			call.Class, call.Until = k, m.At.Add(class.Deadline)
-		}
-	}
-	if call.Class < 0 {
-		return 400, "unknown class in Subject"
-	}
-	if call.Tenant != "" && !contains(c.server.Tenants, call.Tenant) {
-		return 400, "unknown tenant in Organization"
-	}
+	var patience *int64
 	if p := m.Get("X-Patience"); p != nil {
 		ms, err := strconv.ParseInt(string(p), 10, 64)
-		if err != nil || ms <= 0 || ms > patienceMost {
-			return 400, "X-Patience is no time"
+		if err != nil {
+			return 400, "X-Patience is no number"
 		}
-		call.Until = m.At.Add(time.Duration(ms) * time.Millisecond)
+		patience = &ms
+	}
+	err := c.server.Names.Fill(&call, string(m.Get("Subject")), string(m.Get("Organization")), patience, m.At)
+	if err != nil {
+		return 400, err.Error()
 	}
 	for _, fact := range strings.Split(string(m.Get("X-Facts")), ";") {
 		name, value, _ := strings.Cut(strings.TrimSpace(fact), ":")
@@ -258,15 +242,6 @@
 	return 0, ""
 }
 
-func contains(list []string, name string) bool {
-	for _, s := range list {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
 func callID(id string) bool {
 	if len(id) != 16 {
 		return false
--- /dev/null
+++ b/internal/callws/conn.go
@@ -0,0 +1,193 @@
+// Package callws is call control over WebSocket: a front for callers, and the way to servers that speak the
+// same JSON. The messages are described in docs/callws.md.
+package callws
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unicode/utf8"
+
+	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
+
+	"masthill/internal/sip"
+)
+
+const (
+	// messageMost bounds one message, as on the platform's port.
+	messageMost = sip.MaxMessage
+	// queueMost bounds the messages that wait for a peer to read.
+	queueMost = 256
+	// writeFor is the deadline of a write: an answer that takes longer is not whole in time.
+	writeFor = time.Second
+	// pingEvery and pingFor find a peer that has vanished without a word.
+	pingEvery, pingFor = 20 * time.Second, 5 * time.Second
+)
+
+// The reasons of this front beside those of package sip.
+const (
+	badMessage sip.Reason = "bad_message"
+	noPong     sip.Reason = "no_pong"
+)
+
+var (
+	errUnreadable = errors.New("message is no JSON object")
+	errNoPong     = errors.New("no pong")
+	errClose      = errors.New("closed by this side")
+)
+
+// conn is one WebSocket with a bounded write queue and a deadline on each write.
+type conn struct {
+	ws      *websocket.Conn
+	out     chan []byte
+	full    atomic.Bool
+	closing chan struct{}
+	closed  atomic.Bool
+}
+
+func newConn(ws *websocket.Conn) *conn {
+	ws.SetReadLimit(messageMost)
+	return &conn{ws: ws, out: make(chan []byte, queueMost), closing: make(chan struct{})}
+}
+
+// send queues one message and never blocks: a peer that does not read loses its connection.
+func (c *conn) send(v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return // no type sent here can fail
+	}
+	select {
+	case c.out <- b:
+	default:
+		c.full.Store(true)
+		c.Close()
+	}
+}
+
+// Close ends the connection after what is queued has been written; a peer that does not read is cut off.
+func (c *conn) Close() {
+	if c.closed.CompareAndSwap(false, true) {
+		close(c.closing)
+	}
+}
+
+// run serves the connection until it ends and tells why.
+func (c *conn) run(ctx context.Context, handle func([]byte) error) (sip.Reason, error) {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		for {
+			kind, data, err := c.ws.Read(ctx)
+			if err == nil && kind != websocket.MessageText {
+				err = errUnreadable
+			}
+			if err == nil {
+				err = handle(data)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	})
+	g.Go(func() error { return c.write(ctx) })
+	g.Go(func() error { return c.ping(ctx) })
+	err := g.Wait()
+	reason := c.reason(err)
+	switch reason {
+	case badMessage:
+		c.ws.Close(websocket.StatusInvalidFramePayloadData, errUnreadable.Error())
+	case sip.Closed:
+		c.ws.Close(websocket.StatusGoingAway, "ending")
+	}
+	c.ws.CloseNow()
+	return reason, err
+}
+
+func (c *conn) write(ctx context.Context) error {
+	for {
+		var b []byte
+		select {
+		case <-ctx.Done():
+			return nil // the reader has the reason
+		case b = <-c.out:
+		case <-c.closing:
+			select {
+			case b = <-c.out: // what is queued goes first
+			default:
+				return errClose
+			}
+		}
+		if c.full.Load() {
+			return errClose
+		}
+		limit, cancel := context.WithTimeout(ctx, writeFor)
+		err := c.ws.Write(limit, websocket.MessageText, b)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) ping(ctx context.Context) error {
+	tick := time.NewTicker(pingEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		limit, cancel := context.WithTimeout(ctx, pingFor)
+		err := c.ws.Ping(limit)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			return errors.Join(errNoPong, err)
+		}
+	}
+}
+
+func (c *conn) reason(err error) sip.Reason {
+	switch {
+	case c.full.Load():
+		return sip.QueueFull
+	case errors.Is(err, errUnreadable), errors.Is(err, websocket.ErrMessageTooBig):
+		return badMessage
+	case errors.Is(err, errNoPong):
+		return noPong
+	case errors.Is(err, errClose), errors.Is(err, context.Canceled), errors.Is(err, net.ErrClosed):
+		return sip.Closed
+	case websocket.CloseStatus(err) != -1, errors.Is(err, io.EOF):
+		return sip.PeerClosed
+	case errors.Is(err, context.DeadlineExceeded):
+		return sip.WriteTimeout
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return sip.PeerReset
+	}
+	return sip.IOError
+}
+
+// description is a description as JSON holds it: text, or base64 where it is none.
+type description struct {
+	Text  string `json:"description,omitempty"`
+	Bytes []byte `json:"description_base64,omitempty"`
+}
+
+func describe(b []byte) description {
+	if utf8.Valid(b) {
+		return description{Text: string(b)}
+	}
+	return description{Bytes: b}
+}
+
+func (d description) raw() []byte {
+	if len(d.Bytes) > 0 {
+		return d.Bytes
+	}
+	return []byte(d.Text)
+}
--- /dev/null
+++ b/internal/callws/front.go
@@ -0,0 +1,389 @@
+package callws
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
+
+	"masthill/internal/exchange"
+)
+
+const (
+	// protocol is the WebSocket subprotocol that callers ask for.
+	protocol = "callcontrol.v1"
+	// resumeFor is how long a call whose socket closed mid-set-up waits for its caller to come back, if its
+	// deadline is not sooner: time for a station's reconnect, and short against the work that an office does
+	// for a caller who has left.
+	resumeFor = 2 * time.Second
+	// sweepEvery is how often calls without a socket are looked at.
+	sweepEvery = 100 * time.Millisecond
+	// releaseFor is how long the release of a call waits for a socket of its caller.
+	releaseFor = 30 * time.Second
+	// callsMost bounds the calls of this front, idMost a caller's call id.
+	callsMost, idMost = 20000, 128
+	// headerFor is the time for an upgrade's request, so that silent connections go.
+	headerFor = 5 * time.Second
+)
+
+// Core is what this front tells the exchange.
+type Core interface {
+	Arrive(s exchange.Setup, from exchange.Caller)
+	GiveUp(id, owner string, from exchange.Caller)
+	HangUp(id, owner string)
+}
+
+// Options is what a Front is made from.
+type Options struct {
+	Core    Core
+	Log     *slog.Logger
+	Names   exchange.Names
+	Callers map[string]string // tokens by identity
+	MaxOpen int               // connections held at once
+}
+
+// Front takes calls over WebSocket.
+type Front struct {
+	Options
+	ending atomic.Bool
+	mu     sync.Mutex
+	socks  map[*sock]bool
+	calls  map[string]*call // by the id that offices know
+	group  *errgroup.Group
+	ctx    context.Context
+}
+
+// sock is one caller's socket.
+type sock struct {
+	*conn
+	front    *Front
+	identity string
+}
+
+// call is a call of this front, until it has its refusal or its release has been told.
+type call struct {
+	id, identity string
+	sock         *sock // nil: its socket closed
+	stands, over bool
+	cut          bool
+	since        time.Time // it lost its socket, or is over without one
+}
+
+// request is what a caller sends.
+type request struct {
+	Type, ID, Class, Tenant, Number string
+	PatienceMS                      *int64 `json:"patience_ms"`
+	FirstChoice                     *int   `json:"first_choice"`
+	Retry, Again                    bool
+	description
+}
+
+// reply is what a caller is told.
+type reply struct {
+	Type    string `json:"type"`
+	ID      string `json:"id,omitempty"`
+	LaterMS int64  `json:"later_ms,omitempty"`
+	Cut     *bool  `json:"cut,omitempty"`
+	Code    int    `json:"code,omitempty"`
+	Text    string `json:"text,omitempty"`
+	description
+}
+
+// New makes a front.
+func New(o Options) *Front {
+	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}}
+}
+
+// Key is the id that offices know a call by: 16 hex digits of the caller's identity and its own id, so that
+// callers can't reach each other's calls and a resend is the same call.
+func Key(identity, id string) string {
+	sum := sha256.Sum256([]byte(identity + "\x00" + id))
+	return hex.EncodeToString(sum[:8])
+}
+
+// Drain makes the readiness test fail.
+func (f *Front) Drain() { f.ending.Store(true) }
+
+// Serve takes connections until ctx ends.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	f.group, f.ctx = g, ctx
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/calls", f.upgrade)
+	mux.HandleFunc("GET /v1/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if f.ending.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
+		MaxHeaderBytes: messageMost, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
+	g.Go(func() error {
+		if err := server.Serve(&limited{Listener: l, most: int64(f.MaxOpen)}); !errors.Is(err, http.ErrServerClosed) &&
+			!errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	g.Go(func() error { f.sweep(ctx); return nil })
+	return g.Wait()
+}
+
+// limited closes connections beyond a number at once.
+type limited struct {
+	net.Listener
+	open, most int64
+}
+
+type counted struct {
+	net.Conn
+	once sync.Once
+	open *int64
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { atomic.AddInt64(c.open, -1) })
+	return c.Conn.Close()
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if atomic.AddInt64(&l.open, 1) <= l.most {
+			return &counted{Conn: c, open: &l.open}, nil
+		}
+		atomic.AddInt64(&l.open, -1)
+		c.Close()
+	}
+}
+
+// Close ends all sockets after what is queued has been written.
+func (f *Front) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s := range f.socks {
+		s.Close()
+	}
+}
+
+// identify finds the caller by its token.
+func (f *Front) identify(r *http.Request) (identity string, ok bool) {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	for name, known := range f.Callers {
+		if found && subtle.ConstantTimeCompare([]byte(token), []byte(known)) == 1 {
+			identity, ok = name, true
+		}
+	}
+	return identity, ok
+}
+
+func (f *Front) upgrade(w http.ResponseWriter, r *http.Request) {
+	identity, ok := f.identify(r)
+	if !ok {
+		f.Log.Warn("call socket turned down", "status", http.StatusUnauthorized, "peer", r.RemoteAddr)
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{protocol}})
+	if err != nil {
+		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
+		return
+	}
+	s := &sock{conn: newConn(ws), front: f, identity: identity}
+	peer := r.RemoteAddr
+	f.group.Go(func() error { f.serve(f.ctx, s, peer); return nil })
+}
+
+func (f *Front) serve(ctx context.Context, s *sock, peer string) {
+	began := time.Now()
+	f.mu.Lock()
+	f.socks[s] = true
+	for key, c := range f.calls { // releases that found no socket
+		if c.over && c.identity == s.identity {
+			s.send(reply{Type: "released", ID: c.id, Cut: &c.cut})
+			delete(f.calls, key)
+		}
+	}
+	f.mu.Unlock()
+	reason, err := s.run(ctx, s.take)
+	f.mu.Lock()
+	delete(f.socks, s)
+	waiting := 0
+	for _, c := range f.calls {
+		if c.sock == s {
+			if c.sock, c.since = nil, time.Now(); !c.stands {
+				waiting++
+			}
+		}
+	}
+	f.mu.Unlock()
+	f.Log.Info("call socket ended", "reason", reason, "peer", peer, "identity", s.identity, "waiting", waiting,
+		"age_ms", time.Since(began).Milliseconds(), "err", err)
+}
+
+// sweep gives up calls whose caller has not come back, and forgets releases that nobody came for. A standing
+// call belongs to no socket and goes on, if its caller had heard that it stands.
+func (f *Front) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		var left []*call
+		f.mu.Lock()
+		for key, c := range f.calls {
+			switch {
+			case c.sock != nil:
+			case c.over && time.Since(c.since) > releaseFor:
+				delete(f.calls, key)
+			case !c.over && !c.stands && time.Since(c.since) > resumeFor:
+				delete(f.calls, key)
+				left = append(left, c)
+			}
+		}
+		f.mu.Unlock()
+		for _, c := range left {
+			f.Core.GiveUp(Key(c.identity, c.id), "ws/"+c.identity, f)
+		}
+	}
+}
+
+// take handles one message of a caller.
+func (s *sock) take(data []byte) error {
+	at := time.Now()
+	var m request
+	if json.Unmarshal(data, &m) != nil {
+		return errUnreadable
+	}
+	switch {
+	case m.ID == "" || len(m.ID) > idMost:
+		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "id: empty or over 128 bytes"})
+	case m.Type == "call":
+		if code, text := s.call(&m, at); code != 0 {
+			s.front.Log.Warn("call turned down", "code", code, "why", text, "identity", s.identity)
+			s.send(reply{Type: "error", ID: m.ID, Code: code, Text: text})
+		}
+	case m.Type == "cancel":
+		key := Key(s.identity, m.ID)
+		s.front.forget(key)
+		s.front.Core.GiveUp(key, s.owner(), nil)
+	case m.Type == "hangup":
+		key := Key(s.identity, m.ID)
+		if !s.front.forget(key) {
+			s.send(reply{Type: "error", ID: m.ID, Code: 481, Text: "no such call"})
+			return nil
+		}
+		s.front.Core.GiveUp(key, s.owner(), nil)
+		s.send(reply{Type: "released", ID: m.ID, Cut: new(bool)})
+	default:
+		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "type: unknown"})
+	}
+	return nil
+}
+
+func (s *sock) owner() string { return "ws/" + s.identity }
+
+func (f *Front) forget(key string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.calls[key]
+	delete(f.calls, key)
+	return ok
+}
+
+// call takes a set-up, or one sent again after a reconnect: the exchange joins it to the running call or gives
+// the recorded answer.
+func (s *sock) call(m *request, at time.Time) (code int, text string) {
+	if m.Number == "" || strings.ContainsAny(m.Number, "@ \r\n") {
+		return 400, "number: empty or with blanks"
+	}
+	key := Key(s.identity, m.ID)
+	setup := exchange.Setup{ID: key, Owner: s.owner(), Number: m.Number, Desc: m.raw(), Dest: -1, Retry: m.Retry,
+		Again: m.Again}
+	if m.FirstChoice != nil {
+		setup.Dest = *m.FirstChoice
+	}
+	if err := s.front.Names.Fill(&setup, m.Class, m.Tenant, m.PatienceMS, at); err != nil {
+		return 400, err.Error()
+	}
+	f := s.front
+	f.mu.Lock()
+	c := f.calls[key]
+	if c == nil && len(f.calls) >= callsMost {
+		f.mu.Unlock()
+		return 503, "too many calls"
+	}
+	if c == nil {
+		c = &call{id: m.ID, identity: s.identity}
+		f.calls[key] = c
+	}
+	c.sock = s
+	f.mu.Unlock()
+	f.Core.Arrive(setup, f)
+	return 0, ""
+}
+
+// Answer implements exchange.Caller. An answer that finds no socket is on record: the caller gets it when it
+// sends the call again.
+func (f *Front) Answer(key string, final exchange.Final) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.calls[key]
+	if c == nil {
+		return
+	}
+	if final.Verdict != exchange.Stands {
+		delete(f.calls, key)
+	} else if c.sock != nil {
+		c.stands = true
+	}
+	if c.sock != nil {
+		c.sock.send(reply{Type: final.Verdict.String(), ID: c.id, LaterMS: final.Wait.Milliseconds(),
+			description: describe(final.Desc)})
+	}
+}
+
+// Release implements exchange.Caller. It goes to the call's socket, to another of the same caller, or to the
+// next one that the caller opens.
+func (f *Front) Release(key string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.calls[key]
+	if c == nil {
+		return
+	}
+	to := c.sock
+	for s := range f.socks {
+		if to == nil && s.identity == c.identity {
+			to = s
+		}
+	}
+	if to == nil {
+		c.over, c.cut, c.since = true, cut, time.Now()
+		return
+	}
+	delete(f.calls, key)
+	to.send(reply{Type: "released", ID: c.id, Cut: &cut})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"masthill/control"
-	"masthill/internal/caller"
+	"masthill/internal/exchange"
 	"masthill/internal/journal"
 	"masthill/internal/wire"
 )
@@ -25,8 +25,7 @@
 	MemoryMB, Sockets     int
 	Known                 journal.Known
 	Settings              control.Settings
-	Classes               []caller.Class
-	Tenants               []string
+	Names                 exchange.Names
 	ConnectWait           time.Duration
 }
 
@@ -132,10 +131,10 @@
 		if g.Name == "" {
 			return nil, fmt.Errorf("settings.grades[%d].name: missing", k)
 		}
-		p.Classes = append(p.Classes, caller.Class{Name: g.Name, Deadline: time.Duration(g.Deadline)})
+		p.Names.Classes = append(p.Names.Classes, exchange.Class{Name: g.Name, Deadline: time.Duration(g.Deadline)})
 	}
 	for _, t := range n.Tenants {
-		p.Tenants = append(p.Tenants, t.Name)
+		p.Names.Tenants = append(p.Names.Tenants, t.Name)
 	}
 	return p, nil
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -18,6 +18,9 @@
 	// quietFor is the silence of an office after which the calls that stand there are doubted: its reports
 	// come about once a second while anything changes. quietEvery is how often that is looked at.
 	quietFor, quietEvery = 3 * time.Second, time.Second
+	// loadMost bounds what all calls in hand hold of memory, with loadEach for a call beside its
+	// descriptions: a quarter of an instance's 192 MB. Beyond it new calls are refused at once.
+	loadMost, loadEach = 48 << 20, 1 << 10
 	// unknownMost bounds the memory of servers that were on a list and have gone.
 	unknownMost = 1024
 )
@@ -61,6 +64,7 @@
 
 	calls map[string]*call
 	open  int // calls without a final answer
+	load  int // bytes that the calls in hand hold
 	known map[uint64]Office
 	heard map[uint64]int64 // when each server last told anything
 	watch bool             // the look at silent servers is due
@@ -199,6 +203,10 @@
 	cl := &call{Setup: s, from: from}
 	c.calls[s.ID] = cl
 	c.open++
+	if c.load += loadEach + len(s.Desc); c.load > loadMost {
+		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
+		return
+	}
 	notAfter := s.Until.Add(-answerLead).UnixNano()
 	// The module ends every call in time by itself. Should it ever not, the caller is still owed an answer.
 	c.after(time.Duration(notAfter-c.now), func() {
@@ -228,21 +236,30 @@
 		cl.sent, "server", cl.server, "after_ms", (c.now-cl.Taken.UnixNano())/1e6)
 	if f.Verdict == Stands {
 		cl.stands, cl.desc = true, f.Desc
+		c.load += len(f.Desc)
 	} else {
-		delete(c.calls, cl.ID)
+		c.drop(cl)
 		c.keep(&kept{id: cl.ID, owner: cl.Owner, f: f, at: c.now})
-		c.write(cl, f.Verdict.String(), f.Wait, false)
 	}
+	c.write(cl, Record{Verdict: f.Verdict.String(), Wait: f.Wait})
 	cl.from.Answer(cl.ID, f)
 }
 
-func (c *core) write(cl *call, verdict string, wait time.Duration, cut bool) {
-	r := Record{ID: cl.ID, Owner: cl.Owner, Class: cl.Name, Tenant: cl.Tenant, Number: cl.Number,
-		Verdict: verdict, Attempts: cl.sent, Server: cl.server, Taken: cl.Taken, Wait: wait, Cut: cut,
-		Ended: time.Unix(0, c.now)}
+func (c *core) drop(cl *call) {
+	delete(c.calls, cl.ID)
+	c.load -= loadEach + len(cl.Desc) + len(cl.desc)
+}
+
+// write hands a record to the store: one with the answer, and one more when a call that stood is over.
+func (c *core) write(cl *call, r Record) {
+	r.ID, r.Owner, r.Class, r.Tenant, r.Number = cl.ID, cl.Owner, cl.Name, cl.Tenant, cl.Number
+	r.Attempts, r.Server, r.Taken = cl.sent, cl.server, cl.Taken
 	if cl.answered > 0 {
 		r.Answered = time.Unix(0, cl.answered)
 	}
+	if r.Verdict != Stands.String() || c.calls[cl.ID] != cl {
+		r.Ended = time.Unix(0, c.now)
+	}
 	c.record(r)
 }
 
@@ -272,10 +289,10 @@
 		c.hangUp(id, owner)
 		return
 	}
-	delete(c.calls, id)
+	c.drop(cl)
 	c.open--
 	c.keep(&kept{id: id, owner: owner, f: Final{Verdict: Failed}, at: c.now})
-	c.write(cl, "left", 0, false)
+	c.write(cl, Record{Verdict: "left"})
 	c.tell(control.Event{Kind: control.Aborted, Call: id})
 	if cl.out {
 		c.withdraw(cl, control.Recalled)
@@ -284,10 +301,10 @@
 
 // over ends a standing call: the module learns it, and the memory of its answer begins.
 func (c *core) over(cl *call, e Ending, cut bool) {
-	delete(c.calls, cl.ID)
+	c.drop(cl)
 	c.keep(&kept{id: cl.ID, owner: cl.Owner, f: Final{Verdict: Stands, Desc: cl.desc}, over: true, cut: cut,
 		at: c.now})
-	c.write(cl, Stands.String(), 0, cut)
+	c.write(cl, Record{Verdict: Stands.String(), Cut: cut})
 	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
 		Outcome: e.Outcome, Report: e.Report, Ended: true})
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,7 +97,7 @@
 	Report  []float64 // in the order of the settings' fields; nil: none
 }
 
-// Record is one finished call for the store of record.
+// Record is one call for the store of record. A call that stands has two: the one with its answer has no end yet.
 type Record struct {
 	ID, Owner, Class, Tenant, Number string
 	Verdict                          string
--- /dev/null
+++ b/internal/exchange/names.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// patienceMost is a day: no caller waits longer, and much larger figures would overflow.
+const patienceMost = 24 * time.Hour
+
+// Class is one class of call, by its name in the settings.
+type Class struct {
+	Name     string
+	Deadline time.Duration // patience of a set-up that names none
+}
+
+// Names are the names of the settings that set-ups refer to; both fronts check against them here.
+type Names struct {
+	Classes []Class
+	Tenants []string
+}
+
+// Fill sets class, tenant and times of a set-up whose last byte came at that time. The error says in plain
+// words what is invalid. A tenant may be left out, a patience too (nil): then the class's deadline holds.
+func (n Names) Fill(s *Setup, class, tenant string, patienceMS *int64, at time.Time) error {
+	k := slices.IndexFunc(n.Classes, func(c Class) bool { return c.Name == class })
+	if k < 0 {
+		return fmt.Errorf("unknown class %q", class)
+	}
+	if tenant != "" && !slices.Contains(n.Tenants, tenant) {
+		return fmt.Errorf("unknown tenant %q", tenant)
+	}
+	patience := n.Classes[k].Deadline
+	if patienceMS != nil {
+		if *patienceMS <= 0 || *patienceMS > patienceMost.Milliseconds() {
+			return errors.New("patience is no time between 1 ms and a day")
+		}
+		patience = time.Duration(*patienceMS) * time.Millisecond
+	}
+	s.Class, s.Name, s.Tenant, s.Taken, s.Until = k, class, tenant, at, at.Add(patience)
+	return nil
+}
