--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,19 +45,19 @@
 	core
 	*Pool
 	dialled chan net.Conn
-	refuse  error
-	silent  bool // connects do not come up
+	refuse  atomic.Bool // connects are refused
+	silent  atomic.Bool // connects do not come up
 }
 
 func newBed(t *testing.T) *bed {
 	b := &bed{core: core{make(chan string, 100)}, dialled: make(chan net.Conn, 10)}
 	dial := func(ctx context.Context, addr string) (Peer, error) {
-		if b.silent {
+		if b.silent.Load() {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		if b.refuse != nil {
-			return nil, b.refuse
+		if b.refuse.Load() {
+			return nil, errors.New("refused")
 		}
 		ours, theirs := net.Pipe()
 		b.dialled <- theirs
@@ -150,7 +151,7 @@
 		b := newBed(t)
 		(<-b.dialled).Close()
 		synctest.Wait()
-		b.refuse = errors.New("refused")
+		b.refuse.Store(true)
 		time.Sleep(redialFirst) // its own reconnect fails
 		synctest.Wait()
 		b.invite(0)
@@ -158,10 +159,11 @@
 		b.Invite(exchange.Attempt{ID: "x", Server: 11})
 		expect(t, b.told, "ended x 0 4 note 0 wait 0 []")
 		// Cancelled before the connect: never sent.
-		b.refuse, b.silent = nil, true
+		b.refuse.Store(false)
+		b.silent.Store(true)
 		b.invite(1)
 		b.Cancel(10, "9b1f03aa5c7e2d41", 1)
-		b.silent = false
+		b.silent.Store(false)
 		office := <-b.dialled
 		b.Bye(10, "x", 0, true)
 		if m, err := sip.NewReader(office).Next(); err != nil || string(m.Method) != "BYE" {
@@ -177,7 +179,7 @@
 		b := newBed(t)
 		office := <-b.dialled
 		go io.Copy(io.Discard, office)
-		b.silent = true
+		b.silent.Store(true)
 		time.Sleep(silentFor + time.Second)
 		sent := time.Now()
 		b.invite(0)
@@ -187,7 +189,7 @@
 		b.invite(1)
 		expect(t, b.told, "ended 9b1f03aa5c7e2d41 1 4 note 0 wait 0 []")
 		expect(t, b.told, "lost")
-		b.silent = false
+		b.silent.Store(false)
 		<-b.dialled // and a new connection replaces the dead one
 		if _, err := io.ReadAll(bufio.NewReader(office)); err != nil {
 			t.Errorf("old connection: %v", err)
@@ -200,7 +202,7 @@
 		b := newBed(t)
 		office := <-b.dialled
 		go io.Copy(io.Discard, office)
-		b.silent = true
+		b.silent.Store(true)
 		time.Sleep(time.Second)
 		b.Suspect(10, time.Now(), false)
 		io.WriteString(office, "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n")
