--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -254,8 +254,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.txns[id]
-	if t == nil {
-		return
+	if t == nil || t.stood {
+		return // never a second answer
 	}
 	status := map[exchange.Verdict]int{exchange.Stands: 200, exchange.Refused: 503, exchange.Failed: 500}[f.Verdict]
 	b := append(sip.AppendStatus(make([]byte, 0, 512+len(f.Desc)), status), t.echo...)
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,229 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masthill/internal/exchange"
+	"masthill/internal/netcase"
+	"masthill/internal/sip"
+)
+
+// core notes what the server hands to the exchange.
+type core struct {
+	mu    sync.Mutex
+	told  chan string
+	setup exchange.Setup
+}
+
+func (c *core) Arrive(s exchange.Setup, _ exchange.Caller) {
+	c.mu.Lock()
+	c.setup = s
+	c.mu.Unlock()
+	c.told <- "arrive " + s.ID
+}
+func (c *core) GiveUp(id, _ string, _ exchange.Caller) { c.told <- "give up " + id }
+func (c *core) HangUp(id, _ string)                    { c.told <- "hang up " + id }
+
+func newServer(most int) (*Server, *core) {
+	c := &core{told: make(chan string, 1000)}
+	return New(Options{Core: c, Log: netcase.Quiet(), MaxOpen: most, Names: exchange.Names{
+		Classes: []exchange.Class{{Name: "open-log", Deadline: 9 * time.Second}}, Tenants: []string{"acme"}}}), c
+}
+
+type bed struct {
+	*Server
+	*core
+	t    *testing.T
+	addr string
+}
+
+func newBed(t *testing.T, most int) *bed {
+	b := &bed{t: t}
+	b.Server, b.core = newServer(most)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.addr = l.Addr().String()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- b.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		l.Close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return b
+}
+
+// peer is a caller's end of a connection.
+type peer struct {
+	net.Conn
+	*sip.Reader
+	t *testing.T
+}
+
+func (b *bed) dial() peer {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { c.Close() })
+	return peer{c, sip.NewReader(c), b.t}
+}
+
+func (p peer) write(text string) {
+	p.t.Helper()
+	if _, err := io.WriteString(p.Conn, text); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// want reads a message: its status or method, and the value of a header.
+func (p peer) want(status int, method, header, value string) {
+	p.t.Helper()
+	m, err := p.Next()
+	if err != nil || m.Status != status || string(m.Method) != method || string(m.Get(header)) != value {
+		p.t.Errorf("got %+v, %v, want %d%s with %s: %s", m, err, status, method, header, value)
+	}
+}
+
+func (b *bed) expect(want string) {
+	b.t.Helper()
+	if got := <-b.told; got != want {
+		b.t.Errorf("told %q, want %q", got, want)
+	}
+}
+
+const id = "9b1f03aa5c7e2d41"
+
+func message(method, id, more string) string {
+	return method + " sip:17@net SIP/2.0\r\nVia: SIP/2.0/TCP peer;branch=1\r\nCall-ID: " + id + "\r\nCSeq: 1 " + method +
+		"\r\n" + more + "Content-Length: 2\r\n\r\nhi"
+}
+
+const headers = "Subject: open-log\r\nOrganization: acme\r\nX-Patience: 1500\r\nX-Retry: 1\r\nX-Facts: dest:2;width:1;again:1\r\n"
+
+func TestACall(t *testing.T) {
+	b := newBed(t, 10)
+	p := b.dial()
+	p.write(message("OPTIONS", "ping", ""))
+	p.want(200, "", "Call-ID", "ping")
+	p.write(message("INVITE", id, headers))
+	b.expect("arrive " + id)
+	if s := b.setup; string(s.Desc) != "hi" || s.Dest != 2 || !s.Again || !s.Retry || s.Number != "17" || s.Tenant != "acme" ||
+		s.Until.Sub(s.Taken) != 1500*time.Millisecond {
+		t.Errorf("set-up %+v", s)
+	}
+	b.Answer(id, exchange.Final{Verdict: exchange.Stands, Desc: []byte("log")})
+	p.want(200, "", "Via", "SIP/2.0/TCP peer;branch=1")
+	b.Answer(id, exchange.Final{Verdict: exchange.Failed}) // a second answer goes nowhere
+	p.write(message("INVITE", id, headers))                // sent again: its answer is a new one
+	b.expect("arrive " + id)
+	b.Answer(id, exchange.Final{Verdict: exchange.Refused, Wait: 200 * time.Millisecond})
+	p.want(503, "", "X-Later-Ms", "200")
+	p.write(message("BYE", id, ""))
+	p.want(481, "", "Call-ID", id)
+	b.expect("hang up " + id)
+	p.write(message("INVITE", id, headers) + message("CANCEL", id, ""))
+	b.expect("arrive " + id)
+	b.expect("give up " + id)
+	p.write(message("SUBSCRIBE", id, ""))
+	p.want(405, "", "Call-ID", id)
+	b.Drain()
+	p.write(message("OPTIONS", "ping", ""))
+	p.want(503, "", "Call-ID", "ping")
+}
+
+func TestInvalidSetUps(t *testing.T) {
+	b := newBed(t, 10)
+	p := b.dial()
+	for _, text := range []string{
+		message("INVITE", "short", headers),
+		message("INVITE", "zzzzzzzzzzzzzzzz", headers),
+		message("INVITE", id, strings.Replace(headers, "open-log", "other", 1)),
+		message("INVITE", id, strings.Replace(headers, "acme", "other", 1)),
+		message("INVITE", id, strings.Replace(headers, "1500", "soon", 1)),
+		message("INVITE", id, strings.Replace(headers, "1500", "0", 1)),
+		message("INVITE", id, strings.Replace(headers, "dest:2", "dest:x", 1)),
+		strings.Replace(message("INVITE", id, headers), "CSeq: 1 INVITE", "CSeq: one", 1),
+		strings.Replace(message("INVITE", id, headers), "sip:17@net", "sip:net", 1),
+	} {
+		p.write(text)
+		m, err := p.Next()
+		if err != nil || m.Status != 400 {
+			t.Errorf("%.200q: %+v, %v", text, m, err)
+		}
+	}
+	p.write("not SIP\r\n\r\n")
+	if _, err := p.Next(); err != io.EOF {
+		t.Errorf("after unreadable framing: %v", err)
+	}
+	if len(b.told) != 0 {
+		t.Errorf("told %s", <-b.told)
+	}
+}
+
+// A connection's end gives up the set-ups open on it. What stands goes on: its release takes any connection,
+// and the next one where there is none.
+func TestConnectionEnds(t *testing.T) {
+	b := newBed(t, 10)
+	p := b.dial()
+	other := "0000000000000001"
+	p.write(message("INVITE", id, headers) + message("INVITE", other, headers))
+	b.expect("arrive " + id)
+	b.expect("arrive " + other)
+	b.Answer(id, exchange.Final{Verdict: exchange.Stands})
+	p.want(200, "", "Call-ID", id)
+	p.Close()
+	b.expect("give up " + other)
+	b.Release(id, true)
+	p = b.dial()
+	p.want(0, "BYE", "Reason", "Q.850;cause=41")
+	b.Release(other, false) // unknown here, from before a restart: passed on all the same
+	p.want(0, "BYE", "Reason", "Q.850;cause=16")
+}
+
+func TestConnectionsOverTheLimit(t *testing.T) {
+	b := newBed(t, 1)
+	first := b.dial()
+	first.write(message("OPTIONS", "ping", ""))
+	first.want(200, "", "Call-ID", "ping")
+	if _, err := b.dial().Next(); err == nil {
+		t.Error("a second connection of one was served")
+	}
+	first.write(message("OPTIONS", "ping", ""))
+	first.want(200, "", "Call-ID", "ping")
+}
+
+// Whatever comes, a connection is read to its end without a panic, and each answer is one that SIP allows.
+func TestGarbage(t *testing.T) {
+	netcase.Check(t, func(t *rapid.T) {
+		s, _ := newServer(1)
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		go io.Copy(io.Discard, theirs)
+		c := &conn{sip.NewConn(ours, time.Second), s}
+		r := sip.NewReader(netcase.Cut(t, netcase.Garbage(t, []byte(message("INVITE", id, headers)+message("BYE", id, "")))))
+		for {
+			m, err := r.Next()
+			if err != nil {
+				return
+			}
+			if err := c.take(m); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/callws/callws_test.go
@@ -0,0 +1,300 @@
+package callws
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"pgregory.net/rapid"
+
+	"masthill/internal/exchange"
+	"masthill/internal/netcase"
+	"masthill/internal/office"
+)
+
+const token = "a token of sixteen"
+
+// core notes what the front hands to the exchange, and answers as a test wants.
+type core struct {
+	mu    sync.Mutex
+	told  chan string
+	calls map[string]exchange.Setup
+}
+
+func (c *core) Arrive(s exchange.Setup, _ exchange.Caller) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[s.ID] = s
+	c.told <- "arrive " + s.ID
+}
+func (c *core) GiveUp(id, owner string, _ exchange.Caller) { c.told <- "give up " + id + " " + owner }
+func (c *core) HangUp(id, owner string)                    { c.told <- "hang up " + id + " " + owner }
+
+type bed struct {
+	*core
+	*Front
+	t    *testing.T
+	addr string
+}
+
+func newBed(t *testing.T, mostOpen int, resume ...time.Duration) *bed {
+	b := &bed{core: &core{told: make(chan string, 100), calls: map[string]exchange.Setup{}}, t: t}
+	b.Front = New(Options{Core: b.core, Log: netcase.Quiet(), MaxOpen: mostOpen, Callers: map[string]string{"station-7": token},
+		Names: exchange.Names{Classes: []exchange.Class{{Name: "open-log", Deadline: 9 * time.Second}}, Tenants: []string{"acme"}}})
+	b.resume = time.Hour // no machine is too slow to come back in that
+	for _, r := range resume {
+		b.resume = r
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.addr = l.Addr().String()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- b.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return b
+}
+
+func (b *bed) dial(token string) (*websocket.Conn, error) {
+	ws, _, err := websocket.Dial(b.t.Context(), "ws://"+b.addr+"/v1/calls", &websocket.DialOptions{
+		Subprotocols: []string{protocol}, HTTPHeader: http.Header{"Authorization": {"Bearer " + token}}})
+	return ws, err
+}
+
+func (b *bed) open() *websocket.Conn {
+	b.t.Helper()
+	ws, err := b.dial(token)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return ws
+}
+
+func (b *bed) write(ws *websocket.Conn, text string) {
+	b.t.Helper()
+	if err := ws.Write(b.t.Context(), websocket.MessageText, []byte(text)); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *bed) read(ws *websocket.Conn, want string) {
+	b.t.Helper()
+	if _, got, err := ws.Read(b.t.Context()); err != nil || string(got) != want {
+		b.t.Errorf("read %s, %v, want %s", got, err, want)
+	}
+}
+
+func (b *bed) expect(want string) {
+	b.t.Helper()
+	if got := <-b.told; got != want {
+		b.t.Errorf("told %q, want %q", got, want)
+	}
+}
+
+const setup = `{"type":"call","id":"c1","class":"open-log","tenant":"acme","number":"17","patience_ms":3000,` +
+	`"first_choice":1,"description":"offer","unknown":[1]}`
+
+var key = Key("station-7", "c1")
+
+func TestACallOverWebSocket(t *testing.T) {
+	b := newBed(t, 10)
+	ws := b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	s := b.core.calls[key]
+	if string(s.Desc) != "offer" || s.Dest != 1 || s.Owner != "ws/station-7" || s.Until.Sub(s.Taken) != 3*time.Second {
+		t.Errorf("set-up %+v", s)
+	}
+	b.Answer(key, exchange.Final{Verdict: exchange.Stands, Desc: []byte("log\r\n")})
+	b.read(ws, `{"type":"stands","id":"c1","description":"log\r\n"}`)
+	b.Release(key, true)
+	b.read(ws, `{"type":"released","id":"c1","cut":true}`)
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	b.Answer(key, exchange.Final{Verdict: exchange.Refused, Wait: 1500 * time.Millisecond})
+	b.read(ws, `{"type":"refused","id":"c1","later_ms":1500}`)
+	b.Answer(key, exchange.Final{Verdict: exchange.Failed}) // a second answer finds nobody
+	b.write(ws, `{"type":"hangup","id":"c1"}`)
+	b.read(ws, `{"type":"error","id":"c1","code":481,"text":"no such call"}`)
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	b.write(ws, `{"type":"cancel","id":"c1"}`)
+	b.expect("give up " + key + " ws/station-7")
+	if n := len(b.Front.calls); n != 0 {
+		t.Errorf("%d calls left", n)
+	}
+}
+
+func TestInvalidRequests(t *testing.T) {
+	b := newBed(t, 10)
+	ws := b.open()
+	for in, want := range map[string]string{
+		`{"type":"call","id":""}`:                                                             `{"type":"error","code":400,"text":"id: empty or over 128 bytes"}`,
+		`{"type":"dance","id":"x"}`:                                                           `{"type":"error","id":"x","code":400,"text":"type: unknown"}`,
+		`{"type":"call","id":"x"}`:                                                            `{"type":"error","id":"x","code":400,"text":"number: empty or with blanks"}`,
+		`{"type":"call","id":"x","number":"1","class":"no"}`:                                  `{"type":"error","id":"x","code":400,"text":"unknown class \"no\""}`,
+		`{"type":"call","id":"x","number":"1","class":"open-log","tenant":"no"}`:              `{"type":"error","id":"x","code":400,"text":"unknown tenant \"no\""}`,
+		`{"type":"call","id":"x","number":"1","class":"open-log","patience_ms":-5}`:           `{"type":"error","id":"x","code":400,"text":"patience is no time between 1 ms and a day"}`,
+		`{"type":"call","id":"x","number":"1\r\nX: 1","class":"open-log","patience_ms":1000}`: `{"type":"error","id":"x","code":400,"text":"number: empty or with blanks"}`,
+	} {
+		b.write(ws, in)
+		b.read(ws, want)
+	}
+	b.write(ws, "{")
+	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusInvalidFramePayloadData {
+		t.Errorf("unreadable message: %v", err)
+	}
+}
+
+func TestStrangersAndLimits(t *testing.T) {
+	b := newBed(t, 2)
+	if _, err := b.dial("another token of sixteen"); err == nil || !strings.Contains(err.Error(), "401") {
+		t.Errorf("stranger: %v", err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	ready, err := http.Get("http://" + b.addr + "/v1/ready")
+	if err != nil || ready.StatusCode != 200 {
+		t.Errorf("ready: %v, %v", ready, err)
+	}
+	b.Drain()
+	ready, err = http.Get("http://" + b.addr + "/v1/ready")
+	if err != nil || ready.StatusCode != 503 {
+		t.Errorf("ready while ending: %v, %v", ready, err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	for n := 0; ; n++ {
+		if _, err := b.dial(token); err != nil {
+			break
+		}
+		if n == 2 {
+			t.Fatal("a third socket of two")
+		}
+	}
+}
+
+// A socket that closes mid-set-up keeps the call for a while. A resend after the reconnect joins it; a release
+// finds the caller's next socket; without a resend the call is given up.
+func TestSocketClosesMidSetUp(t *testing.T) {
+	b := newBed(t, 10)
+	ws := b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	ws.CloseNow()
+	ws = b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	b.Answer(key, exchange.Final{Verdict: exchange.Stands})
+	b.read(ws, `{"type":"stands","id":"c1"}`)
+	ws.CloseNow()
+	for b.sockets() > 0 { // the server has seen the close
+		time.Sleep(time.Millisecond)
+	}
+	b.Release(key, false)
+	ws = b.open()
+	b.read(ws, `{"type":"released","id":"c1","cut":false}`)
+
+	b = newBed(t, 10, 0)
+	ws = b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	ws.CloseNow()
+	b.expect("give up " + key + " ws/station-7")
+}
+
+// sockets counts the sockets that the front holds.
+func (b *bed) sockets() int {
+	b.Front.mu.Lock()
+	defer b.Front.mu.Unlock()
+	return len(b.socks)
+}
+
+// heard takes what a server's connection hears.
+type heard struct{ lines chan string }
+
+func (h heard) Stood(id string, desc []byte)              { h.lines <- "stood " + id + " " + string(desc) }
+func (h heard) Ended(id string, e exchange.Ending)        { h.line("ended "+id, e) }
+func (h heard) Released(id string, cut bool, r []float64) { h.line("released "+id, []any{cut, r}) }
+func (h heard) State(r []float64)                         { h.line("state", r) }
+func (h heard) line(what string, v any) {
+	b, _ := json.Marshal(v)
+	h.lines <- what + " " + string(b)
+}
+
+func TestServersThatSpeakIt(t *testing.T) {
+	got := make(chan *websocket.Conn, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stand := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{serverProtocol}})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		got <- ws
+	})}
+	go stand.Serve(l)
+	defer stand.Close()
+	peer, err := Dial(office.Fields{"spare", "cpu"})(t.Context(), "ws://"+l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ws, h := <-got, heard{make(chan string, 20)}
+	ended := make(chan string, 1)
+	go func() {
+		reason, _ := peer.Run(t.Context(), h)
+		ended <- string(reason)
+	}()
+	b := &bed{t: t}
+	peer.Invite(exchange.Attempt{ID: "5", Class: "open-log", Number: "17", Desc: []byte{0xff}, Wait: time.Second})
+	b.read(ws, `{"type":"setup","call":"5","class":"open-log","number":"17","patience_ms":1000,"description_base64":"/w=="}`)
+	peer.Cancel("5", 0)
+	b.read(ws, `{"type":"cancel","call":"5"}`)
+	peer.Bye("5", 0, true)
+	b.read(ws, `{"type":"release","call":"5","cut":true}`)
+	for _, tc := range [][2]string{
+		{`{"type":"accept","call":"5","description":"log"}`, "stood 5 log"},
+		{`{"type":"refuse","call":"5","reason":"full","note":"cpu_full","wait_ms":900,"state":{"util":0.5,"x":1}}`,
+			`ended 5 {"Outcome":2,"Note":3,"WaitMS":900,"Report":[-1,0.5]}`},
+		{`{"type":"refuse","call":"5","reason":"?"}`, `ended 5 {"Outcome":1,"Note":0,"WaitMS":0,"Report":null}`},
+		{`{"type":"released","call":"5","cut":true}`, `released 5 [true,null]`},
+		{`{"type":"state","state":{"x0":7}}`, `state [7,-1]`},
+	} {
+		b.write(ws, tc[0])
+		if line := <-h.lines; line != tc[1] {
+			t.Errorf("%s: heard %s", tc[0], line)
+		}
+	}
+	b.write(ws, `[]`)
+	if reason := <-ended; reason != string(badMessage) {
+		t.Errorf("reason %s", reason)
+	}
+}
+
+// Garbage makes an error or a reply, and never a panic.
+func TestGarbage(t *testing.T) {
+	netcase.Check(t, func(t *rapid.T) {
+		f := New(Options{Core: &core{told: make(chan string, 1), calls: map[string]exchange.Setup{}}, Log: netcase.Quiet()})
+		s := &sock{conn: &conn{out: make(chan []byte, 4), closing: make(chan struct{})}, front: f}
+		if err := s.take(netcase.Garbage(t, []byte(setup))); err != nil && err != errUnreadable {
+			t.Fatal(err)
+		}
+		server := &server{s.conn, office.Fields{"spare"}}
+		server.take(netcase.Garbage(t, []byte(`{"type":"refuse","call":"5","wait_ms":1,"state":{"x0":1}}`)),
+			heard{make(chan string, 1)})
+	})
+}
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -26,6 +26,8 @@
 	queueMost = 256
 	// writeFor is the deadline of a write: an answer that takes longer is not whole in time.
 	writeFor = time.Second
+	// closeFor is how long a peer may take to close in turn: the program's end does not wait for it.
+	closeFor = 100 * time.Millisecond
 	// pingEvery and pingFor find a peer that has vanished without a word.
 	pingEvery, pingFor = 20 * time.Second, 5 * time.Second
 )
@@ -45,15 +47,16 @@
 // conn is one WebSocket with a bounded write queue and a deadline on each write.
 type conn struct {
 	ws      *websocket.Conn
+	raw     net.Conn // beneath it
 	out     chan []byte
 	full    atomic.Bool
 	closing chan struct{}
 	closed  atomic.Bool
 }
 
-func newConn(ws *websocket.Conn) *conn {
+func newConn(ws *websocket.Conn, raw net.Conn) *conn {
 	ws.SetReadLimit(messageMost)
-	return &conn{ws: ws, out: make(chan []byte, queueMost), closing: make(chan struct{})}
+	return &conn{ws: ws, raw: raw, out: make(chan []byte, queueMost), closing: make(chan struct{})}
 }
 
 // send queues one message and never blocks: a peer that does not read loses its connection.
@@ -98,6 +101,8 @@
 	g.Go(func() error { return c.ping(ctx) })
 	err := g.Wait()
 	reason := c.reason(err)
+	cut := time.AfterFunc(closeFor, func() { c.raw.Close() })
+	defer cut.Stop()
 	switch reason {
 	case badMessage:
 		c.ws.Close(websocket.StatusInvalidFramePayloadData, errUnreadable.Error())
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -63,6 +63,7 @@
 	calls  map[string]*call // by the id that offices know
 	group  *errgroup.Group
 	ctx    context.Context
+	resume time.Duration // resumeFor, but for tests
 }
 
 // sock is one caller's socket.
@@ -103,7 +104,7 @@
 
 // New makes a front.
 func New(o Options) *Front {
-	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}}
+	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}, resume: resumeFor}
 }
 
 // Key is the id that offices know a call by: 16 hex digits of the caller's identity and its own id, so that
@@ -127,7 +128,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
+	server := &http.Server{Handler: mux, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, rawConn{}, c)
+	}, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
 		MaxHeaderBytes: messageMost, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
 		if err := server.Serve(&limited{Listener: l, most: int64(f.MaxOpen)}); !errors.Is(err, http.ErrServerClosed) &&
@@ -144,6 +147,9 @@
 	return g.Wait()
 }
 
+// rawConn is the key of a request's connection in its context.
+type rawConn struct{}
+
 // limited closes connections beyond a number at once.
 type limited struct {
 	net.Listener
@@ -208,7 +214,7 @@
 		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
 		return
 	}
-	s := &sock{conn: newConn(ws), front: f, identity: identity}
+	s := &sock{conn: newConn(ws, r.Context().Value(rawConn{}).(net.Conn)), front: f, identity: identity}
 	peer := r.RemoteAddr
 	f.group.Go(func() error { f.serve(f.ctx, s, peer); return nil })
 }
@@ -258,7 +264,7 @@
 			case c.sock != nil:
 			case c.over && time.Since(c.since) > releaseFor:
 				delete(f.calls, key)
-			case !c.over && !c.stands && time.Since(c.since) > resumeFor:
+			case !c.over && !c.stands && time.Since(c.since) > f.resume:
 				delete(f.calls, key)
 				left = append(left, c)
 			}
--- a/internal/callws/server.go
+++ b/internal/callws/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"net/http"
 
 	"github.com/coder/websocket"
 
@@ -41,11 +43,18 @@
 // Dial connects to servers that speak call control over WebSocket; the list gives such a one a ws:// address.
 func Dial(fields office.Fields) office.Dial {
 	return func(ctx context.Context, addr string) (office.Peer, error) {
-		ws, _, err := websocket.Dial(ctx, addr, &websocket.DialOptions{Subprotocols: []string{serverProtocol}})
+		var raw net.Conn
+		client := &http.Client{Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, host string) (c net.Conn, err error) {
+				raw, err = new(net.Dialer).DialContext(ctx, network, host)
+				return raw, err
+			}}}
+		ws, _, err := websocket.Dial(ctx, addr, &websocket.DialOptions{HTTPClient: client,
+			Subprotocols: []string{serverProtocol}})
 		if err != nil {
 			return nil, err
 		}
-		return &server{newConn(ws), fields}, nil
+		return &server{newConn(ws, raw), fields}, nil
 	}
 }
 
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masthill/internal/netcase"
+)
+
+const good = `{"name":"n3","listen":"10.0.0.4:2905","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,` +
+	`"sockets":1024},"journal":"10.2.0.1:9092","known":{"pos":3,"entries":[]},"settings":{"group_size":4,` +
+	`"discovery":"pushed","extra":{"class_cells":[[0,1]],"clear_wait_ns":300000000,"this_node":-1,"topology":"groups"},` +
+	`"grades":[{"name":"open-log","aim_ns":1500000000,"deadline_ns":9000000000,"effect":"free","late_value":0.25,` +
+	`"worth":1.0}],"limits":{"max_attempts":4,"may_cancel":true,"retry_after":true,"max_retry_after_ns":2000000000,` +
+	`"connect_timeout_ns":500000000},"tenants":[{"name":"acme"}],"feedback":{"fields":["spare","total"]},` +
+	`"resolution_ns":5000000,"rules":{"cold_from":0.34,"cold_ns":15000000000,"drain_grace_ns":1000000000,` +
+	`"fall_multiple":3.0,"fall_ns":1000000000}}}`
+
+func TestGoodFile(t *testing.T) {
+	p, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Sockets != 1024 || p.Known.Pos != 3 || p.Seed != 0x8c1f30d27a5be964 || p.ConnectWait != 500*time.Millisecond ||
+		p.Names.Classes[0].Name != "open-log" || p.Names.Tenants[0] != "acme" || p.Settings.Fields[1] != "total" {
+		t.Errorf("%+v", p)
+	}
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{"{", "[", "PROXY_CONFIG"},
+		{`"8c1f30d27a5be964"`, `"x"`, "seed"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":0`, "limits.memory_mb"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores"},
+		{`"journal":"10.2.0.1:9092"`, `"journal":"here"`, "journal"},
+		{`"group_size":4`, `"group_size":0`, "settings.group_size"},
+		{`"name":"open-log",`, ``, "settings.grades[0].name"},
+		{`"connect_timeout_ns":500000000`, `"x":1`, "settings.limits.connect_timeout_ns"},
+		{`"effect":"free"`, `"effect":"odd"`, "grades[0].effect"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: got %v, want it to name %s", tc.new, err, tc.want)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
+		t.Errorf("no file named: %v", err)
+	}
+}
+
+func TestGarbage(t *testing.T) {
+	netcase.Check(t, func(t *rapid.T) {
+		Parse(netcase.Garbage(t, []byte(good)))
+		ParseProject(string(netcase.Garbage(t, []byte(project))), func(string) string { return "" })
+	})
+}
+
+const project = `
+[callws]
+listen = "127.0.0.1:2906"
+[callws.callers]
+station-7 = "env:TOKEN"
+[store]
+driver = "sqlite"
+dsn = "/tmp/calls.db"
+`
+
+func TestProjectFile(t *testing.T) {
+	env := func(name string) string { return map[string]string{"TOKEN": "a token of sixteen"}[name] }
+	p, err := ParseProject(project, env)
+	if err != nil || p.CallWS.Callers["station-7"] != "a token of sixteen" || p.Store.DSN != "/tmp/calls.db" {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	for _, tc := range []struct{ old, new, want string }{
+		{"listen", "listn", "listn"},
+		{"127.0.0.1:2906", "here", "callws.listen"},
+		{"env:TOKEN", "env:NONE", "callws.callers.station-7"},
+		{"env:TOKEN", "short", "callws.callers.station-7"},
+		{`station-7 = "env:TOKEN"`, "", "callws.callers"},
+		{`station-7 = "env:TOKEN"`, "a = \"env:TOKEN\"\nb = \"env:TOKEN\"", "the same token"},
+		{"sqlite", "oracle", "store.driver"},
+		{`dsn = "/tmp/calls.db"`, "", "store.dsn"},
+		{"[store]", "[", "callws.toml"},
+	} {
+		if _, err := ParseProject(strings.Replace(project, tc.old, tc.new, 1), env); err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: got %v, want it to name %s", tc.new, err, tc.want)
+		}
+	}
+	if p, err := ParseProject("", env); err != nil || p.CallWS.Listen != "" || p.Store.Driver != "" {
+		t.Errorf("an empty file: %+v, %v", p, err)
+	}
+}
+
+// The file that the platform runs with keeps both parts off.
+func TestDeployedFileIsOff(t *testing.T) {
+	p, err := LoadProject(func(name string) string { return map[string]string{"MASTHILL_CALLWS": "../../" + ProjectFile}[name] })
+	if err != nil || p.CallWS.Listen != "" || p.Store.Driver != "" {
+		t.Errorf("%+v, %v", p, err)
+	}
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,129 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masthill/control"
+	"masthill/internal/exchange"
+	"masthill/internal/netcase"
+)
+
+const full = `{"pos":41,"hosts":{"version":7,"full":true,"servers":[{"id":"s-00c41f7a","addr":"10.1.0.9:2905",` +
+	`"zone":"east","kind":"std","cell":2,"state":"SERVING","weight":4,"started_ms":12}]}}`
+
+func delta(state string) string {
+	return `{"pos":42,"hosts":{"version":8,"full":false,"servers":[{"id":"s-00c41f7a","addr":"10.1.0.9:2905",` +
+		`"cell":2,"state":"` + state + `","weight":4}]}}`
+}
+
+type told struct {
+	changed []exchange.Office
+	full    bool
+}
+
+func client(tell func(told)) *Client {
+	return &Client{Log: netcase.Quiet(), Retry: func(int) time.Duration { return time.Millisecond },
+		Tell: func(changed []exchange.Office, full bool) { tell(told{changed, full}) }}
+}
+
+func TestKnown(t *testing.T) {
+	var got []told
+	c := client(func(x told) { got = append(got, x) })
+	c.Start(Known{Pos: 42, Entries: []json.RawMessage{[]byte(full), []byte(`{"pos":1}`), []byte(delta("DRAINING"))}})
+	if len(got) != 2 || c.Pos != 42 || !got[0].full || got[1].full {
+		t.Fatalf("%+v at %d", got, c.Pos)
+	}
+	want := exchange.Office{Addr: "10.1.0.9:2905", Entry: control.Entry{Cell: 2, Share: 4, Server: 0xc41f7a,
+		ReadyAt: 12e6, State: control.In}}
+	if got[0].changed[0] != want || got[1].changed[0].State != control.Lame {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestUnreadableEventsNameWhatIsWrong(t *testing.T) {
+	for in, want := range map[string]string{
+		`{`: "JSON", `{"pos":1}`: "no hosts", delta("UP"): "servers[0].state",
+		strings.Replace(full, "10.1.0.9:2905", "", 1): "no addr", strings.Replace(full, "s-00c41f7a", "", 1): "no id",
+	} {
+		if _, _, err := Decode([]byte(in)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", in, err)
+		}
+	}
+	if a, b := Number("s-ff"), Number("office west"); a != 255 || b == 0 || b == Number("office east") {
+		t.Errorf("numbers %d %d", a, b)
+	}
+}
+
+// A stream in any cuts gives the same events; a malformed one is passed over, and its number still counts, lest
+// every reconnect ask for it again.
+func TestStreamInAnyCuts(t *testing.T) {
+	text := ": hello\n\nid: 41\ndata: " + full + "\n\n:\n\nid: 42\r\ndata: {bad\r\n\r\nid: 42\ndata: " + full +
+		"\n\nid: 43\ndata: " + delta("DELETED") + "\n\nid: 44\ndata: " + delta("SERVING")
+	netcase.Check(t, func(t *rapid.T) {
+		n := 0
+		c := client(func(told) { n++ })
+		if heard, err := c.read(netcase.Cut(t, []byte(text)), func() {}); !heard || err == nil || n != 2 || c.Pos != 43 {
+			t.Fatalf("%d events, at %d, %v", n, c.Pos, err)
+		}
+	})
+}
+
+func TestGarbage(t *testing.T) {
+	netcase.Check(t, func(t *rapid.T) {
+		c := client(func(told) {})
+		data := netcase.Garbage(t, []byte("id: 41\ndata: "+full+"\n\n"))
+		if _, err := c.read(netcase.Cut(t, data), func() {}); err == nil {
+			t.Fatal("no end")
+		}
+	})
+}
+
+// A broken stream is opened again with the number of the last event taken.
+func TestReconnectGoesOnWhereItWas(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan string, 100)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Last-Event-ID")
+		asked <- r.URL.Path + " " + id
+		switch id {
+		case "3":
+			w.WriteHeader(http.StatusBadGateway)
+		case "1":
+			fmt.Fprintf(w, "id: 2\ndata: %s\n\n", full)
+		case "2":
+			fmt.Fprint(w, "id: 3\ndata: {bad\n\n") // and the stream breaks
+		}
+	})}
+	go server.Serve(l)
+	defer server.Close()
+	got := make(chan told, 1)
+	c := client(func(x told) { got <- x })
+	c.Addr, c.Pos = l.Addr().String(), 1
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	if x := <-got; len(x.changed) != 1 {
+		t.Errorf("%+v", x)
+	}
+	for _, want := range []string{"/journal 1", "/journal 2", "/journal 3", "/journal 3"} {
+		if a := <-asked; a != want {
+			t.Errorf("asked %s, want %s", a, want)
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -59,7 +59,8 @@
 	queue chan exchange.Record
 	lost  atomic.Int64
 	put   string
-	ready bool // the schema is up to date
+	final time.Duration // lastFor, but for tests
+	ready bool          // the schema is up to date
 }
 
 // Open makes a store; it speaks to the database only in Run. The error names the key that is wrong.
@@ -88,7 +89,8 @@
 		return nil, fmt.Errorf("store.dsn: %w", err)
 	}
 	db.SetMaxOpenConns(1)
-	return &Store{Options: o, db: db, queue: make(chan exchange.Record, queueMost), put: insert(mark)}, nil
+	return &Store{Options: o, db: db, queue: make(chan exchange.Record, queueMost), put: insert(mark),
+		final: lastFor}, nil
 }
 
 // insert is the statement for one record. A record comes once when its call has its answer and, if that
@@ -144,7 +146,7 @@
 
 // last writes what is left at the end; what the time does not allow is lost, and said so.
 func (s *Store) last(batch []exchange.Record, told int64) error {
-	ctx, cancel := context.WithTimeout(context.Background(), lastFor)
+	ctx, cancel := context.WithTimeout(context.Background(), s.final)
 	defer cancel()
 	for {
 		for len(batch) < batchMost && len(s.queue) > 0 {
@@ -153,7 +155,7 @@
 		if len(batch) == 0 {
 			return nil
 		}
-		if err := s.write(ctx, batch, lastFor); err != nil {
+		if err := s.write(ctx, batch, s.final); err != nil {
 			lost := s.lost.Add(int64(len(batch) + len(s.queue)))
 			s.Log.Error("call records lost", "reason", "ended", "lost", lost-told, "lost_in_all", lost, "err", err)
 			return nil
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,300 @@
+package store
+
+import (
+	"context"
+	"database/sql"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"masthill/internal/exchange"
+	"masthill/internal/netcase"
+)
+
+var taken = time.UnixMilli(1_700_000_000_000)
+
+func record(id string) exchange.Record {
+	return exchange.Record{ID: id, Owner: "sip", Class: "open-log", Tenant: "acme", Number: "17\x00\xff", Verdict: "stands",
+		Attempts: 2, Server: 0xc41f7a, Taken: taken, Answered: taken.Add(50 * time.Millisecond)}
+}
+
+// run starts a store and gives the function that ends it.
+func run(t *testing.T, driver, dsn string) (*Store, func()) {
+	s, err := Open(Options{Driver: driver, DSN: dsn, Instance: "n3", Log: netcase.Quiet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if driver == "sqlite" {
+		s.final = time.Minute // however slow the machine's disk is
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	return s, func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestSQLite(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "calls.db")
+	s, end := run(t, "sqlite", file)
+	s.Put(record("a"))
+	end()
+	s, end = run(t, "sqlite", file) // the schema is there already
+	over := record("a")
+	over.Ended, over.Cut = taken.Add(time.Second), true
+	s.Put(over)
+	for k := range 2*batchMost + 1 {
+		s.Put(record(fmt.Sprint(k)))
+	}
+	end()
+	if s.Lost() != 0 {
+		t.Errorf("%d lost", s.Lost())
+	}
+	db, err := sql.Open("sqlite", file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	var n, version int
+	if err := db.QueryRow("SELECT COUNT(*), (SELECT MAX(version) FROM masthill_schema) FROM masthill_calls").Scan(&n, &version); err != nil ||
+		n != 2*batchMost+2 || version != len(schema) {
+		t.Errorf("%d rows, version %d, %v", n, version, err)
+	}
+	var got [14]any
+	to := make([]any, len(got))
+	for k := range got {
+		to[k] = &got[k]
+	}
+	if err := db.QueryRow("SELECT " + strings.Join(columns, ", ") + " FROM masthill_calls WHERE call_id = 'a'").Scan(to...); err != nil {
+		t.Fatal(err)
+	}
+	if s := fmt.Sprint(got); s != "[n3 a 1700000000000 sip open-log acme 17? stands 2 c41f7a 1700000000050 1700000001000 0 1]" {
+		t.Error(s)
+	}
+}
+
+func TestOptionsThatAreWrong(t *testing.T) {
+	for _, o := range []Options{{Driver: "oracle", DSN: "x"}, {Driver: "sqlite"}, {Driver: "postgres"}} {
+		if _, err := Open(o); err == nil || !strings.HasPrefix(err.Error(), "store.d") {
+			t.Errorf("%+v: %v", o, err)
+		}
+	}
+}
+
+// A store that can't be reached delays nobody: records queue up to the bound, and the rest is counted as lost.
+func TestDeadStore(t *testing.T) {
+	s, end := run(t, "sqlite", filepath.Join(t.TempDir(), "no", "such", "folder", "calls.db"))
+	n := 2*queueMost + batchMost
+	for range n {
+		s.Put(record("a"))
+	}
+	if s.Lost() == 0 {
+		t.Error("a queue without bounds")
+	}
+	end()
+	if s.Lost() != int64(n) {
+		t.Errorf("%d of %d counted as lost", s.Lost(), n)
+	}
+}
+
+// postgres is a stand-in that speaks the protocol and keeps the rows of committed transactions.
+type postgres struct {
+	net.Listener
+	mu     sync.Mutex
+	rows   []string
+	fail   int  // this many inserts fail
+	silent bool // nothing is answered
+	seen   chan struct{}
+}
+
+func newPostgres(t *testing.T) *postgres {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &postgres{Listener: l, seen: make(chan struct{}, 1000)}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				defer context.AfterFunc(t.Context(), func() { c.Close() })()
+				if err := p.serve(c); err != nil && !errors.Is(err, net.ErrClosed) {
+					t.Log("stand-in:", err)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	return p
+}
+
+// serve answers one connection until it ends.
+func (p *postgres) serve(c net.Conn) error {
+	b := pgproto3.NewBackend(c, c)
+	if _, err := b.ReceiveStartupMessage(); err != nil {
+		return err
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	status := byte('I')
+	ready := func() error {
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+		return b.Flush()
+	}
+	if err := ready(); err != nil {
+		return err
+	}
+	var open []string // rows of the transaction
+	statements := map[string]string{}
+	failed := false
+	for {
+		m, err := b.Receive()
+		if err != nil {
+			return nil // the client has gone
+		}
+		p.mu.Lock()
+		silent := p.silent
+		p.mu.Unlock()
+		if silent {
+			continue
+		}
+		switch m := m.(type) {
+		case *pgproto3.Terminate:
+			return nil
+		case *pgproto3.Query:
+			switch text := strings.ToLower(m.String); {
+			case strings.HasPrefix(text, "begin"):
+				status, open = 'T', nil
+			case text == "commit":
+				p.mu.Lock()
+				p.rows = append(p.rows, open...)
+				p.mu.Unlock()
+				status = 'I'
+				for range open {
+					p.seen <- struct{}{}
+				}
+			case text == "rollback":
+				status = 'I'
+			}
+			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+			err = ready()
+		case *pgproto3.Parse:
+			statements[m.Name] = m.Query
+			b.Send(&pgproto3.ParseComplete{})
+		case *pgproto3.Describe:
+			err = p.describe(b, statements[m.Name])
+		case *pgproto3.Bind:
+			if text := statements[m.PreparedStatement]; strings.HasPrefix(text, "INSERT INTO masthill_calls") {
+				p.mu.Lock()
+				if failed = p.fail > 0; failed {
+					p.fail--
+				}
+				p.mu.Unlock()
+				open = append(open, row(m))
+			}
+			b.Send(&pgproto3.BindComplete{})
+		case *pgproto3.Execute:
+			if failed {
+				status = 'E'
+				b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "53100", Message: "disk full"})
+			} else {
+				b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("0")}})
+				b.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK 1")})
+			}
+			failed = false
+		case *pgproto3.Sync:
+			err = ready()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+const int8OID, textOID = 20, 25
+
+// describe tells the types of a statement: its parameters, and the one number that a SELECT here gives.
+func (p *postgres) describe(b *pgproto3.Backend, text string) error {
+	var oids []uint32
+	if strings.HasPrefix(text, "INSERT INTO masthill_calls") {
+		for _, c := range columns {
+			oid := uint32(textOID)
+			if strings.HasSuffix(c, "_ms") || c == "attempts" || c == "cut" {
+				oid = int8OID
+			}
+			oids = append(oids, oid)
+		}
+	}
+	b.Send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
+	if strings.HasPrefix(text, "SELECT") {
+		b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: textOID,
+			DataTypeSize: -1, TypeModifier: -1}}})
+	} else {
+		b.Send(&pgproto3.NoData{})
+	}
+	return nil
+}
+
+// row writes the bound values of one record as text.
+func row(m *pgproto3.Bind) string {
+	var out []string
+	for k, v := range m.Parameters {
+		if len(m.ParameterFormatCodes) > k && m.ParameterFormatCodes[k] == 1 && len(v) == 8 &&
+			(strings.HasSuffix(columns[k], "_ms") || columns[k] == "attempts" || columns[k] == "cut") {
+			out = append(out, fmt.Sprint(binary.BigEndian.Uint64(v)))
+		} else {
+			out = append(out, string(v))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func dsn(p *postgres) string {
+	return "postgres://masthill@" + p.Addr().String() + "/calls?sslmode=disable"
+}
+
+func TestPostgreSQL(t *testing.T) {
+	p := newPostgres(t)
+	p.fail = 1 // the first batch fails, and is written again
+	s, end := run(t, "postgres", dsn(p))
+	s.Put(record("a"))
+	s.Put(record("b"))
+	for range 2 {
+		<-p.seen
+	}
+	end()
+	if s.Lost() != 0 || len(p.rows) != 2 ||
+		p.rows[0] != "n3 a 1700000000000 sip open-log acme 17? stands 2 c41f7a 1700000000050 0 0 0" {
+		t.Errorf("%d lost, rows %q", s.Lost(), p.rows)
+	}
+}
+
+// A database that accepts and then says nothing holds up the writer, never the one who hands over records.
+func TestSilentPostgreSQL(t *testing.T) {
+	p := newPostgres(t)
+	p.silent = true
+	s, end := run(t, "postgres", dsn(p))
+	for range queueMost + batchMost + 1 {
+		s.Put(record("a"))
+	}
+	end()
+	if s.Lost() != queueMost+batchMost+1 {
+		t.Errorf("%d lost", s.Lost())
+	}
+}
