--- /dev/null
+++ b/cmd/masthill/standin_test.go
@@ -0,0 +1,362 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"masthill/internal/sip"
+)
+
+// The program under test is this test binary itself, started with MASTHILL_TEST_RUN set.
+func TestMain(m *testing.M) {
+	if os.Getenv("MASTHILL_TEST_RUN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"group_size":1,"discovery":"pushed","extra":{"class_cells":[[0,1]],"clear_wait_ns":300000000,` +
+	`"this_node":-1,"topology":"groups"},"grades":[{"name":"open-log","aim_ns":1200000000,"deadline_ns":9000000000,` +
+	`"effect":"free","late_value":0.25,"worth":1.0}],"limits":{"max_attempts":4,"may_cancel":true,"retry_after":true,` +
+	`"max_retry_after_ns":2000000000,"connect_timeout_ns":500000000},"tenants":[{"name":"acme"}],` +
+	`"feedback":{"fields":["spare","total","cpu","waiting"]},"resolution_ns":5000000,"rules":{"cold_from":0.31,` +
+	`"cold_ns":15000000000,"drain_grace_ns":1000000000,"fall_multiple":2.0,"fall_ns":1000000000}}`
+
+// listen opens a port of the machine's choice for a stand-in, closed with the test.
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// accept takes connections of a stand-in until the test ends.
+func accept(t *testing.T, l net.Listener, handle func(c net.Conn)) {
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				defer context.AfterFunc(t.Context(), func() { c.Close() })()
+				handle(c)
+			})
+		}
+	})
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+}
+
+// newJournal is a stand-in that sends a comment now and then and nothing else.
+func newJournal(t *testing.T) string {
+	l := listen(t)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil && t.Context().Err() == nil {
+			fmt.Fprint(w, ":\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	})}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+// program is one run of masthill.
+type program struct {
+	*exec.Cmd
+	t            *testing.T
+	sip, callws  string // where it listens
+	mu           sync.Mutex
+	log          strings.Builder
+	ready, ended chan struct{}
+}
+
+// start writes the configuration and starts the program; offices are addresses, cells in their order.
+func start(t *testing.T, journal string, offices []string, callws string) *program {
+	t.Helper()
+	var servers []string
+	for k, addr := range offices {
+		servers = append(servers, fmt.Sprintf(`{"id":"s-%08x","addr":"%s","cell":%d,"state":"SERVING","weight":1}`, 10+k, addr, k))
+	}
+	dir := t.TempDir()
+	file, project := filepath.Join(dir, "config.json"), filepath.Join(dir, "callws.toml")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,`+
+		`"sockets":1024},"journal":"%s","known":{"pos":1,"entries":[{"pos":1,"hosts":{"version":1,"full":true,"servers":[%s]}}]},`+
+		`"settings":%s}`, journal, strings.Join(servers, ","), settings)
+	for name, text := range map[string]string{file: text, project: callws} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := &program{Cmd: exec.Command(os.Args[0]), t: t, ready: make(chan struct{}), ended: make(chan struct{})}
+	p.Env = append(os.Environ(), "MASTHILL_TEST_RUN=1", "PROXY_CONFIG="+file, "MASTHILL_CALLWS="+project)
+	p.Stderr = p
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.Wait(); close(p.ended) }()
+	t.Cleanup(func() {
+		p.Process.Kill()
+		<-p.ended
+		if t.Failed() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			t.Log(p.log.String())
+		}
+	})
+	select {
+	case <-p.ready:
+	case <-p.ended:
+	}
+	return p
+}
+
+// Write takes the program's log, and from it the addresses where it listens.
+func (p *program) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.Write(b)
+	for line := range strings.Lines(string(b)) {
+		_, addr, _ := strings.Cut(line, "listen=")
+		addr, _, _ = strings.Cut(strings.TrimSpace(addr), " ")
+		if strings.Contains(line, `msg="serving call control"`) {
+			p.callws = addr
+		} else if strings.Contains(line, "msg=serving") {
+			p.sip = addr
+			close(p.ready)
+		}
+	}
+	return len(b), nil
+}
+
+// stop ends the program as the platform does, and wants exit code 0.
+func (p *program) stop() {
+	p.t.Helper()
+	p.Process.Signal(syscall.SIGTERM)
+	<-p.ended
+	if code := p.ProcessState.ExitCode(); code != 0 {
+		p.t.Errorf("exit code %d", code)
+	}
+}
+
+// peer is a caller's SIP connection.
+type peer struct {
+	net.Conn
+	*sip.Reader
+	t *testing.T
+}
+
+func dial(t *testing.T, addr string) *peer {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &peer{c, sip.NewReader(c), t}
+}
+
+func invite(id, more string) string {
+	return "INVITE sip:17@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + id + "\r\nCSeq: 1 INVITE\r\n" +
+		"Subject: open-log\r\n" + more + "Content-Length: 5\r\n\r\noffer"
+}
+
+func (p *peer) write(text string) {
+	if _, err := io.WriteString(p.Conn, text); err != nil {
+		p.t.Error(err)
+	}
+}
+
+// want reads on to a message of that status or method.
+func (p *peer) want(status int, method string) *sip.Message {
+	p.t.Helper()
+	m, err := p.Next()
+	if err != nil || m.Status != status || string(m.Method) != method {
+		p.t.Errorf("got %+v, %v, want %d%s", m, err, status, method)
+		return &sip.Message{}
+	}
+	return m
+}
+
+// processor is what a stand-in office works with: one line that takes set-ups in turn, slow for a while, and full
+// beyond some that wait. It notes what no caller's side sees: two attempts of a call out at once.
+type processor struct {
+	*ledger
+	name    string
+	line    sync.Mutex
+	mu      sync.Mutex
+	waiting int
+	slow    bool
+	drop    map[string]bool // given up while they waited
+}
+
+// ledger is what all stand-in offices of a test note together.
+type ledger struct {
+	mu        sync.Mutex
+	out       map[string]string // call to the office where its attempt is out
+	overlaps  map[string]string // calls sent while an attempt was out, and where that was
+	cancelled map[string]bool   // call at office
+	attempts  int
+}
+
+func newLedger() *ledger {
+	return &ledger{out: map[string]string{}, overlaps: map[string]string{}, cancelled: map[string]bool{}}
+}
+
+const queueMost = 12
+
+// setup works on a set-up and answers it by accept or refuse. It returns at once.
+func (p *processor) setup(id string, accept, refuse func()) {
+	p.ledger.mu.Lock()
+	p.attempts++
+	if at, ok := p.out[id]; ok {
+		p.overlaps[id] = at
+	}
+	p.out[id] = p.name
+	p.ledger.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.drop, id)
+	if p.waiting >= queueMost {
+		p.ended(id)
+		refuse()
+		return
+	}
+	p.waiting++
+	go func() {
+		p.line.Lock()
+		defer p.line.Unlock()
+		p.mu.Lock()
+		work := time.Millisecond
+		if p.slow {
+			work = 60 * time.Millisecond
+		}
+		p.mu.Unlock()
+		time.Sleep(work)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.waiting--
+		if p.drop[id] {
+			return
+		}
+		p.ended(id)
+		accept()
+	}()
+}
+
+func (p *processor) ended(id string) {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	delete(p.out, id)
+}
+
+func (p *processor) cancel(id string) {
+	p.mu.Lock()
+	p.drop[id] = true
+	p.mu.Unlock()
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	delete(p.out, id)
+	p.cancelled[id+" "+p.name] = true
+}
+
+func (p *processor) setSlow(slow bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = slow
+}
+
+func newProcessor(l *ledger, name string) *processor {
+	return &processor{ledger: l, name: name, drop: map[string]bool{}}
+}
+
+// sipOffice is a stand-in that speaks the platform's protocol.
+func sipOffice(t *testing.T, p *processor) string {
+	l := listen(t)
+	accept(t, l, func(c net.Conn) {
+		var mu sync.Mutex
+		write := func(text string) {
+			mu.Lock()
+			defer mu.Unlock()
+			io.WriteString(c, text)
+		}
+		write("NOTIFY sip:x@net SIP/2.0\r\nX-State: x0:100;x1:100\r\nContent-Length: 0\r\n\r\n")
+		for r := sip.NewReader(c); ; {
+			m, err := r.Next()
+			if err != nil {
+				return
+			}
+			id := string(m.Get("Call-ID"))
+			head := "Call-ID: " + id + "\r\nCSeq: 1 INVITE\r\n"
+			switch string(m.Method) {
+			case "INVITE":
+				p.setup(id, func() {
+					desc := "log of " + id
+					write(fmt.Sprintf("SIP/2.0 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(desc), desc))
+				}, func() {
+					write("SIP/2.0 503 Full\r\n" + head + "X-Note: cpu_full\r\nX-Delay: 250\r\nContent-Length: 0\r\n\r\n")
+				})
+			case "CANCEL":
+				p.cancel(id)
+			}
+		}
+	})
+	return l.Addr().String()
+}
+
+// wsOffice is a stand-in that speaks call control over WebSocket.
+func wsOffice(t *testing.T, p *processor) string {
+	l := listen(t)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{"callserver.v1"}})
+		if err != nil {
+			return
+		}
+		defer ws.CloseNow()
+		write := func(v map[string]any) {
+			b, _ := json.Marshal(v)
+			ws.Write(t.Context(), websocket.MessageText, b)
+		}
+		write(map[string]any{"type": "state", "state": map[string]float64{"x0": 100, "x1": 100}})
+		for {
+			_, data, err := ws.Read(t.Context())
+			var m struct{ Type, Call string }
+			if err != nil || json.Unmarshal(data, &m) != nil {
+				return
+			}
+			switch m.Type {
+			case "setup":
+				p.setup(m.Call, func() {
+					write(map[string]any{"type": "accept", "call": m.Call, "description": "log of " + m.Call})
+				}, func() {
+					write(map[string]any{"type": "refuse", "call": m.Call, "reason": "full", "note": "cpu_full", "wait_ms": 250})
+				})
+			case "cancel":
+				p.cancel(m.Call)
+			}
+		}
+	})}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return "ws://" + l.Addr().String()
+}
