--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -109,7 +109,7 @@
 		}
 		s.mu.Unlock()
 		if over {
-			s.Log.Warn("caller connection ended", "reason", "over_limit", "peer", c.RemoteAddr().String())
+			s.Log.Warn("caller connection ended", "reason", sip.OverLimit, "peer", c.RemoteAddr().String())
 			c.Close()
 			continue
 		}
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -36,6 +36,7 @@
 const (
 	badMessage sip.Reason = "bad_message"
 	noPong     sip.Reason = "no_pong"
+	noUpgrade  sip.Reason = "no_upgrade"
 )
 
 var (
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/internal/exchange"
+	"masthill/internal/sip"
 )
 
 const (
@@ -128,12 +129,12 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+	server := &http.Server{Handler: mux, ConnState: f.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, rawConn{}, c)
 	}, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
 		MaxHeaderBytes: messageMost, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
-		if err := server.Serve(&limited{Listener: l, most: int64(f.MaxOpen)}); !errors.Is(err, http.ErrServerClosed) &&
+		if err := server.Serve(&limited{Listener: l, log: f.Log, most: int64(f.MaxOpen)}); !errors.Is(err, http.ErrServerClosed) &&
 			!errors.Is(err, net.ErrClosed) {
 			return err
 		}
@@ -147,12 +148,20 @@
 	return g.Wait()
 }
 
+// state logs the end of a connection that never became a socket; a socket's own line comes from serve.
+func (f *Front) state(c net.Conn, state http.ConnState) {
+	if state == http.StateClosed {
+		f.Log.Info("call socket ended", "reason", noUpgrade, "peer", c.RemoteAddr().String())
+	}
+}
+
 // rawConn is the key of a request's connection in its context.
 type rawConn struct{}
 
 // limited closes connections beyond a number at once.
 type limited struct {
 	net.Listener
+	log        *slog.Logger
 	open, most int64
 }
 
@@ -177,6 +186,7 @@
 			return &counted{Conn: c, open: &l.open}, nil
 		}
 		atomic.AddInt64(&l.open, -1)
+		l.log.Warn("call socket ended", "reason", sip.OverLimit, "peer", c.RemoteAddr().String())
 		c.Close()
 	}
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -385,10 +385,11 @@
 	cl.from.Release(id, cut)
 }
 
-// lost cuts all that stood at an office whose process died.
-func (c *core) lost(server uint64) {
+// lost cuts all that stood at an office whose process died, or of a new process, what had been sent before its
+// start. The list tells of a start seconds late, and by then calls may stand at the new process.
+func (c *core) lost(server uint64, before int64) {
 	for _, cl := range c.calls {
-		if cl.stands && cl.server == server {
+		if cl.stands && cl.server == server && cl.sentAt < before {
 			c.log.Info("call cut with its office", "call", cl.ID, "server", server)
 			c.over(cl, Ending{Outcome: control.Severed}, true)
 			cl.from.Release(cl.ID, true)
@@ -417,11 +418,12 @@
 		}
 	}
 	ev := control.Event{Kind: control.Members, Full: full}
-	var dead []uint64
+	dead := map[uint64]int64{} // and the time before which
 	for _, o := range changed {
-		before, ok := c.known[o.Server]
-		if ok && (before.ReadyAt != o.ReadyAt || o.State == control.Out) {
-			dead = append(dead, o.Server)
+		if before, ok := c.known[o.Server]; ok && o.State == control.Out {
+			dead[o.Server] = c.now + 1
+		} else if ok && before.ReadyAt != o.ReadyAt {
+			dead[o.Server] = o.ReadyAt
 		}
 		c.known[o.Server] = o
 		ev.Entries = append(ev.Entries, o.Entry)
@@ -434,8 +436,8 @@
 	}
 	c.offices.List(changed, full)
 	c.tell(ev)
-	for _, id := range dead {
-		c.lost(id)
+	for id, before := range dead {
+		c.lost(id, before)
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -127,6 +127,8 @@
 	room  *sync.Cond
 	inbox []func()
 	wake  chan struct{}
+	over  bool          // Run has ended: events go nowhere
+	done  chan struct{} // closed then
 }
 
 // New makes an exchange; Run starts it. The offices' side is set by Connect, as the two need each other.
@@ -137,7 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{wake: make(chan struct{}, 1)}
+	x := &Exchange{wake: make(chan struct{}, 1), done: make(chan struct{})}
 	x.room = sync.NewCond(&x.mu)
 	x.core = newCore(o, module)
 	return x, nil
@@ -149,10 +151,12 @@
 // post hands the core an event. Readers wait while the inbox is full; what the core itself causes must not.
 func (x *Exchange) post(wait bool, f func()) {
 	x.mu.Lock()
-	for wait && len(x.inbox) >= inboxMost {
+	for wait && len(x.inbox) >= inboxMost && !x.over {
 		x.room.Wait()
 	}
-	x.inbox = append(x.inbox, f)
+	if !x.over {
+		x.inbox = append(x.inbox, f)
+	}
 	x.mu.Unlock()
 	select {
 	case x.wake <- struct{}{}:
@@ -164,6 +168,7 @@
 func (x *Exchange) Run(ctx context.Context) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	defer x.close()
 	var batch []func()
 	for {
 		x.mu.Lock()
@@ -189,6 +194,15 @@
 	}
 }
 
+// close lets go of all who wait for the core.
+func (x *Exchange) close() {
+	x.mu.Lock()
+	x.over, x.inbox = true, nil
+	x.room.Broadcast()
+	x.mu.Unlock()
+	close(x.done)
+}
+
 // Arrive hands over a set-up. A set-up that the owner sent before joins the running call or gets the recorded
 // answer.
 func (x *Exchange) Arrive(s Setup, from Caller) { x.post(true, func() { x.core.arrive(s, from) }) }
@@ -223,7 +237,7 @@
 }
 
 // Lost tells that an office's process died: all that stood there is cut.
-func (x *Exchange) Lost(server uint64) { x.post(false, func() { x.core.lost(server) }) }
+func (x *Exchange) Lost(server uint64) { x.post(false, func() { x.core.lost(server, x.core.now+1) }) }
 
 // Members tells a change of the list of offices.
 func (x *Exchange) Members(changed []Office, full bool) {
@@ -231,17 +245,22 @@
 }
 
 // Open tells how many calls still wait for their answer.
-func (x *Exchange) Open() int {
-	n := make(chan int, 1)
-	x.post(false, func() { n <- x.core.open })
-	return <-n
+func (x *Exchange) Open() (n int) {
+	x.ask(func() { n = x.core.open })
+	return n
 }
 
 // RefuseAll answers all that still waits, for an end that can't wait longer.
-func (x *Exchange) RefuseAll() {
+func (x *Exchange) RefuseAll() { x.ask(x.core.refuseAll) }
+
+// ask has the core do something and waits for it, or for the core's end.
+func (x *Exchange) ask(f func()) {
 	done := make(chan struct{})
-	x.post(false, func() { x.core.refuseAll(); close(done) })
-	<-done
+	x.post(false, func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-x.done:
+	}
 }
 
 // alarm is one timer of the core.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -222,9 +222,9 @@
 // Calls at a processor that died, started anew or left the list are released towards their callers.
 func TestCutCalls(t *testing.T) {
 	for _, end := range []func(b *bed){
-		func(b *bed) { b.lost(10) },
+		func(b *bed) { b.lost(10, b.now+1) },
 		func(b *bed) { b.members([]Office{office(10, 0, control.Out, 0)}, false) },
-		func(b *bed) { b.members([]Office{office(10, 0, control.In, 77)}, false) },
+		func(b *bed) { b.members([]Office{office(10, 0, control.In, b.now+1)}, false) },
 	} {
 		b := newBed(t)
 		b.call("a", 3*time.Second)
@@ -233,6 +233,13 @@
 		end(b)
 		b.want("release a true")
 	}
+	// The list tells of a start late: what was sent after it stands at the new process.
+	b := newBed(t)
+	b.call("a", 3*time.Second)
+	b.stood(10, "a", 0, nil)
+	b.said = nil
+	b.members([]Office{office(10, 0, control.In, b.now-1)}, false)
+	b.want()
 }
 
 func TestSilentOfficeWithCallsIsLookedAt(t *testing.T) {
@@ -286,5 +293,13 @@
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
+		// After its end nobody is held up, however much still comes.
+		for range inboxMost + 1 {
+			x.State(10, nil)
+		}
+		x.RefuseAll()
+		if n := x.Open(); n != 0 {
+			t.Errorf("%d open after the end", n)
+		}
 	})
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -127,12 +127,13 @@
 		began := time.Now()
 		heard, err := c.follow(ctx)
 		if ctx.Err() != nil {
+			c.Log.Info("journal connection ended", "reason", "closed", "pos", c.Pos)
 			break
 		}
 		if failures++; heard {
 			failures = 0
 		}
-		c.Log.Warn("journal connection ended", "reason", "stream_end", "pos", c.Pos, "failures", failures,
+		c.Log.Warn("journal connection ended", "reason", reason(heard, err), "pos", c.Pos, "failures", failures,
 			"age_ms", time.Since(began).Milliseconds(), "err", err)
 		wait := time.NewTimer(c.pause(failures))
 		select {
@@ -144,6 +145,25 @@
 	return nil
 }
 
+var errStatus = errors.New("no event stream")
+
+// reason is the reason code of a stream's end.
+func reason(heard bool, err error) string {
+	switch {
+	case errors.Is(err, errStatus):
+		return "bad_status"
+	case errors.Is(err, context.Canceled):
+		return "silent"
+	case errors.Is(err, bufio.ErrTooLong):
+		return "too_long"
+	case errors.Is(err, io.EOF):
+		return "peer_closed"
+	case !heard:
+		return "connect_failed"
+	}
+	return "io_error"
+}
+
 func (c *Client) pause(failures int) time.Duration {
 	if c.Retry != nil {
 		return c.Retry(failures)
@@ -172,7 +192,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("status %d", resp.StatusCode)
+		return false, fmt.Errorf("%w: status %d", errStatus, resp.StatusCode)
 	}
 	return c.read(resp.Body, func() { silence.Reset(silentFor) })
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,12 +1,15 @@
 package journal
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,3 +130,22 @@
 		t.Error(err)
 	}
 }
+
+func TestReasons(t *testing.T) {
+	for _, tc := range []struct {
+		heard bool
+		err   error
+		want  string
+	}{
+		{false, fmt.Errorf("%w: status 502", errStatus), "bad_status"},
+		{true, context.Canceled, "silent"},
+		{true, bufio.ErrTooLong, "too_long"},
+		{true, io.EOF, "peer_closed"},
+		{false, syscall.ECONNREFUSED, "connect_failed"},
+		{true, syscall.ECONNRESET, "io_error"},
+	} {
+		if got := reason(tc.heard, tc.err); got != tc.want {
+			t.Errorf("%v: %s, want %s", tc.err, got, tc.want)
+		}
+	}
+}
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -86,7 +86,6 @@
 	pool    *Pool
 	server  uint64
 	addr    string
-	readyAt int64
 	cancel  context.CancelFunc
 	kick    chan struct{} // an attempt waits, or the session has gone
 	cur     *session
@@ -147,12 +146,12 @@
 	for _, o := range changed {
 		on[o.Server] = o.State != control.Out
 		l := p.links[o.Server]
-		if l != nil && (o.State == control.Out || o.Addr != l.addr || o.ReadyAt != l.readyAt) {
+		if l != nil && (o.State == control.Out || o.Addr != l.addr || l.olderThan(o.ReadyAt)) {
 			p.drop(l)
 			l = nil
 		}
 		if l == nil && o.State == control.In {
-			l = &link{pool: p, server: o.Server, addr: o.Addr, readyAt: o.ReadyAt, kick: make(chan struct{}, 1)}
+			l = &link{pool: p, server: o.Server, addr: o.Addr, kick: make(chan struct{}, 1)}
 			p.links[o.Server] = l
 			if p.ctx != nil {
 				p.start(l)
@@ -166,6 +165,10 @@
 	}
 }
 
+// olderThan tells whether the connection leads to a process before the one that started then. The list tells of
+// a start late: a connection that is newer already leads to the new process, and set-ups are out on it.
+func (l *link) olderThan(start int64) bool { return l.cur != nil && l.cur.began.UnixNano() < start }
+
 func (p *Pool) drop(l *link) {
 	delete(p.links, l.server)
 	if l.cancel != nil {
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -247,7 +247,15 @@
 		if m, err := sip.NewReader(first).Next(); err != nil || string(m.Method) != "BYE" {
 			t.Errorf("%+v, %v", m, err)
 		}
-		b.List([]exchange.Office{{Entry: control.Entry{Server: 10, ReadyAt: 5}, Addr: "a:1"}}, false)
+		old := exchange.Office{Entry: control.Entry{Server: 10, ReadyAt: time.Now().Add(-time.Second).UnixNano()}, Addr: "a:1"}
+		b.List([]exchange.Office{old}, false)
+		b.Bye(10, "x", 0, false) // the connection is newer than the start: it stays
+		if m, err := sip.NewReader(first).Next(); err != nil || string(m.Method) != "BYE" {
+			t.Errorf("%+v, %v", m, err)
+		}
+		time.Sleep(time.Second)
+		old.ReadyAt = time.Now().UnixNano()
+		b.List([]exchange.Office{old}, false)
 		<-b.dialled // a new processor gets a new connection
 		if _, err := io.ReadAll(first); err != nil {
 			t.Errorf("old connection: %v", err)
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -30,6 +30,7 @@
 	WriteTimeout Reason = "write_timeout"
 	IOError      Reason = "io_error"
 	Closed       Reason = "closed"
+	OverLimit    Reason = "over_limit"
 )
 
 var (
