--- a/cmd/masthill/standin_test.go
+++ b/cmd/masthill/standin_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 
 	"github.com/coder/websocket"
 
+	"masthill/internal/netcase"
 	"masthill/internal/sip"
 )
 
@@ -37,48 +37,15 @@
 	`"feedback":{"fields":["spare","total","cpu","waiting"]},"resolution_ns":5000000,"rules":{"cold_from":0.31,` +
 	`"cold_ns":15000000000,"drain_grace_ns":1000000000,"fall_multiple":2.0,"fall_ns":1000000000}}`
 
-// listen opens a port of the machine's choice for a stand-in, closed with the test.
-func listen(t *testing.T) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	return l
-}
-
-// accept takes connections of a stand-in until the test ends.
-func accept(t *testing.T, l net.Listener, handle func(c net.Conn)) {
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() {
-				defer c.Close()
-				defer context.AfterFunc(t.Context(), func() { c.Close() })()
-				handle(c)
-			})
-		}
-	})
-	t.Cleanup(func() { l.Close(); wg.Wait() })
-}
-
 // newJournal is a stand-in that sends a comment now and then and nothing else.
 func newJournal(t *testing.T) string {
-	l := listen(t)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return netcase.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		for r.Context().Err() == nil && t.Context().Err() == nil {
 			fmt.Fprint(w, ":\n\n")
 			w.(http.Flusher).Flush()
 			time.Sleep(50 * time.Millisecond)
 		}
-	})}
-	go server.Serve(l)
-	t.Cleanup(func() { server.Close() })
-	return l.Addr().String()
+	})
 }
 
 // program is one run of masthill.
@@ -292,8 +259,7 @@
 
 // sipOffice is a stand-in that speaks the platform's protocol.
 func sipOffice(t *testing.T, p *processor) string {
-	l := listen(t)
-	accept(t, l, func(c net.Conn) {
+	return netcase.Accept(t, func(c net.Conn) {
 		var mu sync.Mutex
 		write := func(text string) {
 			mu.Lock()
@@ -321,13 +287,11 @@
 			}
 		}
 	})
-	return l.Addr().String()
 }
 
 // wsOffice is a stand-in that speaks call control over WebSocket.
 func wsOffice(t *testing.T, p *processor) string {
-	l := listen(t)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return "ws://" + netcase.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{"callserver.v1"}})
 		if err != nil {
 			return
@@ -355,8 +319,5 @@
 				p.cancel(m.Call)
 			}
 		}
-	})}
-	go server.Serve(l)
-	t.Cleanup(func() { server.Close() })
-	return "ws://" + l.Addr().String()
+	})
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -32,16 +32,9 @@
 	owner = "sip"
 )
 
-// Core is what this side tells the exchange.
-type Core interface {
-	Arrive(s exchange.Setup, from exchange.Caller)
-	GiveUp(id, owner string, from exchange.Caller)
-	HangUp(id, owner string)
-}
-
 // Options is what a Server is made from.
 type Options struct {
-	Core    Core
+	Core    exchange.Desk
 	Log     *slog.Logger
 	Names   exchange.Names
 	MaxOpen int // connections held at once
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"io"
 	"net"
 	"strings"
@@ -48,21 +47,7 @@
 func newBed(t *testing.T, most int) *bed {
 	b := &bed{t: t}
 	b.Server, b.core = newServer(most)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.addr = l.Addr().String()
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- b.Serve(ctx, l) }()
-	t.Cleanup(func() {
-		l.Close()
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	b.addr = netcase.Serve(t, b.Serve)
 	return b
 }
 
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -1,9 +1,7 @@
 package callws
 
 import (
-	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -51,20 +49,7 @@
 	for _, r := range resume {
 		b.resume = r
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.addr = l.Addr().String()
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- b.Serve(ctx, l) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	b.addr = netcase.Serve(t, b.Serve)
 	return b
 }
 
@@ -235,21 +220,15 @@
 
 func TestServersThatSpeakIt(t *testing.T) {
 	got := make(chan *websocket.Conn, 1)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	stand := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr := netcase.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{serverProtocol}})
 		if err != nil {
 			t.Error(err)
 			return
 		}
 		got <- ws
-	})}
-	go stand.Serve(l)
-	defer stand.Close()
-	peer, err := Dial(office.Fields{"spare", "cpu"})(t.Context(), "ws://"+l.Addr().String())
+	})
+	peer, err := Dial(office.Fields{"spare", "cpu"})(t.Context(), "ws://"+addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -39,16 +39,9 @@
 	headerFor = 5 * time.Second
 )
 
-// Core is what this front tells the exchange.
-type Core interface {
-	Arrive(s exchange.Setup, from exchange.Caller)
-	GiveUp(id, owner string, from exchange.Caller)
-	HangUp(id, owner string)
-}
-
 // Options is what a Front is made from.
 type Options struct {
-	Core    Core
+	Core    exchange.Desk
 	Log     *slog.Logger
 	Names   exchange.Names
 	Callers map[string]string // tokens by identity
@@ -142,7 +135,10 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
-		return server.Close()
+		if err := server.Close(); !errors.Is(err, net.ErrClosed) { // the end of the program closes the listener first
+			return err
+		}
+		return nil
 	})
 	g.Go(func() error { f.sweep(ctx); return nil })
 	return g.Wait()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,6 +64,13 @@
 	Release(id string, cut bool) // the call stood and is over; cut: before its time
 }
 
+// Desk is where a callers' side hands calls in; the Exchange is one.
+type Desk interface {
+	Arrive(s Setup, from Caller)
+	GiveUp(id, owner string, from Caller)
+	HangUp(id, owner string)
+}
+
 // Attempt is one set-up on its way to an office.
 type Attempt struct {
 	ID, Class, Number string
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -92,12 +91,8 @@
 
 // A broken stream is opened again with the number of the last event taken.
 func TestReconnectGoesOnWhereItWas(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	asked := make(chan string, 100)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr := netcase.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("Last-Event-ID")
 		asked <- r.URL.Path + " " + id
 		switch id {
@@ -108,12 +103,10 @@
 		case "2":
 			fmt.Fprint(w, "id: 3\ndata: {bad\n\n") // and the stream breaks
 		}
-	})}
-	go server.Serve(l)
-	defer server.Close()
+	})
 	got := make(chan told, 1)
 	c := client(func(x told) { got <- x })
-	c.Addr, c.Pos = l.Addr().String(), 1
+	c.Addr, c.Pos = addr, 1
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx) }()
--- a/internal/netcase/netcase.go
+++ b/internal/netcase/netcase.go
@@ -3,9 +3,13 @@
 package netcase
 
 import (
+	"context"
 	"flag"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -66,3 +70,63 @@
 
 // Quiet is a logger for tests that do not look at the log.
 func Quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// Listen opens a loopback port of the machine's choice, closed with the test.
+func Listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// Accept serves a stand-in's connections until the test ends, and gives its address.
+func Accept(t *testing.T, handle func(c net.Conn)) string {
+	t.Helper()
+	l := Listen(t)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				defer context.AfterFunc(t.Context(), func() { c.Close() })()
+				handle(c)
+			})
+		}
+	})
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	return l.Addr().String()
+}
+
+// HTTP serves a stand-in's requests until the test ends, and gives its address.
+func HTTP(t *testing.T, handle http.HandlerFunc) string {
+	t.Helper()
+	l := Listen(t)
+	server := &http.Server{Handler: handle}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+// Serve runs a front on a loopback port until the test ends, and gives its address.
+func Serve(t *testing.T, serve func(ctx context.Context, l net.Listener) error) string {
+	t.Helper()
+	l := Listen(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- serve(ctx, l) }()
+	t.Cleanup(func() {
+		l.Close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -27,14 +27,12 @@
 }
 
 // run starts a store and gives the function that ends it.
-func run(t *testing.T, driver, dsn string) (*Store, func()) {
+func run(t *testing.T, driver, dsn string, final time.Duration) (*Store, func()) {
 	s, err := Open(Options{Driver: driver, DSN: dsn, Instance: "n3", Log: netcase.Quiet()})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if driver == "sqlite" {
-		s.final = time.Minute // however slow the machine's disk is
-	}
+	s.final = final
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
@@ -48,10 +46,10 @@
 
 func TestSQLite(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "calls.db")
-	s, end := run(t, "sqlite", file)
+	s, end := run(t, "sqlite", file, time.Minute)
 	s.Put(record("a"))
 	end()
-	s, end = run(t, "sqlite", file) // the schema is there already
+	s, end = run(t, "sqlite", file, time.Minute) // the schema is there already
 	over := record("a")
 	over.Ended, over.Cut = taken.Add(time.Second), true
 	s.Put(over)
@@ -95,7 +93,7 @@
 
 // A store that can't be reached delays nobody: records queue up to the bound, and the rest is counted as lost.
 func TestDeadStore(t *testing.T) {
-	s, end := run(t, "sqlite", filepath.Join(t.TempDir(), "no", "such", "folder", "calls.db"))
+	s, end := run(t, "sqlite", filepath.Join(t.TempDir(), "no", "such", "folder", "calls.db"), lastFor)
 	n := 2*queueMost + batchMost
 	for range n {
 		s.Put(record("a"))
@@ -111,7 +109,7 @@
 
 // postgres is a stand-in that speaks the protocol and keeps the rows of committed transactions.
 type postgres struct {
-	net.Listener
+	addr   string
 	mu     sync.Mutex
 	rows   map[string]string // by call: a conflict updates, as a commit in doubt is written again
 	fail   int               // this many inserts fail
@@ -119,29 +117,13 @@
 	seen   chan struct{}
 }
 
-func newPostgres(t *testing.T) *postgres {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &postgres{Listener: l, rows: map[string]string{}, seen: make(chan struct{}, 1000)}
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() {
-				defer c.Close()
-				defer context.AfterFunc(t.Context(), func() { c.Close() })()
-				if err := p.serve(c); err != nil && !errors.Is(err, net.ErrClosed) {
-					t.Log("stand-in:", err)
-				}
-			})
+func newPostgres(t *testing.T, fail int, silent bool) *postgres {
+	p := &postgres{fail: fail, silent: silent, rows: map[string]string{}, seen: make(chan struct{}, 1000)}
+	p.addr = netcase.Accept(t, func(c net.Conn) {
+		if err := p.serve(c); err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Log("stand-in:", err)
 		}
 	})
-	t.Cleanup(func() { l.Close(); wg.Wait() })
 	return p
 }
 
@@ -153,11 +135,8 @@
 	}
 	b.Send(&pgproto3.AuthenticationOk{})
 	status := byte('I')
-	ready := func() error {
-		b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
-		return b.Flush()
-	}
-	if err := ready(); err != nil {
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	if err := b.Flush(); err != nil {
 		return err
 	}
 	var open []string // rows of the transaction
@@ -168,39 +147,30 @@
 		if err != nil {
 			return nil // the client has gone
 		}
-		p.mu.Lock()
-		silent := p.silent
-		p.mu.Unlock()
-		if silent {
+		if p.silent {
 			continue
 		}
 		switch m := m.(type) {
-		case *pgproto3.Terminate:
-			return nil
 		case *pgproto3.Query:
-			switch text := strings.ToLower(m.String); {
-			case strings.HasPrefix(text, "begin"):
+			if status = 'I'; strings.HasPrefix(m.String, "begin") {
 				status, open = 'T', nil
-			case text == "commit":
+			} else if m.String == "commit" {
 				p.mu.Lock()
 				for _, r := range open {
 					p.rows[strings.Fields(r)[1]] = r
 				}
 				p.mu.Unlock()
-				status = 'I'
 				for range open {
 					p.seen <- struct{}{}
 				}
-			case text == "rollback":
-				status = 'I'
 			}
 			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
-			err = ready()
+			b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 		case *pgproto3.Parse:
 			statements[m.Name] = m.Query
 			b.Send(&pgproto3.ParseComplete{})
 		case *pgproto3.Describe:
-			err = p.describe(b, statements[m.Name])
+			p.describe(b, statements[m.Name])
 		case *pgproto3.Bind:
 			if text := statements[m.PreparedStatement]; strings.HasPrefix(text, "INSERT INTO masthill_calls") {
 				p.mu.Lock()
@@ -221,9 +191,9 @@
 			}
 			failed = false
 		case *pgproto3.Sync:
-			err = ready()
+			b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 		}
-		if err != nil {
+		if err := b.Flush(); err != nil {
 			return err
 		}
 	}
@@ -232,7 +202,7 @@
 const int8OID, textOID = 20, 25
 
 // describe tells the types of a statement: its parameters, and the one number that a SELECT here gives.
-func (p *postgres) describe(b *pgproto3.Backend, text string) error {
+func (p *postgres) describe(b *pgproto3.Backend, text string) {
 	var oids []uint32
 	if strings.HasPrefix(text, "INSERT INTO masthill_calls") {
 		for _, c := range columns {
@@ -250,7 +220,6 @@
 	} else {
 		b.Send(&pgproto3.NoData{})
 	}
-	return nil
 }
 
 // row writes the bound values of one record as text.
@@ -268,13 +237,12 @@
 }
 
 func dsn(p *postgres) string {
-	return "postgres://masthill@" + p.Addr().String() + "/calls?sslmode=disable"
+	return "postgres://masthill@" + p.addr + "/calls?sslmode=disable"
 }
 
 func TestPostgreSQL(t *testing.T) {
-	p := newPostgres(t)
-	p.fail = 1 // the first batch fails, and is written again
-	s, end := run(t, "postgres", dsn(p))
+	p := newPostgres(t, 1, false) // the first batch fails, and is written again
+	s, end := run(t, "postgres", dsn(p), time.Minute)
 	s.Put(record("a"))
 	s.Put(record("b"))
 	for range 2 {
@@ -289,9 +257,8 @@
 
 // A database that accepts and then says nothing holds up the writer, never the one who hands over records.
 func TestSilentPostgreSQL(t *testing.T) {
-	p := newPostgres(t)
-	p.silent = true
-	s, end := run(t, "postgres", dsn(p))
+	p := newPostgres(t, 0, true)
+	s, end := run(t, "postgres", dsn(p), lastFor)
 	for range queueMost + batchMost + 1 {
 		s.Put(record("a"))
 	}
