WebSocket front: no socket joins an ended group, and peers learn why they are closed

At fault: front.upgrade could add to the group after Serve had waited for it; conn.write wrote under the group's context, and the library breaks a connection off when a write's context ends.

The integration test of the restart now has the release of a call from before it passed on to its caller.

--- a/cmd/masthill/main_test.go
+++ b/cmd/masthill/main_test.go
@@ -26,8 +26,7 @@
 func TestServeEndAndRestart(t *testing.T) {
 	ledger, feed := newLedger(), newJournal(t)
 	office := newProcessor(ledger, "office")
-	addr := sipOffice(t, office)
-	p := start(t, feed, []string{addr}, "")
+	p := start(t, feed, []string{sipOffice(t, office)}, "")
 	caller := dial(t, p.sip)
 	caller.write(options)
 	caller.want(200, "")
@@ -57,10 +56,16 @@
 	late.want(200, "")
 	p.stop()
 
-	// A restart knows nothing but the configuration, and takes the same calls' ids anew.
-	p = start(t, feed, []string{addr}, "")
+	// A restart knows nothing but the configuration. The release of a call from before is passed on all the same,
+	// as its caller still holds the call, and new calls are taken.
+	office = newProcessor(ledger, "office")
+	office.over = "0000000000000001"
+	p = start(t, feed, []string{sipOffice(t, office)}, "")
 	caller = dial(t, p.sip)
-	caller.write(invite("0000000000000001", "X-Patience: 60000\r\n"))
+	if m := caller.want(0, "BYE"); string(m.Get("Call-ID")) != "0000000000000001" {
+		t.Errorf("release %+v", m)
+	}
+	caller.write(invite("0000000000000004", "X-Patience: 60000\r\n"))
 	caller.want(200, "")
 	caller.write("garbage\r\n\r\n")
 	if _, err := caller.Next(); err == nil {
--- a/cmd/masthill/standin_test.go
+++ b/cmd/masthill/standin_test.go
@@ -175,6 +175,7 @@
 	waiting int
 	slow    bool
 	drop    map[string]bool // given up while they waited
+	over    string          // a call from before, released on the next connection
 }
 
 // ledger is what all stand-in offices of a test note together.
@@ -267,6 +268,10 @@
 			io.WriteString(c, text)
 		}
 		write("NOTIFY sip:x@net SIP/2.0\r\nX-State: x0:100;x1:100\r\nContent-Length: 0\r\n\r\n")
+		if p.over != "" {
+			write("BYE sip:x@net SIP/2.0\r\nCall-ID: " + p.over + "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\n" +
+				"Content-Length: 0\r\n\r\n")
+		}
 		for r := sip.NewReader(c); ; {
 			m, err := r.Next()
 			if err != nil {
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -121,6 +121,10 @@
 	if n := len(b.Front.calls); n != 0 {
 		t.Errorf("%d calls left", n)
 	}
+	b.Close()
+	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("at the end: %v", err)
+	}
 }
 
 func TestInvalidRequests(t *testing.T) {
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -101,17 +101,18 @@
 	g.Go(func() error { return c.write(ctx) })
 	g.Go(func() error { return c.ping(ctx) })
 	err := g.Wait()
-	reason := c.reason(err)
-	cut := time.AfterFunc(closeFor, func() { c.raw.Close() })
-	defer cut.Stop()
-	switch reason {
-	case badMessage:
-		c.ws.Close(websocket.StatusInvalidFramePayloadData, errUnreadable.Error())
-	case sip.Closed:
-		c.ws.Close(websocket.StatusGoingAway, "ending")
+	if errors.Is(err, errUnreadable) {
+		c.shut(websocket.StatusInvalidFramePayloadData, errUnreadable.Error())
 	}
 	c.ws.CloseNow()
-	return reason, err
+	return c.reason(err), err
+}
+
+// shut closes in order, but waits no longer for the peer than closeFor.
+func (c *conn) shut(code websocket.StatusCode, why string) {
+	cut := time.AfterFunc(closeFor, func() { c.raw.Close() })
+	defer cut.Stop()
+	c.ws.Close(code, why)
 }
 
 func (c *conn) write(ctx context.Context) error {
@@ -125,13 +126,16 @@
 			select {
 			case b = <-c.out: // what is queued goes first
 			default:
+				c.shut(websocket.StatusGoingAway, "ending")
 				return errClose
 			}
 		}
 		if c.full.Load() {
 			return errClose
 		}
-		limit, cancel := context.WithTimeout(ctx, writeFor)
+		// Not under ctx: the library breaks the connection off when the context of a write ends, and the peer
+		// would miss why it was closed.
+		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeFor)
 		err := c.ws.Write(limit, websocket.MessageText, b)
 		cancel()
 		if err != nil {
@@ -162,6 +166,8 @@
 	switch {
 	case c.full.Load():
 		return sip.QueueFull
+	case c.closed.Load():
+		return sip.Closed
 	case errors.Is(err, errUnreadable), errors.Is(err, websocket.ErrMessageTooBig):
 		return badMessage
 	case errors.Is(err, errNoPong):
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -57,6 +57,7 @@
 	calls  map[string]*call // by the id that offices know
 	group  *errgroup.Group
 	ctx    context.Context
+	over   bool          // no socket joins the group any more
 	resume time.Duration // resumeFor, but for tests
 }
 
@@ -135,6 +136,9 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
+		f.mu.Lock()
+		f.over = true
+		f.mu.Unlock()
 		if err := server.Close(); !errors.Is(err, net.ErrClosed) { // the end of the program closes the listener first
 			return err
 		}
@@ -222,6 +226,12 @@
 	}
 	s := &sock{conn: newConn(ws, r.Context().Value(rawConn{}).(net.Conn)), front: f, identity: identity}
 	peer := r.RemoteAddr
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.over { // the group may have been waited for already
+		ws.CloseNow()
+		return
+	}
 	f.group.Go(func() error { f.serve(f.ctx, s, peer); return nil })
 }
 
