--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -277,3 +277,31 @@
 		t.Error(got)
 	}
 }
+
+// deaf is a Hearer that takes anything.
+type deaf struct{}
+
+func (deaf) Stood(string, []byte)             {}
+func (deaf) Ended(string, exchange.Ending)    {}
+func (deaf) Released(string, bool, []float64) {}
+func (deaf) State([]float64)                  {}
+
+// Whatever an office sends, it is taken or ends the connection, and there is never a panic.
+func TestMessagesFromGarbage(t *testing.T) {
+	valid := []byte("SIP/2.0 503 X\r\n" + reply + "X-Note: cpu_full\r\nX-Delay: 2300\r\nX-State: x0:12\r\nContent-Length: 0\r\n\r\n" +
+		"BYE sip:1@net SIP/2.0\r\nCall-ID: 5\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=41\r\nContent-Length: 0\r\n\r\n")
+	netcase.Check(t, func(t *rapid.T) {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		p := &sipPeer{Conn: sip.NewConn(ours, writeFor), name: "n0", fields: fields}
+		for r := sip.NewReader(netcase.Cut(t, netcase.Garbage(t, valid))); ; {
+			m, err := r.Next()
+			if err != nil {
+				return
+			}
+			if err := p.take(m, deaf{}); err != nil && err != errNoCall {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/office/sip.go
+++ b/internal/office/sip.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -114,7 +113,7 @@
 	return p.Conn.Run(ctx, func(m *sip.Message) error { return p.take(m, h) })
 }
 
-var errNoCall = errors.New("answer without Call-ID or CSeq")
+var errNoCall = fmt.Errorf("%w: an answer without Call-ID or CSeq", sip.ErrMessage)
 
 // take handles one message of an office. Strings and descriptions that outlive the read buffer are copied.
 func (p *sipPeer) take(m *sip.Message, h Hearer) error {
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -145,7 +145,7 @@
 
 func (c *Conn) reason(err error) Reason {
 	framing := errors.Is(err, ErrTooLong) || errors.Is(err, ErrStartLine) || errors.Is(err, ErrHeader) ||
-		errors.Is(err, ErrLength)
+		errors.Is(err, ErrLength) || errors.Is(err, ErrMessage)
 	switch {
 	case c.full.Load():
 		return QueueFull
--- a/internal/sip/conn_test.go
+++ b/internal/sip/conn_test.go
@@ -16,6 +16,9 @@
 	go func() {
 		r, _ := c.Run(ctx, func(m *Message) error {
 			c.Send(Answer(m, 200))
+			if string(m.Method) == "BAD" {
+				return ErrMessage
+			}
 			return nil
 		})
 		reason <- r
@@ -31,6 +34,7 @@
 		{PeerClosed, func(p net.Conn, _ *Conn, _ func()) { p.Close() }},
 		{CutShort, func(p net.Conn, _ *Conn, _ func()) { io.WriteString(p, invite[:30]); p.Close() }},
 		{BadFraming, func(p net.Conn, _ *Conn, _ func()) { io.WriteString(p, "?\r\n\r\n") }},
+		{BadFraming, func(p net.Conn, _ *Conn, _ func()) { io.WriteString(p, "BAD x SIP/2.0\r\nl: 0\r\n\r\n") }},
 		{Closed, func(_ net.Conn, c *Conn, _ func()) { c.Close() }},
 		{Closed, func(_ net.Conn, _ *Conn, cancel func()) { cancel() }},
 		// A peer that does not read: after a second the write ends the connection, and so does a full queue.
--- a/internal/sip/message.go
+++ b/internal/sip/message.go
@@ -27,6 +27,7 @@
 	ErrStartLine = errors.New("unreadable first line")
 	ErrHeader    = errors.New("unreadable header line")
 	ErrLength    = errors.New("missing or unreadable Content-Length")
+	ErrMessage   = errors.New("message lacks what its kind needs") // for those who handle messages
 )
 
 // Header is one header line; both parts are slices of the read buffer.
