--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -48,6 +49,10 @@
 		level = slog.LevelDebug
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	// Caught before anything else: by default either signal would end the program at once.
+	signals := signals{term: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(signals.term, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals.reload, syscall.SIGHUP)
 	p, err := config.Load(os.Getenv)
 	var own *config.Project
 	if err == nil {
@@ -57,7 +62,7 @@
 		fmt.Fprintln(os.Stderr, "masthill: configuration:", err)
 		os.Exit(2)
 	}
-	if err := serve(p, own, log.With("node", p.Name)); err != nil {
+	if err := serve(p, own, signals, log.With("node", p.Name)); err != nil {
 		fmt.Fprintln(os.Stderr, "masthill:", err)
 		os.Exit(1)
 	}
@@ -70,11 +75,12 @@
 	Serve(ctx context.Context, l net.Listener) error
 }
 
-func serve(p *config.Platform, own *config.Project, log *slog.Logger) error {
+// signals are what the platform tells a running program.
+type signals struct{ term, reload chan os.Signal }
+
+func serve(p *config.Platform, own *config.Project, signals signals, log *slog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 
 	options := exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log}
 	var records *store.Store
@@ -130,12 +136,22 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-term:
+		case <-signals.term:
 		}
 		end(x, fronts, log)
 		stop()
 		return nil
 	})
+	g.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-signals.reload:
+				reload(p, feed, log)
+			}
+		}
+	})
 	log.Info("serving", "listen", fronts[calls].Addr().String(), "pos", feed.Pos)
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -143,6 +159,25 @@
 	return nil
 }
 
+// reload takes a new configuration. Only the journal service can change under a running program; calls and
+// connections go on. A file that is wrong changes nothing.
+func reload(old *config.Platform, feed *journal.Client, log *slog.Logger) {
+	p, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Error("configuration kept", "err", err)
+		return
+	}
+	if p.Listen != old.Listen || p.Name != old.Name || p.Cores != old.Cores || p.MemoryMB != old.MemoryMB ||
+		p.Sockets != old.Sockets || !reflect.DeepEqual(p.Settings, old.Settings) {
+		log.Warn("configuration read in part", "why", "name, listen, limits and settings take a restart")
+	}
+	log.Info("configuration read", "journal", p.Journal)
+	if p.Journal != old.Journal {
+		feed.Move(p.Journal)
+	}
+	old.Journal = p.Journal
+}
+
 // end is the planned end: new calls are taken as long as they may come, and all that was taken is answered.
 func end(x *exchange.Exchange, fronts map[front]net.Listener, log *slog.Logger) {
 	began := time.Now()
--- a/cmd/masthill/main_test.go
+++ b/cmd/masthill/main_test.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 
 	"masthill/internal/callws"
+	"masthill/internal/netcase"
 )
 
 const callwsOn = `[callws]
@@ -79,6 +80,36 @@
 	}
 }
 
+// SIGHUP ended the program. It reads the configuration anew: the journal client moves and goes on from its position,
+// a call under way and its connection go on, and a bad file changes nothing.
+func TestNewConfiguration(t *testing.T) {
+	asked := make(chan string, 10)
+	second := netcase.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.Header.Get("Last-Event-ID")
+		<-r.Context().Done()
+	})
+	ledger, first := newLedger(), newJournal(t)
+	office := newProcessor(ledger, "office")
+	p := start(t, first, []string{sipOffice(t, office)}, "")
+	caller := dial(t, p.sip)
+	office.line.Lock()
+	caller.write(invite("0000000000000001", "X-Patience: 60000\r\n"))
+	p.reload(func(string) string { return "{" })
+	for kept := false; !kept; { // the second signal must not meet the first
+		time.Sleep(time.Millisecond)
+		p.mu.Lock()
+		kept = strings.Contains(p.log.String(), `msg="configuration kept"`)
+		p.mu.Unlock()
+	}
+	p.reload(func(string) string { return configuration(second, nil) })
+	if pos := <-asked; pos != "1" {
+		t.Errorf("the new service was asked from %s", pos)
+	}
+	office.line.Unlock()
+	caller.want(200, "")
+	p.stop()
+}
+
 func TestBadConfigurationEndsWithTwo(t *testing.T) {
 	for callws, key := range map[string]string{"[store]\ndriver = \"oracle\"": "store.driver", callwsOn + "colour = 1": "colour"} {
 		p := start(t, "127.0.0.1:1", nil, callws)
--- a/cmd/masthill/standin_test.go
+++ b/cmd/masthill/standin_test.go
@@ -53,29 +53,35 @@
 	*exec.Cmd
 	t            *testing.T
 	sip, callws  string // where it listens
+	config       string // its file
 	mu           sync.Mutex
 	log          strings.Builder
 	ready, ended chan struct{}
 }
 
-// start writes the configuration and starts the program; offices are addresses, cells in their order.
-func start(t *testing.T, journal string, offices []string, callws string) *program {
-	t.Helper()
+// configuration is the platform's file; offices are addresses, cells in their order.
+func configuration(journal string, offices []string) string {
 	var servers []string
 	for k, addr := range offices {
 		servers = append(servers, fmt.Sprintf(`{"id":"s-%08x","addr":"%s","cell":%d,"state":"SERVING","weight":1}`, 10+k, addr, k))
 	}
-	dir := t.TempDir()
-	file, project := filepath.Join(dir, "config.json"), filepath.Join(dir, "callws.toml")
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,`+
+	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,`+
 		`"sockets":1024},"journal":"%s","known":{"pos":1,"entries":[{"pos":1,"hosts":{"version":1,"full":true,"servers":[%s]}}]},`+
 		`"settings":%s}`, journal, strings.Join(servers, ","), settings)
+}
+
+// start writes the configuration and starts the program; offices are addresses, cells in their order.
+func start(t *testing.T, journal string, offices []string, callws string) *program {
+	t.Helper()
+	dir := t.TempDir()
+	file, project := filepath.Join(dir, "config.json"), filepath.Join(dir, "callws.toml")
+	text := configuration(journal, offices)
 	for name, text := range map[string]string{file: text, project: callws} {
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	p := &program{Cmd: exec.Command(os.Args[0]), t: t, ready: make(chan struct{}), ended: make(chan struct{})}
+	p := &program{Cmd: exec.Command(os.Args[0]), config: file, t: t, ready: make(chan struct{}), ended: make(chan struct{})}
 	p.Env = append(os.Environ(), "MASTHILL_TEST_RUN=1", "PROXY_CONFIG="+file, "MASTHILL_CALLWS="+project)
 	p.Stderr = p
 	if err := p.Start(); err != nil {
@@ -116,6 +122,21 @@
 	return len(b), nil
 }
 
+// reload replaces the configuration and tells the program so.
+func (p *program) reload(change func(text string) string) {
+	p.t.Helper()
+	text, err := os.ReadFile(p.config)
+	if err == nil {
+		err = os.WriteFile(p.config, []byte(change(string(text))), 0o600)
+	}
+	if err == nil {
+		err = p.Process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 // stop ends the program as the platform does, and wants exit code 0.
 func (p *program) stop() {
 	p.t.Helper()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -60,6 +60,7 @@
 type txn struct {
 	*conn
 	id, number string
+	sum        uint64 // of the set-up
 	echo       []byte // headers for the answer
 	seq        uint64
 	stood      bool
@@ -126,18 +127,16 @@
 	reason, err := c.Run(ctx, c.take)
 	s.mu.Lock()
 	delete(s.conns, c)
-	var left []string
+	left := 0
 	for id, t := range s.txns {
 		if t.conn == c && !t.stood {
-			left = append(left, id)
+			left++
 			delete(s.txns, id)
+			s.Core.GiveUp(id, owner, s)
 		}
 	}
 	s.mu.Unlock()
-	for _, id := range left {
-		s.Core.GiveUp(id, owner, s)
-	}
-	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", len(left),
+	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", left,
 		"age_ms", time.Since(began).Milliseconds(), "err", err)
 }
 
@@ -154,8 +153,9 @@
 			c.Send(sip.Answer(m, status))
 		}
 	case "CANCEL":
-		c.server.forget(id, false)
-		c.server.Core.GiveUp(id, owner, nil)
+		if !c.cancel(id) {
+			c.Send(sip.Answer(m, 481))
+		}
 	case "BYE":
 		status := 481
 		if c.server.forget(id, true) {
@@ -176,6 +176,20 @@
 	return nil
 }
 
+// cancel gives a set-up up, or releases the call where its answer crossed the CANCEL. Only the connection of the
+// set-up may: a stranger who knows an id must not end another's call.
+func (c *conn) cancel(id string) bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.txns[id]; t == nil || t.conn != c {
+		return false
+	}
+	delete(s.txns, id)
+	s.Core.GiveUp(id, owner, nil)
+	return true
+}
+
 // forget drops a transaction that its caller ended.
 func (s *Server) forget(id string, stood bool) bool {
 	s.mu.Lock()
@@ -228,10 +242,20 @@
 		}
 	}
 	s := c.server
+	t := &txn{conn: c, id: id, number: number, sum: call.Sum(), echo: sip.Echo(m), seq: seq}
 	s.mu.Lock()
-	s.txns[id] = &txn{conn: c, id: id, number: number, echo: sip.Echo(m), seq: seq}
+	old := s.txns[id]
+	twice := old != nil && old.conn == c && old.sum == t.sum && bytes.Equal(old.echo, t.echo)
+	if old == nil {
+		s.txns[id] = t
+	}
 	s.mu.Unlock()
-	s.Core.Arrive(call, s)
+	switch {
+	case old == nil:
+		s.Core.Arrive(call, s)
+	case !twice: // joined, the answer to the first would go to whoever names its id
+		return 482, "Call-ID of another set-up"
+	}
 	return 0, ""
 }
 
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -114,7 +114,10 @@
 	b.Answer(id, exchange.Final{Verdict: exchange.Stands, Desc: []byte("log")})
 	p.want(200, "", "Via", "SIP/2.0/TCP peer;branch=1")
 	b.Answer(id, exchange.Final{Verdict: exchange.Failed}) // a second answer goes nowhere
-	p.write(message("INVITE", id, headers))                // sent again: its answer is a new one
+	p.write(message("BYE", id, ""))
+	p.want(200, "", "Call-ID", id)
+	b.expect("hang up " + id)
+	p.write(message("INVITE", id, headers))
 	b.expect("arrive " + id)
 	b.Answer(id, exchange.Final{Verdict: exchange.Refused, Wait: 200 * time.Millisecond})
 	p.want(503, "", "X-Later-Ms", "200")
@@ -160,6 +163,26 @@
 	}
 }
 
+// A bad client that names the id of an open set-up got the answer to it ('served', and its owner none), and its
+// CANCEL ended it. The first connection's set-up goes on, and a stranger is told so.
+func TestTheIDOfAnOpenSetUp(t *testing.T) {
+	b := newBed(t, 10)
+	p, stranger := b.dial(), b.dial()
+	p.write(message("INVITE", id, headers) + message("INVITE", id, headers) + message("OPTIONS", "ping", ""))
+	b.expect("arrive " + id)
+	p.want(200, "", "Call-ID", "ping")
+	stranger.write(strings.Replace(message("INVITE", id, headers), "\r\nhi", "\r\nho", 1))
+	stranger.want(482, "", "Call-ID", id)
+	stranger.write(message("CANCEL", id, ""))
+	stranger.want(481, "", "Call-ID", id)
+	stranger.Close()
+	b.Answer(id, exchange.Final{Verdict: exchange.Stands})
+	p.want(200, "", "Call-ID", id)
+	if len(b.told) != 0 {
+		t.Errorf("told %s", <-b.told)
+	}
+}
+
 // A connection's end gives up the set-ups open on it. What stands goes on: its release takes any connection,
 // and the next one where there is none.
 func TestConnectionEnds(t *testing.T) {
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -203,6 +203,18 @@
 	b.expect("give up " + key + " ws/station-7")
 }
 
+// A call's id with another description is another call: joined to the first, it would get the answer to that.
+func TestTheIDOfAnOpenCallWithAnotherDescription(t *testing.T) {
+	b := newBed(t, 10)
+	ws := b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	b.write(ws, strings.Replace(setup, "offer", "another", 1))
+	b.read(ws, `{"type":"error","id":"c1","code":482,"text":"id of another call"}`)
+	b.Answer(key, exchange.Final{Verdict: exchange.Stands})
+	b.read(ws, `{"type":"stands","id":"c1"}`)
+}
+
 // sockets counts the sockets that the front holds.
 func (b *bed) sockets() int {
 	b.Front.mu.Lock()
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -71,7 +71,8 @@
 // call is a call of this front, until it has its refusal or its release has been told.
 type call struct {
 	id, identity string
-	sock         *sock // nil: its socket closed
+	sum          uint64 // of the set-up
+	sock         *sock  // nil: its socket closed
 	stands, over bool
 	cut          bool
 	since        time.Time // it lost its socket, or is over without one
@@ -352,13 +353,17 @@
 	}
 	f := s.front
 	f.mu.Lock()
-	c := f.calls[key]
+	c, sum := f.calls[key], setup.Sum()
+	if c != nil && c.sum != sum { // joined, it would get the answer to another description
+		f.mu.Unlock()
+		return 482, "id of another call"
+	}
 	if c == nil && len(f.calls) >= callsMost {
 		f.mu.Unlock()
 		return 503, "too many calls"
 	}
 	if c == nil {
-		c = &call{id: m.ID, identity: s.identity}
+		c = &call{id: m.ID, identity: s.identity, sum: sum}
 		f.calls[key] = c
 	}
 	c.sock = s
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -42,6 +42,7 @@
 // kept is a final answer that a caller may ask for again.
 type kept struct {
 	id, owner string
+	sum       uint64 // of the set-up
 	f         Final
 	over      bool // it stood and is over
 	cut       bool
@@ -181,7 +182,7 @@
 
 func (c *core) arrive(s Setup, from Caller) {
 	if cl := c.calls[s.ID]; cl != nil {
-		if cl.Owner != s.Owner {
+		if cl.Owner != s.Owner || cl.Sum() != s.Sum() {
 			from.Answer(s.ID, Final{Verdict: Failed})
 			return
 		}
@@ -191,7 +192,7 @@
 		return
 	}
 	if k := c.kept[s.ID]; k != nil {
-		if k.owner != s.Owner {
+		if k.owner != s.Owner || k.sum != s.Sum() { // another call under that id: its answer is not this caller's
 			from.Answer(s.ID, Final{Verdict: Failed})
 			return
 		}
@@ -239,7 +240,7 @@
 		c.load += len(f.Desc)
 	} else {
 		c.drop(cl)
-		c.keep(&kept{id: cl.ID, owner: cl.Owner, f: f, at: c.now})
+		c.keep(&kept{id: cl.ID, owner: cl.Owner, sum: cl.Sum(), f: f, at: c.now})
 	}
 	c.write(cl, Record{Verdict: f.Verdict.String(), Wait: f.Wait})
 	cl.from.Answer(cl.ID, f)
@@ -291,7 +292,7 @@
 	}
 	c.drop(cl)
 	c.open--
-	c.keep(&kept{id: id, owner: owner, f: Final{Verdict: Failed}, at: c.now})
+	c.keep(&kept{id: id, owner: owner, sum: cl.Sum(), f: Final{Verdict: Failed}, at: c.now})
 	c.write(cl, Record{Verdict: "left"})
 	c.tell(control.Event{Kind: control.Aborted, Call: id})
 	if cl.out {
@@ -302,8 +303,8 @@
 // over ends a standing call: the module learns it, and the memory of its answer begins.
 func (c *core) over(cl *call, e Ending, cut bool) {
 	c.drop(cl)
-	c.keep(&kept{id: cl.ID, owner: cl.Owner, f: Final{Verdict: Stands, Desc: cl.desc}, over: true, cut: cut,
-		at: c.now})
+	c.keep(&kept{id: cl.ID, owner: cl.Owner, sum: cl.Sum(), f: Final{Verdict: Stands, Desc: cl.desc}, over: true,
+		cut: cut, at: c.now})
 	c.write(cl, Record{Verdict: Stands.String(), Cut: cut})
 	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
 		Outcome: e.Outcome, Report: e.Report, Ended: true})
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"hash/maphash"
 	"log/slog"
 	"sync"
 	"time"
@@ -58,6 +59,20 @@
 	Until  time.Time // its caller leaves
 }
 
+var sumSeed = maphash.MakeSeed()
+
+// Sum tells two set-ups under one id apart: it is the same for one that was sent again.
+func (s *Setup) Sum() uint64 {
+	var h maphash.Hash
+	h.SetSeed(sumSeed)
+	for _, part := range []string{s.Name, s.Tenant, s.Number} {
+		h.WriteString(part)
+		h.WriteByte(0)
+	}
+	h.Write(s.Desc)
+	return h.Sum64()
+}
+
 // Caller is where a call came from. Its methods are called by the core and must not block.
 type Caller interface {
 	Answer(id string, f Final)
@@ -215,9 +230,10 @@
 func (x *Exchange) Arrive(s Setup, from Caller) { x.post(true, func() { x.core.arrive(s, from) }) }
 
 // GiveUp tells that a caller no longer waits. With a caller given, only if the call is still that caller's
-// (it may have been joined from elsewhere).
+// (it may have been joined from elsewhere). It never blocks, so that a side may call it under its lock: the id
+// may come again at once, and that must not overtake this.
 func (x *Exchange) GiveUp(id, owner string, from Caller) {
-	x.post(true, func() { x.core.giveUp(id, owner, from) })
+	x.post(false, func() { x.core.giveUp(id, owner, from) })
 }
 
 // HangUp tells that a caller ended its standing call.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"masthill/control"
@@ -25,10 +26,11 @@
 const (
 	// lineMost bounds one event: a list of a few thousand offices.
 	lineMost = 1 << 20
-	// silentFor is how long nothing may come, of which the service sends a comment every second.
-	silentFor = 4 * time.Second
-	// retryFirst and retryMost bound the wait before a reconnect. News counts as told 7 s after the service
-	// has it, so a broken stream must be back well before.
+	// silentFor is how long nothing may come, of which the service sends a comment every second. What a service
+	// that stopped would have told counts as told 4 s later, and the reconnect takes its time too.
+	silentFor = 2500 * time.Millisecond
+	// retryFirst and retryMost bound the wait before a reconnect. News counts as told 2 s after a break, so a
+	// broken stream must be back well before.
 	retryFirst, retryMost = 100 * time.Millisecond, 1500 * time.Millisecond
 )
 
@@ -95,11 +97,37 @@
 
 // Client follows the journal service.
 type Client struct {
-	Addr  string
+	Addr  string // where the service was at the start; Move changes it
 	Log   *slog.Logger
 	Tell  func(changed []exchange.Office, full bool)
 	Pos   int64 // of the last event taken
 	Retry func(failures int) time.Duration
+
+	mu    sync.Mutex
+	moved string             // where it is now, once Move was called
+	leave context.CancelFunc // ends the stream or the pause under way
+}
+
+// Move has the client follow the service at another address from now on, on from the last event taken.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moved = addr
+	if c.leave != nil {
+		c.leave()
+	}
+}
+
+// turn begins one stream with the pause after it: its address, and a context that a move ends.
+func (c *Client) turn(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr := c.Addr
+	if c.moved != "" {
+		addr = c.moved
+	}
+	ctx, c.leave = context.WithCancel(ctx)
+	return addr, ctx, c.leave
 }
 
 // Start takes what the configuration holds.
@@ -125,22 +153,25 @@
 	failures := 0
 	for ctx.Err() == nil {
 		began := time.Now()
-		heard, err := c.follow(ctx)
-		if ctx.Err() != nil {
-			c.Log.Info("journal connection ended", "reason", "closed", "pos", c.Pos)
-			break
+		addr, turn, end := c.turn(ctx)
+		heard, err := c.follow(turn, addr)
+		if turn.Err() != nil { // the program ends, or the service has moved
+			c.Log.Info("journal connection ended", "reason", "closed", "addr", addr, "pos", c.Pos)
+			failures = 0
+			continue
 		}
 		if failures++; heard {
 			failures = 0
 		}
-		c.Log.Warn("journal connection ended", "reason", reason(heard, err), "pos", c.Pos, "failures", failures,
+		c.Log.Warn("journal connection ended", "reason", reason(heard, err), "addr", addr, "pos", c.Pos, "failures", failures,
 			"age_ms", time.Since(began).Milliseconds(), "err", err)
 		wait := time.NewTimer(c.pause(failures))
 		select {
-		case <-ctx.Done():
+		case <-turn.Done():
 		case <-wait.C:
 		}
 		wait.Stop()
+		end()
 	}
 	return nil
 }
@@ -173,13 +204,13 @@
 }
 
 // follow reads one stream; heard tells whether anything came.
-func (c *Client) follow(ctx context.Context) (heard bool, err error) {
+func (c *Client) follow(ctx context.Context, addr string) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The silence of a service that has vanished ends the stream: its comments stop.
 	silence := time.AfterFunc(silentFor, cancel)
 	defer silence.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Addr+"/journal", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/journal", nil)
 	if err != nil {
 		return false, err
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -124,6 +124,36 @@
 	}
 }
 
+// A new configuration moves the client at once, also from a service that only stays silent, and the position goes on.
+func TestMoveKeepsThePosition(t *testing.T) {
+	asked := make(chan string, 10)
+	serve := func(name string) string {
+		return netcase.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+			asked <- name + r.Header.Get("Last-Event-ID")
+			fmt.Fprintf(w, "id: 7\ndata: %s\n\n", full)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		})
+	}
+	got := make(chan told, 1)
+	c := client(func(x told) { got <- x })
+	c.Addr, c.Pos = serve("old "), 6
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	<-got
+	c.Move(serve("new "))
+	for _, want := range []string{"old 6", "new 7"} {
+		if a := <-asked; a != want {
+			t.Errorf("asked %s, want %s", a, want)
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestReasons(t *testing.T) {
 	for _, tc := range []struct {
 		heard bool
