A fault on a call that no office can use no longer shuts the offices

Checked in a debug log: no answer 'full', no pressure; 40 calls of bad clients were answered 'error' by two or three offices each, within 0 ms. Ruled out: processors, the release wait, connection limits. At fault: control.judge marked an office for each such answer (200 ms, a lower weight, a step towards 'cut young'), and route carried the fault to the next office; the quick answer also passed for a set-up delay and proved earlier set-ups lost.

Now a fault counts against an office only once the call stood elsewhere, or by its share of faults beyond the best office's; a call that two offices answer so is refused. First tried: blame only after a stand elsewhere.

--- a/control/control.go
+++ b/control/control.go
@@ -99,6 +99,7 @@
 	newsAt, pressAt  int64   // when these two were last fed
 	lost, came       fading  // set-ups whose answer got lost, and those answered
 	cut              fading  // share of ended calls that were cut right after they stood
+	fault            fading  // share of set-ups answered with a fault, of these and those that stood
 	weight           float64
 	weightAt         int64
 	credit           float64 // sends that its cold budget has left for this front; it grows with time
@@ -128,6 +129,8 @@
 	held, deferred   bool    // waits for its one later try, and had it
 	stands           bool
 	luck             float64 // its draw against pressure, one for its whole life
+	// faults are the servers that answered it with a fault; whose that is shows elsewhere.
+	faults []*server
 }
 
 // hot is a number whose lines were all found busy: how long it is left alone, and until when.
@@ -491,13 +494,13 @@
 	return w
 }
 
-// marked tells whether a server is no room for this call: marked by an answer, on trial, out of lines, out of
-// its cold budget, or pressed beyond what the call's worth and luck bear.
+// marked tells whether a server is no room for this call: it answered it with a fault, or is marked by an
+// answer, on trial, out of lines, out of its cold budget, or pressed beyond what its worth and luck bear.
 func (c *Controller) marked(s *server, cl *call) bool {
-	if c.now < s.markEnd || s.down && s.pending() > 0 || !c.coldRoom(s) {
+	if slices.Contains(cl.faults, s) || c.now < s.markEnd || s.down && s.pending() > 0 || !c.coldRoom(s) {
 		return true
 	}
-	if s.cut.now(c.now, cutFade) > cutMost && c.now-s.sentAt < trialMax {
+	if (s.cut.now(c.now, cutFade) > cutMost || c.faulty(s)) && c.now-s.sentAt < trialMax {
 		return true
 	}
 	worth := c.worth(cl)
@@ -689,8 +692,14 @@
 		c.borne.n = c.borne.now(c.now, bornSpan) + 1 // first, as the most borne is taken with the answer
 		c.answered(s, ev.Call, 0)
 		s.markEnd, s.down = 0, false
+		s.fault.n = s.fault.now(c.now, cutFade) * (1 - cutGain)
 	}
 	if cl != nil {
+		for _, f := range cl.faults {
+			if f != s {
+				c.blame(f)
+			}
+		}
 		if s != nil {
 			s.calls++
 		}
@@ -828,11 +837,11 @@
 		c.route(cl) // it never ran, and this is no fullness: another unmarked server at once
 	case Errored:
 		cl.ran = true
-		if ev.Note != busyLine {
-			c.route(cl) // a fault of that server, now marked: another unmarked one at once
+		if ev.Note != busyLine && len(cl.faults) < 2 {
+			c.route(cl) // perhaps a fault of that server: another unmarked one at once
 			return
 		}
-		if cl.key != "" {
+		if cl.key != "" && ev.Note == busyLine {
 			c.busyNumber(cl.key)
 		}
 		c.final(cl, true)
@@ -870,13 +879,15 @@
 		s.markEnd = max(s.markEnd, c.now+trialFirst)
 		c.fell(s)
 	case ev.Outcome == Errored:
-		// A server that answers with faults is as quick and as useless as one that cuts what stood; a single
-		// chance fault costs it a moment.
-		c.answered(s, ev.Call, 1)
-		if ev.Note != busyLine {
-			s.markEnd = max(s.markEnd, c.now+markMin)
-			s.weight *= lossWeight
-			c.ended(s, true)
+		if ev.Note == busyLine {
+			c.answered(s, ev.Call, 1)
+			return
+		}
+		s.take(ev.Call) // a quick fault overtakes others in the queue, and is no delay of a set-up
+		s.came.n = s.came.now(c.now, lossFade) + 1
+		if cl := c.calls[ev.Call]; cl != nil {
+			cl.faults = append(cl.faults, s)
+			s.fault.n = s.fault.now(c.now, cutFade)*(1-cutGain) + cutGain
 		}
 	case ev.Outcome == Saturated:
 		// A quick "full" is no quick set-up: taken as one, it would draw calls to a sick server. This covers
@@ -891,6 +902,24 @@
 	}
 }
 
+// blame marks a server for a fault on a call that stood elsewhere. A server that answers with faults is as
+// quick and as useless as one that cuts what stood; a single chance fault costs it a moment.
+func (c *Controller) blame(s *server) {
+	s.markEnd = max(s.markEnd, c.now+markMin)
+	s.weight *= lossWeight
+	c.ended(s, true)
+}
+
+// faulty tells whether a server answers with faults what another takes. A call that nobody can use gets a
+// fault anywhere, and callers that send such ones would shut all servers to the others: so only its excess
+// over the best server's share counts. Where all servers turn to faults at once, none is shut.
+func (c *Controller) faulty(s *server) bool {
+	own := s.fault.now(c.now, cutFade)
+	return own > cutMost && slices.ContainsFunc(c.servers, func(o *server) bool {
+		return o.in && own > o.fault.now(c.now, cutFade)+cutMost
+	})
+}
+
 // busyNumber leaves a number alone for a while whose lines are all busy. It covers any flood to one number; a
 // line that comes free in the meantime stays unused for up to hotMax.
 func (c *Controller) busyNumber(key string) {
