A set-up cut with its connection is no silence of its office

Checked by a trace of control.marked: no mark, no down, warmth 1, no pressure; the expected delay alone grew with the age of the oldest unanswered set-up, up to 2 s, with 1 to 3 of them out. In the log these had been cut with their connections within 8 to 72 ms. At fault: control.delayAt took every attempt left in server.out, the cut ones too, for silence of the processor, so one unreadable answer shut an office for 1 to 2 s.

Now cut attempts rest the office for a moment and count as lost, but not as silence.

--- a/control/control.go
+++ b/control/control.go
@@ -114,6 +114,23 @@
 	call string
 	at   int64
 	off  bool // called off, cut or timed out
+	cut  bool // cut: it was not silent
+}
+
+// silent counts the set-ups on which a server is silent, and tells when the first and the last were sent.
+// One that was cut with its connection says nothing of the processor behind it: taken for silence, a single
+// answer that could not be read shut a well server for seconds.
+func (s *server) silent() (n int, first, last int64) {
+	for _, a := range s.out {
+		if a.cut {
+			continue
+		}
+		if n++; n == 1 {
+			first = a.at
+		}
+		last = a.at
+	}
+	return n, first, last
 }
 
 // call is a call in hand: waiting for a set-up, held, or standing.
@@ -384,7 +401,7 @@
 func (c *Controller) delayAt(s *server) float64 {
 	gap := float64(c.now - s.newsAt)
 	d := s.delay*math.Exp(-gap/newsFade) + s.press*math.Exp(-float64(c.now-s.pressAt)/pressFade)
-	if n := len(s.out); n > 0 {
+	if n, first, last := s.silent(); n > 0 {
 		// Silence shuts a server only between trials, rarer with each unanswered one. Where answers get lost
 		// it counts for no more than the loss leaves unexplained.
 		rest := float64(min(trialFirst<<min(n-1, 8), trialMax))
@@ -392,8 +409,8 @@
 			rest = max(rest, trialParts*float64(second)/max(c.fair(s), littleLeast))
 			d = max(d, float64(s.pending())*float64(second)/max(c.fair(s), littleLeast))
 		}
-		if float64(c.now-s.out[len(s.out)-1].at) < rest {
-			d = max(d, float64(c.now-s.out[0].at)*lossDoubt/(lossDoubt+math.Pow(c.lossAt(s), float64(n))))
+		if float64(c.now-last) < rest {
+			d = max(d, float64(c.now-first)*lossDoubt/(lossDoubt+math.Pow(c.lossAt(s), float64(n))))
 		}
 	}
 	return d
@@ -764,9 +781,11 @@
 // missed takes the end of an attempt that no answer came to; it stays among the unanswered ones. One may be
 // the way's fault, and the server rests for a moment. Chance losses explain a few in a row by the share seen
 // on all servers; what they do not explain is a server that is down.
-func (c *Controller) missed(s *server, id string) {
+func (c *Controller) missed(s *server, id string, cut bool) {
 	for k := range s.out {
-		s.out[k].off = s.out[k].off || s.out[k].call == id
+		if a := &s.out[k]; a.call == id {
+			a.off, a.cut = true, a.cut || cut && !a.off
+		}
 	}
 	s.weight *= lossWeight
 	s.markEnd = max(s.markEnd, c.now+markMin)
@@ -873,7 +892,7 @@
 			c.push(s, fullDelay*c.ref)
 		}
 	case ev.Outcome == Overdue || ev.Outcome == Severed:
-		c.missed(s, ev.Call)
+		c.missed(s, ev.Call, ev.Outcome == Severed)
 	case ev.Outcome == RefusedConn:
 		s.take(ev.Call)
 		s.markEnd = max(s.markEnd, c.now+trialFirst)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -601,6 +601,22 @@
 	}
 }
 
+// A set-up that is cut with its connection is no silence: the server rests for a moment and is open again.
+func TestACutSetUpIsNoSilence(t *testing.T) {
+	b := newBed(t, settings(), 2)
+	for range littleFrom + 5 {
+		id, _ := b.call(0, 0)
+		b.now += 20 * ms
+		b.stands(id, 10, 0)
+	}
+	id, _ := b.call(0, 0)
+	b.back(id, 10, Severed, 0)
+	b.now += second / 2
+	if _, acts := b.call(0, 0); only(t, acts, Send).Server != 10 {
+		t.Errorf("shut half a second after a cut: expected delay %v ms", b.c.delayAt(b.c.server(10))/1e6)
+	}
+}
+
 func TestOneCutSetUpRestsTheServerForAMoment(t *testing.T) {
 	b := newBed(t, settings(), 2)
 	id, _ := b.call(0, 0)
