The WebSocket front gets the same guards; releases prefer a caller's own host

The byte-bounded queue is now one type, sip.Queue, in both.

A release whose connection has gone went to any connection, also a silent stranger's: now to one of the same host, else to the last that asked, else it waits. Requests turned down are logged three times a connection, then counted in its last line.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,9 @@
 	openMost = 256
 	// headRoom is what a set-up may grow by on its way to an office, where the limit of a message holds too.
 	headRoom = 512
+	// turnedLogged is how many requests turned down are logged one by one on a connection; its last line has their
+	// number. A caller that sends the same again at once must not fill the log.
+	turnedLogged = 3
 	// releaseFor is how long a release waits for a connection to go out on: PROTOCOL has it sent within 8 s.
 	releaseFor = 7 * time.Second
 	// releasesMost bounds the releases that wait.
@@ -65,10 +69,12 @@
 	late   []release // that found no connection
 }
 
-// conn is one caller's connection. All but the first two fields belong to the server's lock.
+// conn is one caller's connection. What follows its host belongs to the server's lock.
 type conn struct {
 	*sip.Conn
 	server   *Server
+	turned   int       // requests turned down; the reader's
+	host     string    // of the peer
 	open     int       // set-ups without their answer
 	standing int       // calls that stand
 	asked    bool      // something valid was asked
@@ -77,7 +83,8 @@
 }
 
 func newConn(c net.Conn, s *Server) *conn {
-	cn := &conn{server: s, used: time.Now()}
+	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	cn := &conn{server: s, host: host, used: time.Now()}
 	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeFor, Whole: wholeFor, Idle: cn.idle, Farewell: sip.Farewell})
 	return cn
 }
@@ -149,6 +156,7 @@
 }
 
 type release struct {
+	host  string // of its caller; empty: not known
 	msg   []byte
 	until time.Time
 }
@@ -205,7 +213,9 @@
 
 func (s *Server) serve(ctx context.Context, c *conn) {
 	began := time.Now()
+	s.mu.Lock()
 	s.flushLate(c)
+	s.mu.Unlock()
 	reason, err := c.Run(ctx, c.take)
 	s.mu.Lock()
 	delete(s.conns, c)
@@ -219,7 +229,7 @@
 		}
 	}
 	s.mu.Unlock()
-	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", left,
+	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", left, "turned_down", c.turned,
 		"age_ms", time.Since(began).Milliseconds(), "err", err)
 }
 
@@ -232,7 +242,9 @@
 	switch string(m.Method) {
 	case "INVITE":
 		if status, why := c.setup(m, id); status != 0 {
-			c.server.Log.Warn("set-up turned down", "status", status, "why", why, "peer", c.Remote())
+			if c.turned++; c.turned <= turnedLogged {
+				c.server.Log.Warn("set-up turned down", "status", status, "why", why, "peer", c.Remote())
+			}
 			c.Send(sip.Answer(m, status))
 		}
 	case "CANCEL":
@@ -305,7 +317,16 @@
 func (c *conn) use() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.asked, c.used = true, time.Now()
+	c.ask()
+}
+
+// ask is use under the lock.
+func (c *conn) ask() {
+	c.used = time.Now()
+	if !c.asked {
+		c.asked = true
+		c.server.flushLate(c)
+	}
 }
 
 // setup takes a set-up, or tells the status that turns it down. What the call keeps is copied out of the read
@@ -362,7 +383,8 @@
 	take := old == nil && !gone && !full
 	if take {
 		s.txns[id] = t
-		c.asked, c.used, c.open = true, time.Now(), c.open+1
+		c.ask()
+		c.open++
 	}
 	s.mu.Unlock()
 	switch {
@@ -429,22 +451,48 @@
 		t.Send(b)
 		return
 	}
-	for c := range s.conns {
+	if c := s.another(t.conn); c != nil {
 		c.Send(b)
 		return
 	}
 	if len(s.late) < releasesMost {
-		s.late = append(s.late, release{b, time.Now().Add(releaseFor)})
+		late := release{msg: b, until: time.Now().Add(releaseFor)}
+		if t.conn != nil {
+			late.host = t.host
+		}
+		s.late = append(s.late, late)
 	}
 }
 
-func (s *Server) flushLate(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.late {
-		if time.Now().Before(r.until) {
-			c.Send(r.msg)
+// another finds a connection for the release of a call whose own has gone: one from the same host first, then one
+// that has asked for something, the last of those. A stranger who has only connected may never read it.
+func (s *Server) another(gone *conn) (best *conn) {
+	most := 0
+	for c := range s.conns {
+		fit := 0
+		switch {
+		case c.gone:
+		case gone != nil && c.host == gone.host:
+			fit = 3
+		case c.asked:
+			fit = 2
+		case gone == nil: // from before a restart: its caller may only just have come back
+			fit = 1
+		}
+		if fit > most || fit > 0 && fit == most && c.used.After(best.used) {
+			best, most = c, fit
 		}
 	}
-	s.late = nil
+	return best
+}
+
+// flushLate gives a connection the releases that found none: at once those of its host, or of a call from before a
+// restart, and all of them once it has asked for something. Called under the lock.
+func (s *Server) flushLate(c *conn) {
+	s.late = slices.DeleteFunc(s.late, func(r release) bool {
+		if time.Now().After(r.until) {
+			return true
+		}
+		return (c.asked || r.host == "" || r.host == c.host) && c.Send(r.msg)
+	})
 }
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"masthill/internal/exchange"
 	"masthill/internal/netcase"
 	"masthill/internal/office"
+	"masthill/internal/sip"
 )
 
 const token = "a token of sixteen"
@@ -42,7 +45,7 @@
 }
 
 func newBed(t *testing.T, mostOpen int, resume ...time.Duration) *bed {
-	b := &bed{core: &core{told: make(chan string, 100), calls: map[string]exchange.Setup{}}, t: t}
+	b := &bed{core: &core{told: make(chan string, 1000), calls: map[string]exchange.Setup{}}, t: t}
 	b.Front = New(Options{Core: b.core, Log: netcase.Quiet(), MaxOpen: mostOpen, Callers: map[string]string{"station-7": token},
 		Names: exchange.Names{Classes: []exchange.Class{{Name: "open-log", Deadline: 9 * time.Second}}, Tenants: []string{"acme"}}})
 	b.resume = time.Hour // no machine is too slow to come back in that
@@ -118,9 +121,11 @@
 	b.expect("arrive " + key)
 	b.write(ws, `{"type":"cancel","id":"c1"}`)
 	b.expect("give up " + key + " ws/station-7")
+	b.Front.mu.Lock()
 	if n := len(b.Front.calls); n != 0 {
 		t.Errorf("%d calls left", n)
 	}
+	b.Front.mu.Unlock()
 	b.Close()
 	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
 		t.Errorf("at the end: %v", err)
@@ -215,6 +220,31 @@
 	b.read(ws, `{"type":"stands","id":"c1"}`)
 }
 
+// Connections that say nothing make room for sockets, and a socket with hundreds of calls does not fill the table.
+func TestSilentPeersMakeRoom(t *testing.T) {
+	b := newBed(t, 2)
+	ws := b.open()
+	for range 5 {
+		if _, err := net.Dial("tcp", b.addr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	for n := range openMost {
+		b.write(ws, strings.Replace(setup, `"c1"`, fmt.Sprintf(`"d%d"`, n), 1))
+	}
+	b.read(ws, fmt.Sprintf(`{"type":"error","id":"d%d","code":503,"text":"too many calls"}`, openMost-1))
+	b.Answer(key, exchange.Final{Verdict: exchange.Failed})
+	b.read(ws, `{"type":"failed","id":"c1"}`)
+	b.write(ws, setup)
+	b.write(ws, `{"type":"cancel","id":"c1"}`)
+	for told := ""; told != "give up "+key+" ws/station-7"; {
+		told = <-b.told
+	}
+}
+
 // sockets counts the sockets that the front holds.
 func (b *bed) sockets() int {
 	b.Front.mu.Lock()
@@ -284,7 +314,7 @@
 func TestGarbage(t *testing.T) {
 	netcase.Check(t, func(t *rapid.T) {
 		f := New(Options{Core: &core{told: make(chan string, 1), calls: map[string]exchange.Setup{}}, Log: netcase.Quiet()})
-		s := &sock{conn: &conn{out: make(chan []byte, 4), closing: make(chan struct{})}, front: f}
+		s := &sock{conn: &conn{out: sip.NewQueue(), closing: make(chan struct{})}, front: f}
 		if err := s.take(netcase.Garbage(t, []byte(setup))); err != nil && err != errUnreadable {
 			t.Fatal(err)
 		}
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -22,8 +22,6 @@
 const (
 	// messageMost bounds one message, as on the platform's port.
 	messageMost = sip.MaxMessage
-	// queueMost bounds the messages that wait for a peer to read.
-	queueMost = 256
 	// writeFor is the deadline of a write: an answer that takes longer is not whole in time.
 	writeFor = time.Second
 	// closeFor is how long a peer may take to close in turn: the program's end does not wait for it.
@@ -49,7 +47,7 @@
 type conn struct {
 	ws      *websocket.Conn
 	raw     net.Conn // beneath it
-	out     chan []byte
+	out     *sip.Queue
 	full    atomic.Bool
 	closing chan struct{}
 	closed  atomic.Bool
@@ -57,7 +55,7 @@
 
 func newConn(ws *websocket.Conn, raw net.Conn) *conn {
 	ws.SetReadLimit(messageMost)
-	return &conn{ws: ws, raw: raw, out: make(chan []byte, queueMost), closing: make(chan struct{})}
+	return &conn{ws: ws, raw: raw, out: sip.NewQueue(), closing: make(chan struct{})}
 }
 
 // send queues one message and never blocks: a peer that does not read loses its connection.
@@ -66,9 +64,7 @@
 	if err != nil {
 		return // no type sent here can fail
 	}
-	select {
-	case c.out <- b:
-	default:
+	if !c.out.Put(b) {
 		c.full.Store(true)
 		c.Close()
 	}
@@ -93,6 +89,9 @@
 			if err == nil {
 				err = handle(data)
 			}
+			if err == nil {
+				err = c.out.Room(ctx)
+			}
 			if err != nil {
 				return err
 			}
@@ -117,24 +116,31 @@
 
 func (c *conn) write(ctx context.Context) error {
 	for {
-		var b []byte
+		closing := false
 		select {
 		case <-ctx.Done():
 			return nil // the reader has the reason
-		case b = <-c.out:
+		case <-c.out.Ready():
 		case <-c.closing:
-			select {
-			case b = <-c.out: // what is queued goes first
-			default:
-				c.shut(websocket.StatusGoingAway, "ending")
-				return errClose
-			}
+			closing = true
 		}
 		if c.full.Load() {
 			return errClose
 		}
-		// Not under ctx: the library breaks the connection off when the context of a write ends, and the peer
-		// would miss why it was closed.
+		if err := c.out.Write(func(batch [][]byte) error { return c.flush(ctx, batch) }); err != nil {
+			return err
+		}
+		if closing { // what was queued went first
+			c.shut(websocket.StatusGoingAway, "ending")
+			return errClose
+		}
+	}
+}
+
+// flush writes messages. Not under ctx: the library breaks the connection off when the context of a write ends, and
+// the peer would miss why it was closed.
+func (c *conn) flush(ctx context.Context, batch [][]byte) error {
+	for _, b := range batch {
 		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeFor)
 		err := c.ws.Write(limit, websocket.MessageText, b)
 		cancel()
@@ -142,6 +148,7 @@
 			return err
 		}
 	}
+	return nil
 }
 
 func (c *conn) ping(ctx context.Context) error {
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -33,6 +33,8 @@
 	sweepEvery = 100 * time.Millisecond
 	// releaseFor is how long the release of a call waits for a socket of its caller.
 	releaseFor = 30 * time.Second
+	// openMost bounds the calls of one socket that wait for their answer, as on the platform's port.
+	openMost = 256
 	// callsMost bounds the calls of this front, idMost a caller's call id.
 	callsMost, idMost = 20000, 128
 	// descMost is what a message to an office has room for beside its headers.
@@ -68,6 +70,7 @@
 	*conn
 	front    *Front
 	identity string
+	open     int // calls without their answer
 }
 
 // call is a call of this front, until it has its refusal or its release has been told.
@@ -131,7 +134,7 @@
 	}, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
 		MaxHeaderBytes: messageMost, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
-		if err := server.Serve(&limited{Listener: l, log: f.Log, most: int64(f.MaxOpen)}); !errors.Is(err, http.ErrServerClosed) &&
+		if err := server.Serve(&limited{Listener: l, log: f.Log, most: f.MaxOpen, open: map[*counted]bool{}}); !errors.Is(err, http.ErrServerClosed) &&
 			!errors.Is(err, net.ErrClosed) {
 			return err
 		}
@@ -161,39 +164,67 @@
 // rawConn is the key of a request's connection in its context.
 type rawConn struct{}
 
-// limited closes connections beyond a number at once.
+// limited bounds the connections held at once. Those that never became a socket make room, the oldest first: peers
+// that connect and say nothing must not keep callers out.
 type limited struct {
 	net.Listener
-	log        *slog.Logger
-	open, most int64
+	log  *slog.Logger
+	most int
+	mu   sync.Mutex
+	open map[*counted]bool
 }
 
+// counted is a connection that counts until it is closed.
 type counted struct {
 	net.Conn
-	once sync.Once
-	open *int64
+	limited *limited
+	since   time.Time
+	socket  atomic.Bool
 }
 
 func (c *counted) Close() error {
-	c.once.Do(func() { atomic.AddInt64(c.open, -1) })
+	c.limited.mu.Lock()
+	delete(c.limited.open, c)
+	c.limited.mu.Unlock()
 	return c.Conn.Close()
 }
 
 func (l *limited) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if atomic.AddInt64(&l.open, 1) <= l.most {
-			return &counted{Conn: c, open: &l.open}, nil
+		if c := l.admit(raw); c != nil {
+			return c, nil
 		}
-		atomic.AddInt64(&l.open, -1)
-		l.log.Warn("call socket ended", "reason", sip.OverLimit, "peer", c.RemoteAddr().String())
-		c.Close()
+		l.log.Warn("call socket ended", "reason", sip.OverLimit, "peer", raw.RemoteAddr().String())
+		raw.Close()
 	}
 }
 
+func (l *limited) admit(raw net.Conn) net.Conn {
+	l.mu.Lock()
+	var spare *counted
+	for c := range l.open {
+		if !c.socket.Load() && (spare == nil || c.since.Before(spare.since)) {
+			spare = c
+		}
+	}
+	full := len(l.open) >= l.most
+	if full && spare == nil {
+		l.mu.Unlock()
+		return nil
+	}
+	c := &counted{Conn: raw, limited: l, since: time.Now()}
+	l.open[c] = true
+	l.mu.Unlock()
+	if full {
+		spare.Close() // the server logs it as one that never became a socket
+	}
+	return c
+}
+
 // Close ends all sockets after what is queued has been written.
 func (f *Front) Close() {
 	f.mu.Lock()
@@ -227,7 +258,9 @@
 		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
 		return
 	}
-	s := &sock{conn: newConn(ws, r.Context().Value(rawConn{}).(net.Conn)), front: f, identity: identity}
+	raw := r.Context().Value(rawConn{}).(*counted)
+	raw.socket.Store(true)
+	s := &sock{conn: newConn(ws, raw), front: f, identity: identity}
 	peer := r.RemoteAddr
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -276,7 +309,6 @@
 			return
 		case <-tick.C:
 		}
-		var left []*call
 		f.mu.Lock()
 		for key, c := range f.calls {
 			switch {
@@ -285,13 +317,10 @@
 				delete(f.calls, key)
 			case !c.over && !c.stands && time.Since(c.since) > f.resume:
 				delete(f.calls, key)
-				left = append(left, c)
+				f.Core.GiveUp(key, "ws/"+c.identity, f)
 			}
 		}
 		f.mu.Unlock()
-		for _, c := range left {
-			f.Core.GiveUp(Key(c.identity, c.id), "ws/"+c.identity, f)
-		}
 	}
 }
 
@@ -311,16 +340,12 @@
 			s.send(reply{Type: "error", ID: m.ID, Code: code, Text: text})
 		}
 	case m.Type == "cancel":
-		key := Key(s.identity, m.ID)
-		s.front.forget(key)
-		s.front.Core.GiveUp(key, s.owner(), nil)
+		s.forget(Key(s.identity, m.ID))
 	case m.Type == "hangup":
-		key := Key(s.identity, m.ID)
-		if !s.front.forget(key) {
+		if !s.forget(Key(s.identity, m.ID)) {
 			s.send(reply{Type: "error", ID: m.ID, Code: 481, Text: "no such call"})
 			return nil
 		}
-		s.front.Core.GiveUp(key, s.owner(), nil)
 		s.send(reply{Type: "released", ID: m.ID, Cut: new(bool)})
 	default:
 		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "type: unknown"})
@@ -330,11 +355,19 @@
 
 func (s *sock) owner() string { return "ws/" + s.identity }
 
-func (f *Front) forget(key string) bool {
+// forget drops a call that its caller ended. The core is told under the lock, lest that overtake a set-up sent again.
+func (s *sock) forget(key string) bool {
+	f := s.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ok := f.calls[key]
-	delete(f.calls, key)
+	c, ok := f.calls[key]
+	if ok && c.sock != nil && !c.stands {
+		c.sock.open--
+	}
+	if ok {
+		delete(f.calls, key)
+		f.Core.GiveUp(key, s.owner(), nil)
+	}
 	return ok
 }
 
@@ -363,7 +396,7 @@
 		f.mu.Unlock()
 		return 482, "id of another call"
 	}
-	if c == nil && len(f.calls) >= callsMost {
+	if c == nil && (len(f.calls) >= callsMost || s.open >= openMost) {
 		f.mu.Unlock()
 		return 503, "too many calls"
 	}
@@ -371,6 +404,12 @@
 		c = &call{id: m.ID, identity: s.identity, sum: sum}
 		f.calls[key] = c
 	}
+	if !c.stands {
+		if c.sock != nil {
+			c.sock.open--
+		}
+		s.open++
+	}
 	c.sock = s
 	f.mu.Unlock()
 	f.Core.Arrive(setup, f)
@@ -386,6 +425,9 @@
 	if c == nil {
 		return
 	}
+	if c.sock != nil && !c.stands {
+		c.sock.open--
+	}
 	if final.Verdict != exchange.Stands {
 		delete(f.calls, key)
 	} else if c.sock != nil {
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,12 +14,6 @@
 )
 
 const (
-	// queueBytes bounds what waits for a peer to read: some thousand answers or set-ups, as hundreds may be due
-	// in one moment, and little beside the 32 MB of the smallest instance. Beyond it the peer does not read.
-	queueBytes = 512 << 10
-	// pauseBytes is what may wait while more is read from the same peer: one that asks faster than it reads its
-	// answers waits itself.
-	pauseBytes = 64 << 10
 	// lingerFor and lingerBytes bound the end of a connection whose peer is told why: its input is read on that
 	// long, as a close over unread input is a reset, which may destroy the answer before the peer has read it.
 	lingerFor, lingerBytes = 700 * time.Millisecond, 1 << 20
@@ -68,11 +61,7 @@
 type Conn struct {
 	Limits
 	net     net.Conn
-	mu      sync.Mutex
-	queue   [][]byte
-	size    int           // bytes queued or being written
-	kick    chan struct{} // something is queued
-	drained chan struct{} // something was written
+	out     *Queue
 	full    atomic.Bool
 	half    chan struct{} // write what is queued, then nothing more
 	closing chan struct{}
@@ -81,8 +70,7 @@
 
 // NewConn wraps a connection.
 func NewConn(c net.Conn, limits Limits) *Conn {
-	return &Conn{Limits: limits, net: c, kick: make(chan struct{}, 1), drained: make(chan struct{}, 1),
-		half: make(chan struct{}), closing: make(chan struct{})}
+	return &Conn{Limits: limits, net: c, out: NewQueue(), half: make(chan struct{}), closing: make(chan struct{})}
 }
 
 // Remote is the peer's address.
@@ -91,26 +79,12 @@
 // Send queues one message and never blocks. A full queue means a peer that does not read: it loses its
 // connection.
 func (c *Conn) Send(b []byte) bool {
-	c.mu.Lock()
-	fits := c.size+len(b) <= queueBytes
-	if fits {
-		c.queue, c.size = append(c.queue, b), c.size+len(b)
-	}
-	c.mu.Unlock()
-	if !fits {
-		c.full.Store(true)
-		c.net.Close()
-		return false
-	}
-	signal(c.kick)
-	return true
-}
-
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+	if c.out.Put(b) {
+		return true
 	}
+	c.full.Store(true)
+	c.net.Close()
+	return false
 }
 
 // Close ends the connection after what is queued has been written.
@@ -138,7 +112,7 @@
 				err = handle(m)
 			}
 			if err == nil {
-				err = c.room(ctx)
+				err = c.out.Room(ctx)
 			}
 			if err != nil {
 				c.part(r, err)
@@ -190,23 +164,6 @@
 	}
 }
 
-// room waits until the peer has read most of what is queued for it.
-func (c *Conn) room(ctx context.Context) error {
-	for {
-		c.mu.Lock()
-		size := c.size
-		c.mu.Unlock()
-		if size <= pauseBytes {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-c.drained:
-		}
-	}
-}
-
 // part tells a peer that can't be read any further why, and waits until it can have read that.
 func (c *Conn) part(r *Reader, why error) {
 	if c.Farewell == nil || !framing(why) && !errors.Is(why, errStalled) {
@@ -252,7 +209,7 @@
 			if tcp, ok := c.net.(interface{ CloseWrite() error }); ok {
 				tcp.CloseWrite()
 			}
-		case <-c.kick:
+		case <-c.out.Ready():
 			if err := c.flush(); err != nil {
 				return err
 			}
@@ -262,26 +219,14 @@
 
 // flush writes all that is queued, in one system call where it can.
 func (c *Conn) flush() error {
-	for {
-		c.mu.Lock()
-		batch, size := net.Buffers(c.queue), c.size
-		c.queue = nil
-		c.mu.Unlock()
-		if len(batch) == 0 {
-			return nil
-		}
+	return c.out.Write(func(batch [][]byte) error {
 		if err := c.net.SetWriteDeadline(time.Now().Add(c.Write)); err != nil {
 			return err
 		}
-		_, err := batch.WriteTo(c.net)
-		c.mu.Lock()
-		c.size -= size
-		c.mu.Unlock()
-		signal(c.drained)
-		if err != nil {
-			return err
-		}
-	}
+		buffers := net.Buffers(batch)
+		_, err := buffers.WriteTo(c.net)
+		return err
+	})
 }
 
 func framing(err error) bool {
