A set-up overtaken by one that stood is lost, and no silence of the office

Checked by a trace of control.marked: thousands of refusals by 'cold', the next by the age of a silent set-up. One set-up got no answer, five sent 30 to 100 ms later stood, yet the office was shut from 60 ms of age (aims are short here) until a trial 1 s later; four cut with a spoilt connection then counted with it as five misses in a row, so the office passed for down and was cold for 15 s. Ruled out: full, pressure, faults. At fault: delayAt and missed took all of server.out, and overtakeMargin (100 ms) is long against such an aim.

Now what was sent before the last set-up that stood is lost: it is no silence and no miss in a row, and is called off sooner; what one connection's end cuts is one miss.

--- a/control/control.go
+++ b/control/control.go
@@ -93,6 +93,7 @@
 	lineAt           int64     // when its lines were last found all taken, or nearly so
 	out              []attempt // set-ups that no answer came to, by the time they were sent
 	sentAt           int64
+	provenAt         int64   // when the last of the set-ups that stood was sent
 	calls            int     // calls of this front that stand there
 	delay, press     float64 // set-up delay, and what delays beyond the aimed-at one have added up to
 	least            float64 // the least delay, slowly forgotten
@@ -111,18 +112,19 @@
 // a later one is answered (then it was lost: a processor takes set-ups in turn) or it is too old to tell
 // anything.
 type attempt struct {
-	call string
-	at   int64
-	off  bool // called off, cut or timed out
-	cut  bool // cut: it was not silent
+	call  string
+	at    int64
+	off   bool  // called off, cut or timed out
+	cutAt int64 // when it was cut: it was not silent; 0: not
 }
 
 // silent counts the set-ups on which a server is silent, and tells when the first and the last were sent.
-// One that was cut with its connection says nothing of the processor behind it: taken for silence, a single
-// answer that could not be read shut a well server for seconds.
+// One sent before another that stood is lost, as a processor takes set-ups in turn; one that was cut with its
+// connection says nothing of the processor behind it. Taken for silence, a single lost answer shut a well
+// server, and nothing was sent any more that could have proved it lost.
 func (s *server) silent() (n int, first, last int64) {
 	for _, a := range s.out {
-		if a.cut {
+		if a.cutAt > 0 || a.at < s.provenAt {
 			continue
 		}
 		if n++; n == 1 {
@@ -133,6 +135,22 @@
 	return n, first, last
 }
 
+// misses counts the unanswered set-ups in a row, since the last one that stood; what is cut together with one
+// connection counts once.
+func (s *server) misses() (n int, first int64) {
+	cutAt := int64(0)
+	for _, a := range s.out {
+		if !a.off || a.at < s.provenAt || a.cutAt > 0 && a.cutAt == cutAt {
+			continue
+		}
+		if n++; n == 1 {
+			first = a.at
+		}
+		cutAt = a.cutAt
+	}
+	return n, first
+}
+
 // call is a call in hand: waiting for a set-up, held, or standing.
 type call struct {
 	id, key          string
@@ -282,6 +300,7 @@
 		s := c.servers[k]
 		if !ok || e.ReadyAt != s.readyAt { // a new processor: what was known of the old one is void
 			s.delay, s.down, s.markEnd, s.weight, s.rate, s.out, s.press = 0, false, 0, 1, 0, nil, 0
+			s.provenAt = 0
 			s.credit, s.creditAt, s.downAt = c.rng.Float64(), c.now, 0
 		}
 		s.cell, s.in, s.readyAt, s.share = e.Cell, e.State == In, e.ReadyAt, max(e.Share, 1e-6)
@@ -472,7 +491,11 @@
 			}
 			usual := max(c.x, s.delay*math.Exp(-float64(c.now-s.newsAt)/newsFade))
 			inTime := float64(c.now+c.set.ClearWait-cl.first)+usual < float64(c.set.Classes[cl.class].Aim)
-			if inTime && math.Exp(-age/usual) < c.lossAt(s) {
+			loss := c.lossAt(s)
+			if a.at < s.provenAt { // more likely lost than late, whatever the share of losses
+				loss = max(loss, lossDoubt)
+			}
+			if inTime && math.Exp(-age/usual) < loss {
 				c.callOff(s, a)
 			}
 		}
@@ -747,6 +770,7 @@
 	c.overtaken(s, a.at)
 	delay, gap := max(float64(c.now-a.at), least), float64(c.now-s.newsAt)
 	if least == 0 {
+		s.provenAt = max(s.provenAt, a.at)
 		c.x += spacingGain * (delay - c.x)
 		c.x = max(c.x, float64(c.set.Resolution), 1)
 	}
@@ -784,13 +808,17 @@
 func (c *Controller) missed(s *server, id string, cut bool) {
 	for k := range s.out {
 		if a := &s.out[k]; a.call == id {
-			a.off, a.cut = true, a.cut || cut && !a.off
+			if cut && !a.off {
+				a.cutAt = c.now
+			}
+			a.off = true
 		}
 	}
 	s.weight *= lossWeight
 	s.markEnd = max(s.markEnd, c.now+markMin)
-	chance := math.Pow(max(c.lossAt(s), lossLeast), float64(len(s.out)-s.pending()))
-	if chance < downDoubt && c.now-s.out[0].at > trialFirst {
+	n, first := s.misses()
+	chance := math.Pow(max(c.lossAt(s), lossLeast), float64(n))
+	if chance < downDoubt && c.now-first > trialFirst {
 		c.fell(s)
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -617,6 +617,36 @@
 	}
 }
 
+// A set-up that gets no answer while later ones stand is lost, and no silence; nor are it and what is cut together
+// with one connection several misses in a row. Both held a well server for down and cold.
+func TestALostAnswerIsNoSilence(t *testing.T) {
+	b := newBed(t, settings(), 2)
+	for range littleFrom + 5 {
+		id, _ := b.call(0, 0)
+		b.now += 20 * ms
+		b.stands(id, 10, 0)
+	}
+	lost, _ := b.call(0, 0)
+	b.now += 30 * ms
+	id, _ := b.call(0, 0)
+	b.now += 20 * ms
+	b.stands(id, 10, 0)
+	b.now += second / 2
+	id, acts := b.call(0, 0)
+	if only(t, acts, Send).Server != 10 {
+		t.Fatalf("shut by one lost answer: expected delay %v ms", b.c.delayAt(b.c.server(10))/1e6)
+	}
+	b.now += 700 * ms
+	b.back(lost, 10, Overdue, 0)
+	b.now += markMin
+	for _, cut := range []string{id, "c0"} {
+		b.back(cut, 10, Severed, 0)
+	}
+	if s := b.c.server(10); s.down || b.c.warmth(s) < 1 {
+		t.Errorf("one lost and one cut in a row pass for a server that is down: %+v", s)
+	}
+}
+
 func TestOneCutSetUpRestsTheServerForAMoment(t *testing.T) {
 	b := newBed(t, settings(), 2)
 	id, _ := b.call(0, 0)
