Mute connections are replaced; times of queues go by the aim, a long way is no pressure

Checked by replay with a trace of control.marked: refusals by 'delay' and 'little' at 70 to 105 ms, no 'full', and by 'down' and 'cold'. Aims are scaled to about 0.4 s here, so the reference is 0.2 s and pressure began at 65 ms, which the way to an office and back takes by itself; silence rested an office for 1 s. In the log an office's connection brought nothing more from 7.49 s on, no report either, while new ones worked; the three attempts and a trial lost on it made the office pass for down. At fault: control.marked and its times, which were meant for an aim of 1.2 s; office.link, which left a mute connection only when an attempt had run out of time.

Now spans of queues and trials are in proportion to the aim (unchanged at 1.2 s), the least delay beyond a tenth of the reference is the way, and a connection without a word for 0.25 s after an attempt is replaced by a new one; it ends once an attempt stands there.

--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,12 @@
 // Tuned constants. Each is a ratio or a time of its own; none belongs to one deployment.
 const (
 	second = int64(1e9)
+	// usualAim is the aim for which the times of queues and trials below are meant: with shorter aims, queues
+	// fill and drain faster, and a second's silence costs more. Such times go by Controller.span.
+	usualAim = 1.2 * float64(second)
+	// wayPart is the part of the reference that a server's least delay may take before the rest counts as its
+	// way: a way that is long by itself is no pressure, however short the aim.
+	wayPart = 0.1
 	// markMin is the shortest mark after "full" (the design's figure). holdShare is the part of a class's aim
 	// that a call may be held (T̂); the rest is for the set-up.
 	markMin, holdShare = second / 5, 0.5
@@ -186,6 +192,7 @@
 	held     int
 	lastTry  int64
 	minWorth float64
+	scale    float64          // of its times, by the shortest aim
 	ref      float64          // the delay at which the least call finds a server pressed
 	stood    int              // calls that stood so far
 	borne    fading           // calls that stood, all servers together
@@ -216,6 +223,7 @@
 			c.minWorth = min(c.minWorth, g.Worth)
 		}
 	}
+	c.scale = min(float64(aim)/usualAim, 1)
 	c.ref = float64(aim) / 2
 	if s.T1 > 0 {
 		c.ref = min(c.ref, float64(s.T1))
@@ -419,11 +427,12 @@
 // a server much larger than its share says, down to one out at a time.
 func (c *Controller) delayAt(s *server) float64 {
 	gap := float64(c.now - s.newsAt)
-	d := s.delay*math.Exp(-gap/newsFade) + s.press*math.Exp(-float64(c.now-s.pressAt)/pressFade)
+	d := s.delay*math.Exp(-gap/c.span(newsFade)) +
+		s.press*math.Exp(-float64(c.now-s.pressAt)/c.span(pressFade))
 	if n, first, last := s.silent(); n > 0 {
 		// Silence shuts a server only between trials, rarer with each unanswered one. Where answers get lost
 		// it counts for no more than the loss leaves unexplained.
-		rest := float64(min(trialFirst<<min(n-1, 8), trialMax))
+		rest := c.span(float64(min(trialFirst<<min(n-1, 8), trialMax)))
 		if c.stood >= littleFrom {
 			rest = max(rest, trialParts*float64(second)/max(c.fair(s), littleLeast))
 			d = max(d, float64(s.pending())*float64(second)/max(c.fair(s), littleLeast))
@@ -489,7 +498,7 @@
 			if cl == nil || cl.deferred || age < 2*float64(overtakeMargin) {
 				continue
 			}
-			usual := max(c.x, s.delay*math.Exp(-float64(c.now-s.newsAt)/newsFade))
+			usual := max(c.x, s.delay*math.Exp(-float64(c.now-s.newsAt)/c.span(newsFade)))
 			inTime := float64(c.now+c.set.ClearWait-cl.first)+usual < float64(c.set.Classes[cl.class].Aim)
 			loss := c.lossAt(s)
 			if a.at < s.provenAt { // more likely lost than late, whatever the share of losses
@@ -524,6 +533,9 @@
 	}
 }
 
+// span is a time of queues and trials, for this front's aims.
+func (c *Controller) span(t float64) float64 { return t * c.scale }
+
 // worth is what a call can still earn, in units of the least class's worth.
 func (c *Controller) worth(cl *call) float64 {
 	g := c.set.Classes[cl.class]
@@ -540,7 +552,8 @@
 	if slices.Contains(cl.faults, s) || c.now < s.markEnd || s.down && s.pending() > 0 || !c.coldRoom(s) {
 		return true
 	}
-	if (s.cut.now(c.now, cutFade) > cutMost || c.faulty(s)) && c.now-s.sentAt < trialMax {
+	shut := s.cut.now(c.now, cutFade) > cutMost || c.faulty(s)
+	if shut && float64(c.now-s.sentAt) < c.span(float64(trialMax)) {
 		return true
 	}
 	worth := c.worth(cl)
@@ -548,10 +561,14 @@
 		return true
 	}
 	scale := min(max(worth, worthMin), worthMax)
-	from, full := pressFrom*scale*c.ref, pressFull*scale*c.ref
-	if g := c.set.Classes[cl.class]; c.now-cl.first <= g.Aim {
-		full = min(full, aimShare*float64(g.Aim))
-		from = min(from, full/2)
+	way := 0.0
+	if s.least < math.MaxFloat64 {
+		way = max(s.least-wayPart*c.ref, 0)
+	}
+	from, full := pressFrom*scale*c.ref+way, pressFull*scale*c.ref+way
+	g := c.set.Classes[cl.class]
+	if limit := aimShare * float64(g.Aim); c.now-cl.first <= g.Aim && full > limit {
+		from, full = min(from, limit/2), limit
 	}
 	return c.delayAt(s) > from+(full-from)*cl.luck
 }
@@ -776,7 +793,7 @@
 	}
 	s.least = min(delay, s.least*(1+gap/leastSpan))
 	c.push(s, delay)
-	if gap > newsFade {
+	if gap > c.span(newsFade) {
 		s.delay = delay
 	}
 	s.delay += delayGain * (delay - s.delay)
@@ -796,9 +813,9 @@
 	}
 	gap := float64(c.now - s.pressAt)
 	aim := min(max(pressAim*c.ref, 2*s.least), pressFull*c.ref) // a small server is slow by itself
-	seldom := math.Exp(-c.fair(s) * newsFade / float64(second))
-	more := pressGain * (delay - aim) * min(gap, pressSpan) / float64(second) * seldom
-	s.press = min(max(s.press*math.Exp(-gap/pressFade)+more, 0), pressMost*c.ref)
+	seldom := math.Exp(-c.fair(s) * c.span(newsFade) / float64(second))
+	more := pressGain * (delay - aim) * min(gap, c.span(pressSpan)) / c.span(float64(second)) * seldom
+	s.press = min(max(s.press*math.Exp(-gap/c.span(pressFade))+more, 0), pressMost*c.ref)
 	s.pressAt = c.now
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -647,6 +647,35 @@
 	}
 }
 
+// With an aim of 0.4 s a way of 60 ms and its usual jitter looked like pressure, and an idle server was shut.
+func TestALongWayIsNoPressure(t *testing.T) {
+	s := settings()
+	s.Classes[0].Aim = 400 * ms
+	b := newBed(t, s, 2)
+	for range littleFrom + 5 {
+		id, _ := b.call(0, 0)
+		b.now += 60 * ms
+		b.stands(id, 10, 0)
+	}
+	id, _ := b.call(0, 0)
+	b.now += 95 * ms
+	b.stands(id, 10, 0)
+	shut := 0
+	for range 20 {
+		id, acts := b.call(0, 0)
+		if only(t, acts, Send).Server != 10 {
+			shut++
+		}
+		b.back(id, acts[0].Server, RefusedConn, 0)
+		b.c.server(10).markEnd, b.c.server(11).markEnd = 0, 0
+		b.c.server(10).down, b.c.server(11).down = false, false
+		b.c.server(10).downAt, b.c.server(11).downAt = 0, 0
+	}
+	if shut > 0 {
+		t.Errorf("%d of 20 calls went elsewhere from an idle server with a long way", shut)
+	}
+}
+
 func TestOneCutSetUpRestsTheServerForAMoment(t *testing.T) {
 	b := newBed(t, settings(), 2)
 	id, _ := b.call(0, 0)
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -35,6 +35,10 @@
 	// that the machine has vanished: several of the reports that offices send unasked. Callers want the
 	// release within 8 s of the end of their calls.
 	silentFor = 3500 * time.Millisecond
+	// muteFor is how long a connection may bring nothing at all after an attempt went out on it: set-ups take a
+	// fraction of that, and reports come beside them. New attempts then go over another connection. Every muteEvery
+	// that is looked at while attempts are out.
+	muteFor, muteEvery = 250 * time.Millisecond, 50 * time.Millisecond
 	// refusedFor is how long an office without a connection must refuse each connect to be taken for dead. One that
 	// drains refuses too, and its connection may have been reset under calls that stand.
 	refusedFor = 2 * time.Second
@@ -95,6 +99,7 @@
 	cancel  context.CancelFunc
 	kick    chan struct{} // an attempt waits, or the session has gone
 	cur     *session
+	prev    *session // the one before, while attempts are out on it
 	waiting []exchange.Attempt
 	byes    []bye
 	check   bool      // calls stand there and nothing is heard: a connect will tell
@@ -107,16 +112,22 @@
 	cut bool
 }
 
-// session is one connection of a link, with the attempts out on it: their numbers by call. An office's answer
-// names its call and no attempt (PROTOCOL: the Call-ID and the method of CSeq), so it ends the one that is out.
+// session is one connection of a link, with the attempts out on it, by call. An office's answer names its call and
+// no attempt (PROTOCOL: the Call-ID and the method of CSeq), so it ends the one that is out.
 type session struct {
 	*link
-	peer  Peer
-	out   map[string]int
-	began time.Time
-	ended chan struct{}
-	heard time.Time
-	stale bool // silent where an answer was due: new attempts go over a new connection
+	peer     Peer
+	out      map[string]sent
+	began    time.Time
+	ended    chan struct{}
+	heard    time.Time
+	stale    bool // silent where an answer was due: new attempts go over a new connection
+	watching bool // for that
+}
+
+type sent struct {
+	n  int
+	at time.Time
 }
 
 // NewPool makes a pool; Run starts it.
@@ -209,8 +220,35 @@
 }
 
 func (s *session) invite(a exchange.Attempt) {
-	s.out[a.ID] = a.N
+	s.out[a.ID] = sent{a.N, time.Now()}
 	s.peer.Invite(a)
+	if !s.watching {
+		s.watching = true
+		time.AfterFunc(muteEvery, s.watch)
+	}
+}
+
+// watch finds a connection that has gone mute: a spoilt one stays open and serves no further use, and its attempts
+// would be waited for until their time was up.
+func (s *session) watch() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	if s.watching = len(s.out) > 0; !s.watching {
+		return
+	}
+	for _, a := range s.out {
+		if s.prev == nil && !s.heard.After(a.at) && time.Since(a.at) >= muteFor {
+			s.stale = true
+		}
+	}
+	time.AfterFunc(muteEvery, s.watch)
+}
+
+// spent closes a connection that has been replaced, once nothing is out on it any more.
+func (s *session) spent() {
+	if s == s.prev && len(s.out) == 0 {
+		s.peer.Close()
+	}
 }
 
 func (l *link) wake() {
@@ -234,11 +272,14 @@
 			return
 		}
 	}
-	// Over a connection that has been replaced, its end tells the same.
-	if s := l.cur; s != nil {
-		if m, ok := s.out[id]; ok && m == n {
+	for _, s := range []*session{l.cur, l.prev} {
+		if s == nil {
+			continue
+		}
+		if a, ok := s.out[id]; ok && a.n == n {
 			delete(s.out, id)
 			s.peer.Cancel(id, n)
+			s.spent()
 		}
 	}
 }
@@ -304,7 +345,7 @@
 			rest()
 			continue
 		}
-		s := &session{link: l, peer: peer, out: map[string]int{}, began: time.Now(), ended: make(chan struct{})}
+		s := &session{link: l, peer: peer, out: map[string]sent{}, began: time.Now(), ended: make(chan struct{})}
 		s.heard = s.began
 		l.pool.up(s)
 		l.pool.group.Go(func() error { s.serve(ctx); return nil })
@@ -379,14 +420,18 @@
 	}
 }
 
-// up takes a new connection into use; attempts out on the one before are given up with it.
+// up takes a new connection into use. The one before stays as long as attempts are out on it: it may only be slow.
+// Once a later attempt stands over the new one it is known to be dead, as a processor takes set-ups in turn.
 func (p *Pool) up(s *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := s.cur
 	s.cur, s.off = s, time.Time{}
-	if old != nil {
-		old.peer.Close()
+	if s.prev != nil {
+		s.prev.peer.Close()
+	}
+	if s.prev = old; old != nil {
+		old.spent()
 	}
 	s.flush(s)
 }
@@ -399,13 +444,16 @@
 	if s.cur == s {
 		s.cur = nil
 	}
+	if s.prev == s {
+		s.prev = nil
+	}
 	out, silent := s.out, time.Since(s.heard) > silentFor
 	s.out = nil
 	p.mu.Unlock()
 	s.pool.Log.Info("office connection ended", "reason", reason, "server", s.server, "addr", s.addr,
 		"open", len(out), "age_ms", time.Since(s.began).Milliseconds(), "err", err)
-	for id, n := range out {
-		p.Core.Ended(s.server, id, n, exchange.Ending{Outcome: control.Severed})
+	for id, a := range out {
+		p.Core.Ended(s.server, id, a.n, exchange.Ending{Outcome: control.Severed})
 	}
 	// A reset alone tells nothing of the calls: connections are reset on their way too, new, idle or in use. A
 	// process that died refuses what comes next, and the list tells of one that started; only a machine that had
@@ -424,18 +472,32 @@
 		s.stale, s.check = false, false
 		s.wake()
 	}
-	n, ok := s.out[id]
+	a, ok := s.out[id]
 	if !ok {
 		return -1
 	}
 	delete(s.out, id)
-	return n
+	s.spent()
+	return a.n
+}
+
+// outlive ends the connection before, where it is still silent: an attempt stood over this one.
+func (s *session) outlive() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	if old := s.prev; old != nil && old != s && old.stale {
+		old.peer.Close()
+	}
 }
 
 // Stood implements Hearer. An answer to an attempt that has ended goes on all the same: the exchange releases
 // what nobody waits for.
 func (s *session) Stood(id string, desc []byte) {
-	s.pool.Core.Stood(s.server, id, s.hear(id), desc)
+	n := s.hear(id)
+	if n >= 0 {
+		s.outlive()
+	}
+	s.pool.Core.Stood(s.server, id, n, desc)
 }
 
 // Ended implements Hearer.
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -275,6 +275,40 @@
 	})
 }
 
+// A spoilt connection stays open and mute, with the office well behind it. Its attempts were waited for until their
+// time was up, a trial was lost on it too, and the office passed for down and cold.
+func TestAMuteConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		mute := <-b.dialled
+		go io.Copy(io.Discard, mute)
+		b.invite(0)
+		time.Sleep(muteFor + muteEvery)
+		b.Invite(exchange.Attempt{ID: "2", Server: 10, Wait: time.Second})
+		office := <-b.dialled
+		r := sip.NewReader(office)
+		go func() {
+			hear(t, r, "INVITE")
+			io.WriteString(office, "SIP/2.0 200 OK\r\nCall-ID: 2\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n")
+			io.Copy(io.Discard, office)
+		}()
+		expect(t, b.told, "stood 2 0 ")
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 0 5 note 0 wait 0 []")
+		// One that is only slow keeps its attempts, and goes when the last of them has ended.
+		b.invite(1)
+		time.Sleep(muteFor + muteEvery)
+		b.Invite(exchange.Attempt{ID: "3", Server: 10, Wait: time.Second})
+		third := <-b.dialled
+		go io.Copy(io.Discard, third)
+		io.WriteString(office, "SIP/2.0 200 OK\r\n"+reply+"Content-Length: 0\r\n\r\n")
+		expect(t, b.told, "stood 9b1f03aa5c7e2d41 1 ")
+		synctest.Wait()
+		if _, err := office.Write([]byte("\r\n")); err == nil {
+			t.Error("the replaced connection stays open")
+		}
+	})
+}
+
 func TestSuspicionEndsWithAnySign(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
