--- a/control/control.go
+++ b/control/control.go
@@ -92,6 +92,7 @@
 	id               uint64
 	cell             int
 	share            float64
+	gone             bool      // off the list for good
 	in               bool      // listed and not draining; false: told LAME, OUT or dropped from a full list
 	readyAt, downAt  int64     // its processor's last start (0: long ago), and when it was last seen down
 	down             bool      // seen down since the last standing call: one trial at a time goes there
@@ -293,7 +294,7 @@
 func (c *Controller) members(ev Event) {
 	if ev.Full {
 		for _, s := range c.servers {
-			s.in = false
+			s.in, s.gone = false, true
 		}
 	}
 	for _, e := range ev.Entries {
@@ -312,7 +313,10 @@
 			s.credit, s.creditAt, s.downAt = c.rng.Float64(), c.now, 0
 		}
 		s.cell, s.in, s.readyAt, s.share = e.Cell, e.State == In, e.ReadyAt, max(e.Share, 1e-6)
+		s.gone = e.State == Out
 	}
+	// Replacements have new ids: kept, the servers that have gone would grow without end.
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool { return s.gone })
 }
 
 // warmth is the part of its capacity that a server is taken to have at present: from cold_from upward, since
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -676,6 +676,19 @@
 	}
 }
 
+// Through a long day servers are replaced by others with new ids.
+func TestServersThatHaveGoneAreForgotten(t *testing.T) {
+	b := newBed(t, settings(), 2)
+	id, _ := b.call(0, 0)
+	for k := range 100 {
+		b.do(Event{Kind: Members, Entries: []Entry{{Server: uint64(10 + k), State: Out}, {Server: uint64(12 + k), Share: 1}}})
+	}
+	b.back(id, 10, Severed, 0) // of one that has gone
+	if n := len(b.c.servers); n != 2 {
+		t.Errorf("%d servers kept", n)
+	}
+}
+
 func TestOneCutSetUpRestsTheServerForAMoment(t *testing.T) {
 	b := newBed(t, settings(), 2)
 	id, _ := b.call(0, 0)
@@ -791,9 +804,10 @@
 		b := newBed(t, settings(), 2)
 		cl := &call{id: "x", notAfter: b.now + 3*second, first: b.now}
 		b.c.calls["x"] = cl
+		s := b.c.server(10) // before it may be forgotten
 		tc.spoil(b, cl)
 		b.c.now = b.now
-		if got := b.c.send(cl, b.c.server(10)); got != tc.want {
+		if got := b.c.send(cl, s); got != tc.want {
 			t.Errorf("%s: sent %v, want %v", tc.name, got, tc.want)
 		}
 	}
