Refused calls are let go at once; what waits for the core is bounded by memory

At fault: core.arrive and core.send (closures over the call), Names.Fill, caller.setup, inboxMost.

Now alarms name a call by id and serial; patience counts up to the class's deadline; those headers hold 1 KiB at most; the inbox is a 16th of the memory, and the list known at the start does not wait for it. Tests: a weak pointer to a refused call is gone after a collection, no alarm is left after the deadline.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -38,6 +38,8 @@
 	// openMost bounds the set-ups open on one connection, lest one caller fill the table for all: at the busiest
 	// rates of one instance, all its calls of two seconds.
 	openMost = 256
+	// echoMost bounds the headers that an answer repeats, as they are kept for it.
+	echoMost = 1 << 10
 	// headRoom is what a set-up may grow by on its way to an office, where the limit of a message holds too.
 	headRoom = 512
 	// turnedLogged is how many requests turned down are logged one by one on a connection; its last line has their
@@ -374,8 +376,12 @@
 	if err != nil {
 		return 400, err.Error()
 	}
+	echo := sip.Echo(m)
+	if len(echo) > echoMost {
+		return 400, "headers that an answer repeats are over 1 KiB"
+	}
 	s := c.server
-	t := &txn{conn: c, id: id, number: number, sum: call.Sum(), echo: sip.Echo(m), seq: seq}
+	t := &txn{conn: c, id: id, number: number, sum: call.Sum(), echo: echo, seq: seq}
 	s.mu.Lock()
 	old := s.txns[id]
 	twice := old != nil && old.conn == c && old.sum == t.sum && bytes.Equal(old.echo, t.echo)
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -148,6 +148,7 @@
 		message("INVITE", id, strings.Replace(headers, "1500", "soon", 1)),
 		message("INVITE", id, strings.Replace(headers, "1500", "0", 1)),
 		message("INVITE", id, strings.Replace(headers, "dest:2", "dest:x", 1)),
+		message("INVITE", id, headers+"Via: "+strings.Repeat("x", 2000)+"\r\n"),
 		message("INVITE", id, strings.Replace(headers, "dest:2", "dest:99", 1)),
 		message("INVITE", id, strings.Replace(headers, "dest:2", "dest:-3", 1)),
 		message("INVITE", id, strings.Replace(headers, "width:1", "width:-1", 1)),
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -28,6 +28,7 @@
 // call is a call in hand: waiting for its answer, or standing.
 type call struct {
 	Setup
+	serial   uint64 // no other call has it, also under the same id
 	from     Caller
 	sent     int  // attempts so far
 	out      bool // the last of them is out
@@ -62,6 +63,7 @@
 	now    int64
 	alarms alarms
 	seq    uint64
+	serial uint64 // of the last call
 
 	calls map[string]*call
 	open  int // calls without a final answer
@@ -156,8 +158,8 @@
 	c.log.Debug("attempt", "call", cl.ID, "n", n, "server", a.Server, "dest", cl.Dest, "wait_ms", a.Wait/1e6,
 		"since_ms", (c.now-cl.Taken.UnixNano())/1e6)
 	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
-	c.after(time.Duration(a.Wait), func() {
-		if c.calls[cl.ID] == cl && cl.out && cl.sent == n+1 {
+	c.afterFor(cl, time.Duration(a.Wait), func(cl *call) {
+		if cl.out && cl.sent == n+1 {
 			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
 			c.withdraw(cl, control.Overdue)
 		}
@@ -205,7 +207,8 @@
 		}
 		return
 	}
-	cl := &call{Setup: s, from: from}
+	c.serial++
+	cl := &call{Setup: s, serial: c.serial, from: from}
 	c.calls[s.ID] = cl
 	c.open++
 	if c.load += loadEach + len(s.Desc); c.load > c.most/loadPart {
@@ -214,8 +217,8 @@
 	}
 	notAfter := s.Until.Add(-answerLead).UnixNano()
 	// The module ends every call in time by itself. Should it ever not, the caller is still owed an answer.
-	c.after(time.Duration(notAfter-c.now), func() {
-		if c.calls[cl.ID] != cl || cl.stands {
+	c.afterFor(cl, time.Duration(notAfter-c.now), func(cl *call) {
+		if cl.stands {
 			return
 		}
 		if cl.out {
@@ -250,6 +253,17 @@
 	cl.from.Answer(cl.ID, f)
 }
 
+// afterFor sets an alarm for a call that is still in hand then. The alarm does not hold the call: set-ups that are
+// turned away at once come by the thousands, and their descriptions would stay until their callers' time is up.
+func (c *core) afterFor(cl *call, wait time.Duration, do func(*call)) {
+	id, serial := cl.ID, cl.serial
+	c.after(wait, func() {
+		if cl := c.calls[id]; cl != nil && cl.serial == serial {
+			do(cl)
+		}
+	})
+}
+
 func (c *core) drop(cl *call) {
 	delete(c.calls, cl.ID)
 	c.load -= loadEach + len(cl.Desc) + len(cl.desc)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// inboxMost bounds the events that wait for the core, over which the sides' readers wait in turn. The
-	// core takes some hundred thousand a second, so this is well under a tenth of a second's work.
-	inboxMost = 8192
+	// inboxPart and inboxEach bound the events that wait for the core, over which the sides' readers wait in turn:
+	// a part of the instance's memory, if each holds the longest message. The core takes some hundred thousand a
+	// second, so this is some milliseconds' work.
+	inboxPart, inboxEach = 16, 16 << 10
 	// answerLead is how long before its caller leaves the core looks at a call as over: the answer has to be
 	// written and read whole before that, on a core that other instances share.
 	answerLead = 25 * time.Millisecond
@@ -149,6 +150,7 @@
 	mu    sync.Mutex
 	room  *sync.Cond
 	inbox []func()
+	most  int // of the inbox, for those who can wait
 	wake  chan struct{}
 	over  bool          // Run has ended: events go nowhere
 	done  chan struct{} // closed then
@@ -165,6 +167,7 @@
 	x := &Exchange{wake: make(chan struct{}, 1), done: make(chan struct{})}
 	x.room = sync.NewCond(&x.mu)
 	x.core = newCore(o, module)
+	x.most = x.core.most / inboxPart / inboxEach
 	return x, nil
 }
 
@@ -174,7 +177,7 @@
 // post hands the core an event. Readers wait while the inbox is full; what the core itself causes must not.
 func (x *Exchange) post(wait bool, f func()) {
 	x.mu.Lock()
-	for wait && len(x.inbox) >= inboxMost && !x.over {
+	for wait && len(x.inbox) >= x.most && !x.over {
 		x.room.Wait()
 	}
 	if !x.over {
@@ -263,9 +266,9 @@
 // Lost tells that an office's process died: all that stood there is cut.
 func (x *Exchange) Lost(server uint64) { x.post(false, func() { x.core.lost(server, x.core.now+1) }) }
 
-// Members tells a change of the list of offices.
+// Members tells a change of the list of offices. It never blocks: what is known at the start comes before Run.
 func (x *Exchange) Members(changed []Office, full bool) {
-	x.post(true, func() { x.core.members(changed, full) })
+	x.post(false, func() { x.core.members(changed, full) })
 }
 
 // Open tells how many calls still wait for their answer.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"masthill/control"
 	"masthill/internal/netcase"
@@ -156,6 +158,33 @@
 	}
 }
 
+// Set-ups that are turned away at once, by the thousands, stayed in memory until their callers' time was up, which a
+// bad client may put at a day.
+func TestWhatIsRefusedIsNotKept(t *testing.T) {
+	b := newBed(t)
+	names := Names{Classes: []Class{{Name: "open-log", Deadline: 9 * time.Second}}}
+	day, s := patienceMost.Milliseconds(), Setup{ID: "a", Number: "17", Dest: -1, Desc: make([]byte, 16<<10)}
+	if err := names.Fill(&s, "open-log", "", &day, b.at); err != nil || s.Until.Sub(s.Taken) != 9*time.Second {
+		t.Fatalf("patience %v, %v", s.Until.Sub(s.Taken), err)
+	}
+	s.Owner = "sip"
+	b.arrive(s, b)
+	call := weak.Make(b.calls["a"])
+	b.ended(10, "a", 0, Ending{Outcome: control.Superseded})
+	b.ended(11, "a", 0, Ending{Outcome: control.Superseded})
+	if b.open != 0 {
+		t.Fatalf("said %v", b.said)
+	}
+	runtime.GC()
+	if call.Value() != nil {
+		t.Error("the call is kept after its refusal")
+	}
+	b.pass(10 * time.Second)
+	if len(b.alarms) != 0 {
+		t.Errorf("%d alarms left", len(b.alarms))
+	}
+}
+
 // A module that forgets a call must not leave its caller without an answer.
 func TestForgottenCallIsAnswered(t *testing.T) {
 	b := newBed(t)
@@ -276,8 +305,10 @@
 		x.Connect(b)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
+		for range x.most + 1 { // a long list, known before Run takes anything
+			x.Members([]Office{office(10, 0, control.In, 0)}, true)
+		}
 		go func() { done <- x.Run(ctx) }()
-		x.Members([]Office{office(10, 0, control.In, 0)}, true)
 		now := time.Now()
 		for _, id := range []string{"a", "b"} {
 			x.Arrive(Setup{ID: id, Taken: now, Until: now.Add(time.Second)}, b)
@@ -294,7 +325,7 @@
 			t.Error(err)
 		}
 		// After its end nobody is held up, however much still comes.
-		for range inboxMost + 1 {
+		for range x.most + 1 {
 			x.State(10, nil)
 		}
 		x.RefuseAll()
--- a/internal/exchange/names.go
+++ b/internal/exchange/names.go
@@ -28,7 +28,8 @@
 const numberMost = 128
 
 // Fill sets class, tenant and times of a set-up whose last byte came at that time, and checks its number and first
-// choice. The error says in plain words what is invalid: that must not reach an office, which may close the connection
+// choice. A patience beyond the class's deadline counts as that: later the call is worth nothing, and what is kept for
+// it must have an end. The error says in plain words what is invalid: that must not reach an office, which may close the connection
 // on what it can't read, under all other set-ups. A tenant may be left out, a patience too (nil): then the class's deadline holds.
 func (n Names) Fill(s *Setup, class, tenant string, patienceMS *int64, at time.Time) error {
 	k := slices.IndexFunc(n.Classes, func(c Class) bool { return c.Name == class })
@@ -49,7 +50,7 @@
 		if *patienceMS <= 0 || *patienceMS > patienceMost.Milliseconds() {
 			return errors.New("patience is no time between 1 ms and a day")
 		}
-		patience = time.Duration(*patienceMS) * time.Millisecond
+		patience = min(time.Duration(*patienceMS)*time.Millisecond, patience)
 	}
 	s.Class, s.Name, s.Tenant, s.Taken, s.Until = k, class, tenant, at, at.Add(patience)
 	return nil
