A mute connection is replaced at once, and a report proves it dead

Checked by a trace: at one node, thousands of refusals by 'cold'. A connection brought nothing after 7.39 s; three set-ups waited on it until 8.46 s, no trial went out, and the three ends made the office pass for down. At fault: control.delayAt, where Little's law over those three shut the office even after the rest that allows a trial, and link, which opened a new connection only for the next attempt.

Now the rest ends Little's term too, a mute connection is replaced at once, and a report that comes over the new one alone ends it: its attempts are cut together, tried again in time, and count as one miss.

--- a/control/control.go
+++ b/control/control.go
@@ -439,9 +439,11 @@
 		rest := c.span(float64(min(trialFirst<<min(n-1, 8), trialMax)))
 		if c.stood >= littleFrom {
 			rest = max(rest, trialParts*float64(second)/max(c.fair(s), littleLeast))
-			d = max(d, float64(s.pending())*float64(second)/max(c.fair(s), littleLeast))
 		}
 		if float64(c.now-last) < rest {
+			if c.stood >= littleFrom {
+				d = max(d, float64(s.pending())*float64(second)/max(c.fair(s), littleLeast))
+			}
 			d = max(d, float64(c.now-first)*lossDoubt/(lossDoubt+math.Pow(c.lossAt(s), float64(n))))
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -689,6 +689,27 @@
 	}
 }
 
+// Set-ups lost on one connection are waited for until their time is up. Little's law over them must not keep away the
+// trial that would show the server well.
+func TestATrialThoughManyAreOut(t *testing.T) {
+	b := newBed(t, settings(), 2)
+	for range littleFrom + 5 {
+		id, _ := b.call(0, 0)
+		b.now += 300 * ms
+		b.stands(id, 10, 0)
+	}
+	s := b.c.server(10)
+	s.delay, s.press = 0, 0
+	for k := range 3 {
+		s.out = append(s.out, attempt{call: fmt.Sprint("lost", k), at: b.now})
+	}
+	b.c.server(11).markEnd = b.now + 10*second
+	b.now += 2*trialMax + 1
+	if _, acts := b.call(0, 0); only(t, acts, Send).Server != 10 {
+		t.Error("no trial")
+	}
+}
+
 func TestOneCutSetUpRestsTheServerForAMoment(t *testing.T) {
 	b := newBed(t, settings(), 2)
 	id, _ := b.call(0, 0)
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -237,8 +237,9 @@
 		return
 	}
 	for _, a := range s.out {
-		if s.prev == nil && !s.heard.After(a.at) && time.Since(a.at) >= muteFor {
-			s.stale = true
+		if s == s.cur && s.prev == nil && !s.heard.After(a.at) && time.Since(a.at) >= muteFor && !s.stale {
+			s.stale, s.check = true, true
+			s.wake()
 		}
 	}
 	time.AfterFunc(muteEvery, s.watch)
@@ -421,7 +422,8 @@
 }
 
 // up takes a new connection into use. The one before stays as long as attempts are out on it: it may only be slow.
-// Once a later attempt stands over the new one it is known to be dead, as a processor takes set-ups in turn.
+// Once a later attempt stands over the new one it is known to be dead, as a processor takes set-ups in turn; and
+// once a report came over the new one alone, as offices send those on all connections.
 func (p *Pool) up(s *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -481,11 +483,11 @@
 	return a.n
 }
 
-// outlive ends the connection before, where it is still silent: an attempt stood over this one.
+// outlive ends the connection before, where it is still silent: what came over this one was due there too.
 func (s *session) outlive() {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
-	if old := s.prev; old != nil && old != s && old.stale {
+	if old := s.prev; old != nil && old != s && old.stale && old.heard.Before(s.began) {
 		old.peer.Close()
 	}
 }
@@ -514,6 +516,9 @@
 // State implements Hearer.
 func (s *session) State(report []float64) {
 	s.hear("")
+	if time.Since(s.began) > muteEvery { // not the first one, which comes on a new connection alone
+		s.outlive()
+	}
 	if report != nil {
 		s.pool.Core.State(s.server, report)
 	}
