--- a/control/control_test.go
+++ b/control/control_test.go
@@ -112,6 +112,15 @@
 	return acts[0]
 }
 
+// warm has the first server stand enough calls, each after so long, for its delay to count.
+func (b *bed) warm(d int64) {
+	for range littleFrom + 5 {
+		id, _ := b.call(0, 0)
+		b.now += d
+		b.stands(id, 10, 0)
+	}
+}
+
 // markAll makes both servers answer "full", with told waits long enough for the test.
 func (b *bed) markAll() {
 	for far := range 2 {
@@ -604,11 +613,7 @@
 // A set-up that is cut with its connection is no silence: the server rests for a moment and is open again.
 func TestACutSetUpIsNoSilence(t *testing.T) {
 	b := newBed(t, settings(), 2)
-	for range littleFrom + 5 {
-		id, _ := b.call(0, 0)
-		b.now += 20 * ms
-		b.stands(id, 10, 0)
-	}
+	b.warm(20 * ms)
 	id, _ := b.call(0, 0)
 	b.back(id, 10, Severed, 0)
 	b.now += second / 2
@@ -621,11 +626,7 @@
 // with one connection several misses in a row. Both held a well server for down and cold.
 func TestALostAnswerIsNoSilence(t *testing.T) {
 	b := newBed(t, settings(), 2)
-	for range littleFrom + 5 {
-		id, _ := b.call(0, 0)
-		b.now += 20 * ms
-		b.stands(id, 10, 0)
-	}
+	b.warm(20 * ms)
 	lost, _ := b.call(0, 0)
 	b.now += 30 * ms
 	id, _ := b.call(0, 0)
@@ -652,11 +653,7 @@
 	s := settings()
 	s.Classes[0].Aim = 400 * ms
 	b := newBed(t, s, 2)
-	for range littleFrom + 5 {
-		id, _ := b.call(0, 0)
-		b.now += 60 * ms
-		b.stands(id, 10, 0)
-	}
+	b.warm(60 * ms)
 	id, _ := b.call(0, 0)
 	b.now += 95 * ms
 	b.stands(id, 10, 0)
@@ -693,11 +690,7 @@
 // trial that would show the server well.
 func TestATrialThoughManyAreOut(t *testing.T) {
 	b := newBed(t, settings(), 2)
-	for range littleFrom + 5 {
-		id, _ := b.call(0, 0)
-		b.now += 300 * ms
-		b.stands(id, 10, 0)
-	}
+	b.warm(300 * ms)
 	s := b.c.server(10)
 	s.delay, s.press = 0, 0
 	for k := range 3 {
