A connection is claimed as a socket before the 101, under the lock that evicts

Cause: upgrade marked a connection as a socket only after websocket.Accept had sent the 101, so that admit could evict a caller that already believed it was connected; a mark set between the choice of the spare and its close was too late as well. Change: the claim is made before the 101 under the lock of limited, refused where the connection has been chosen already, and taken back when the upgrade fails. A socket is also entered into the front's table before its goroutine starts, so that an orderly end never passes over one.

--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -179,6 +179,21 @@
 	}
 }
 
+// A connection that has been claimed for a socket never makes room, however early that is; one that has made room
+// is no socket any more. Without the claim before the 101, callers that had read it were evicted.
+func TestAClaimedConnectionMakesNoRoom(t *testing.T) {
+	l := &limited{most: 1, open: map[*counted]bool{}}
+	pipe := func() net.Conn { c, _ := net.Pipe(); return c }
+	first := l.admit(pipe()).(*counted)
+	if !first.claim() || l.admit(pipe()) != nil {
+		t.Fatal("a claimed connection made room")
+	}
+	first.disclaim()
+	if l.admit(pipe()) == nil || first.claim() {
+		t.Fatal("an upgrade that failed keeps its place, or a connection that made room became a socket")
+	}
+}
+
 // A socket that closes mid-set-up keeps the call for a while. A resend after the reconnect joins it; a release
 // finds the caller's next socket; without a resend the call is given up.
 func TestSocketClosesMidSetUp(t *testing.T) {
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -179,7 +179,24 @@
 	net.Conn
 	limited *limited
 	since   time.Time
-	socket  atomic.Bool
+	// Under the lock of limited: it is a socket, or about to be; it has made room for another connection.
+	socket, spared bool
+}
+
+// claim makes the connection a socket, unless it has made room already. It comes before the 101: a caller that has
+// read that believes that it is connected, and must not be the one that makes room.
+func (c *counted) claim() bool {
+	c.limited.mu.Lock()
+	defer c.limited.mu.Unlock()
+	c.socket = !c.spared
+	return c.socket
+}
+
+// disclaim takes a claim back whose upgrade failed.
+func (c *counted) disclaim() {
+	c.limited.mu.Lock()
+	defer c.limited.mu.Unlock()
+	c.socket = false
 }
 
 func (c *counted) Close() error {
@@ -207,7 +224,7 @@
 	l.mu.Lock()
 	var spare *counted
 	for c := range l.open {
-		if !c.socket.Load() && (spare == nil || c.since.Before(spare.since)) {
+		if !c.socket && !c.spared && (spare == nil || c.since.Before(spare.since)) {
 			spare = c
 		}
 	}
@@ -218,6 +235,9 @@
 	}
 	c := &counted{Conn: raw, limited: l, since: time.Now()}
 	l.open[c] = true
+	if full {
+		spare.spared = true
+	}
 	l.mu.Unlock()
 	if full {
 		spare.Close() // the server logs it as one that never became a socket
@@ -253,13 +273,17 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
+	raw := r.Context().Value(rawConn{}).(*counted)
+	if !raw.claim() { // it is being closed to make room
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{protocol}})
 	if err != nil {
+		raw.disclaim()
 		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
 		return
 	}
-	raw := r.Context().Value(rawConn{}).(*counted)
-	raw.socket.Store(true)
 	s := &sock{conn: newConn(ws, raw), front: f, identity: identity}
 	peer := r.RemoteAddr
 	f.mu.Lock()
@@ -268,13 +292,13 @@
 		ws.CloseNow()
 		return
 	}
+	f.socks[s] = true // here, lest an orderly end pass over a socket that its caller already uses
 	f.group.Go(func() error { f.serve(f.ctx, s, peer); return nil })
 }
 
 func (f *Front) serve(ctx context.Context, s *sock, peer string) {
 	began := time.Now()
 	f.mu.Lock()
-	f.socks[s] = true
 	for key, c := range f.calls { // releases that found no socket
 		if c.over && c.identity == s.identity {
 			s.send(reply{Type: "released", ID: c.id, Cut: &c.cut})
