A seam for decision modules beside control, and the first of them: recovery after a start

Change: control/join is the contract (see every event, admit, hold or refuse a new call, cap a server); internal/exchange asks the chain and bounds it: a hold is over after 1 s or a part of the memory, a told wait stays within the settings, a capped server gets nothing even where control chose it. control asks one hook, so that a capped server is one without room and never a faulty one. control/recovery paces a newly started instance: a window of set-ups out per office that opens with evidence, and the planned part of a cold office's present capacity. Not yet joined by the program.

--- a/control/calls.go
+++ b/control/calls.go
@@ -24,7 +24,7 @@
 		return
 	}
 	cl := &call{id: ev.Call, class: min(max(ev.Class, 0), len(c.set.Classes)-1), key: ev.Key, cell: ev.FarEnd,
-		inTransit: ev.InTransit, first: c.now, notAfter: ev.NotAfter, luck: c.rng.Float64()}
+		inTransit: ev.InTransit, first: c.now - ev.Waited, notAfter: ev.NotAfter, luck: c.rng.Float64()}
 	c.calls[cl.id] = cl
 	// A number turned away a moment ago gives a redial away, and tells when the caller first came. It covers
 	// redial storms of any cause; a second caller to that number within the span counts as a redial too.
--- a/control/control.go
+++ b/control/control.go
@@ -129,17 +129,18 @@
 	held            int
 	lastTry         int64
 	minWorth        float64
-	scale, ref      float64          // of its times; the delay at which a server is pressed for the least call
-	stood           int              // calls that stood so far
-	borne, offered  fading           // calls that stood, all servers together, and first tries offered
-	unit, top       float64          // the most borne lately, on a unit of listed size and by all servers together
-	loss            float64          // share of set-ups whose answer got lost, all servers together
-	listed          float64          // servers listed and not draining
-	freshAt         int64            // when these four were last refreshed
-	hots            map[string]hot   // numbers found busy
-	turned          map[string]int64 // numbers turned away, and when their callers first came
-	beatDue         int64            // when the next look at unanswered set-ups is due, 0: none
-	spareAt, rateAt int              // places in a report of free lines and of set-ups a second, -1: none
+	scale, ref      float64           // of its times; the delay at which a server is pressed for the least call
+	stood           int               // calls that stood so far
+	borne, offered  fading            // calls that stood, all servers together, and first tries offered
+	unit, top       float64           // the most borne lately on a unit of listed size, and by all
+	loss            float64           // share of set-ups whose answer got lost, all servers together
+	listed          float64           // servers listed and not draining
+	freshAt         int64             // when these four were last refreshed
+	hots            map[string]hot    // numbers found busy
+	turned          map[string]int64  // numbers turned away, and when their callers first came
+	beatDue         int64             // when the next look at unanswered set-ups is due, 0: none
+	capped          func(uint64) bool // tells the servers that a module beside this one keeps calls from
+	spareAt, rateAt int               // places in a report of free lines and of set-ups a second, -1: none
 }
 
 // New makes a controller from a front's settings and its seed.
@@ -149,7 +150,7 @@
 	}
 	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x6f78626f77)), calls: map[string]*call{},
 		timers: map[uint64]string{}, hots: map[string]hot{}, turned: map[string]int64{},
-		minWorth: math.Inf(1)}
+		capped: func(uint64) bool { return false }, minWorth: math.Inf(1)}
 	aim := int64(math.MaxInt64)
 	for _, g := range s.Classes {
 		if aim = min(aim, g.Aim); g.Worth > 0 {
--- a/control/pressure.go
+++ b/control/pressure.go
@@ -148,9 +148,9 @@
 	return c.delayAt(s) > from+(full-from)*cl.luck
 }
 
-// allowed tells whether a server may take the call at all.
+// allowed tells whether a server may take the call at all, now that no module beside this one keeps it off.
 func (c *Controller) allowed(s *server, cl *call) bool {
-	if !s.in || s.cell == c.set.ThisNode || cl.inTransit && s.cell != cl.cell {
+	if !s.in || s.cell == c.set.ThisNode || c.capped(s.id) || cl.inTransit && s.cell != cl.cell {
 		return false
 	}
 	cells := c.set.Classes[cl.class].Cells
--- /dev/null
+++ b/control/recovery/recovery_test.go
@@ -0,0 +1,217 @@
+package recovery
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"masthill/control"
+	"masthill/control/join"
+)
+
+const second = int64(1e9)
+
+func settings() Settings {
+	return Settings{Planned: 120, Control: control.Settings{GroupSize: 20, ColdFrom: 0.31, ColdSpan: 15 * second, FallMultiple: 2,
+		FallWindow: second, RetryAfter: true, MaxRetryAfter: 2 * second,
+		Classes: []control.Class{{Aim: 1200 * millisecond, Deadline: 9 * second, Worth: 1}}}}
+}
+
+func list(full bool, entries ...control.Entry) control.Event {
+	return control.Event{Kind: control.Members, Full: full, Entries: entries}
+}
+
+func in(id uint64, ready int64) control.Entry { return control.Entry{Server: id, ReadyAt: ready} }
+
+func send(r *Recovery, now int64, call string, server uint64) {
+	r.Did(now, control.Action{Kind: control.Send, Call: call, Server: server})
+}
+
+// A window opens with evidence and closes without it; when every server is proven the recovery is over.
+func TestEvidenceEndsIt(t *testing.T) {
+	r, now := New(settings(), 1, nil), 100*second
+	r.See(now, list(true, in(1, 0)))
+	for n := range 2 {
+		if ok, why := r.Room(now, 1); !ok {
+			t.Fatal(n, why)
+		}
+		send(r, now, fmt.Sprint(n), 1)
+	}
+	if ok, why := r.Room(now, 1); ok || why != Unproven {
+		t.Fatal("a third set-up with no answer to any", ok, why)
+	}
+	if got := r.Admit(now, join.Call{ID: "x", Taken: now, NotAfter: now + 3*second}); got.Verdict != join.Hold || got.Reason != NoRoom {
+		t.Fatal(got)
+	}
+	for n := range 6 {
+		call := fmt.Sprint(n)
+		r.See(now, control.Event{Kind: control.Stands, Call: call, Server: 1, Elapsed: 50 * millisecond})
+		send(r, now, fmt.Sprint(n+2), 1)
+	}
+	if st := r.Status(now); st.State != "done" || st.Reason != "evidence" {
+		t.Fatalf("%+v", st)
+	}
+	if got := r.Admit(now, join.Call{ID: "y", Taken: now, NotAfter: now + 3*second}); got.Verdict != join.Admit {
+		t.Fatal(got)
+	}
+}
+
+// Late and refused set-ups close the window instead.
+func TestAQueueClosesTheWindow(t *testing.T) {
+	r, now := New(settings(), 1, nil), 100*second
+	r.See(now, list(true, in(1, 0)))
+	send(r, now, "a", 1)
+	r.See(now, control.Event{Kind: control.Stands, Call: "a", Server: 1, Elapsed: 900 * millisecond})
+	send(r, now, "b", 1)
+	if ok, _ := r.Room(now, 1); ok {
+		t.Fatal("a late set-up left the window open")
+	}
+	r.See(now, control.Event{Kind: control.Returned, Call: "b", Server: 1, Outcome: control.Saturated})
+	if ok, _ := r.Room(now, 1); !ok {
+		t.Fatal("no window at all")
+	}
+	if r.Recovering(now+15*second) || !r.Recovering(now+14*second) {
+		t.Fatal("the span bounds it")
+	}
+}
+
+// What a snapshot tells counts while it is fresh and speaks of the same processor.
+func TestBroughtEvidence(t *testing.T) {
+	now := 100 * second
+	for _, tc := range []struct {
+		name string
+		e    Evidence
+		done bool
+	}{
+		{"fresh", Evidence{1, 7, now - second, 50 * millisecond}, true},
+		{"old", Evidence{1, 7, now - 6*second, 50 * millisecond}, false},
+		{"another processor", Evidence{1, 8, now - second, 50 * millisecond}, false},
+		{"slow", Evidence{1, 7, now - second, 900 * millisecond}, false},
+		{"from the future", Evidence{1, 7, now + second, 50 * millisecond}, false},
+	} {
+		r := New(settings(), 1, []Evidence{tc.e})
+		r.See(now, list(true, in(1, 7)))
+		if r.Recovering(now) == tc.done {
+			t.Errorf("%s: %+v", tc.name, r.Status(now))
+		}
+	}
+}
+
+// A redial is refused only once as many calls are held as can have room soon, with a wait from the upper half.
+func TestRedialsAreTurnedAway(t *testing.T) {
+	r, now := New(settings(), 1, nil), 100*second
+	r.See(now, list(true, in(1, 0)))
+	send(r, now, "a", 1)
+	send(r, now, "b", 1)
+	for n := range heldMost {
+		if got := r.Admit(now, join.Call{ID: fmt.Sprint(n), Retry: true, Taken: now, NotAfter: now + 3*second}); got.Verdict != join.Hold {
+			t.Fatal(n, got)
+		}
+	}
+	if got := r.Admit(now, join.Call{ID: "first", Taken: now, NotAfter: now + 3*second}); got.Verdict != join.Admit {
+		t.Fatal("a first try beyond the held ones is control's", got)
+	}
+	got := r.Admit(now, join.Call{ID: "redial", Retry: true, Taken: now, NotAfter: now + 3*second})
+	if got.Verdict != join.Refuse || got.Reason != Redial || got.Wait < second || got.Wait > 2*second {
+		t.Fatal(got)
+	}
+	if got := r.Admit(now+301*millisecond, join.Call{ID: "0", Taken: now, NotAfter: now + 3*second, Asked: 9}); got.Verdict != join.Admit {
+		t.Fatal("a call held for a quarter of its aim is control's", got)
+	}
+}
+
+// Whatever happens: never over a cold server's budget, never over a window, no call held beyond its part of the aim,
+// an end after the span, nothing kept then, and the same events bring the same decisions.
+func TestRandomHistories(t *testing.T) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "2000")
+	rapid.Check(t, func(t *rapid.T) {
+		type step struct {
+			After   int64
+			Kind    int
+			Server  uint64
+			Elapsed int64
+			Ready   int64
+		}
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{rapid.Int64Range(0, second/2).Draw(t, "after"), rapid.IntRange(0, 9).Draw(t, "kind"),
+				rapid.Uint64Range(1, 3).Draw(t, "server"), rapid.Int64Range(0, 2*second).Draw(t, "elapsed"), rapid.Int64Range(0, 20).Draw(t, "ready")}
+		}), 1, 300).Draw(t, "steps")
+		play := func() (log []string) {
+			r, now := New(settings(), 7, nil), 100*second
+			began, n := now, 0
+			sent := map[uint64][]int64{} // to cold servers
+			open := map[string]uint64{}
+			ready := map[uint64]int64{}
+			for id := uint64(1); id <= 3; id++ {
+				ready[id] = now - 5*second*int64(id)
+			}
+			r.See(now, list(true, in(1, ready[1]), in(2, ready[2]), in(3, ready[3])))
+			for _, s := range steps {
+				now += s.After
+				n++
+				call := fmt.Sprint(n)
+				switch {
+				case s.Kind < 6:
+					got := r.Admit(now, join.Call{ID: call, Retry: s.Kind == 0, Taken: now - s.Elapsed/4, NotAfter: now + 3*second})
+					log = append(log, got.Verdict.String(), got.Reason)
+					if got.Verdict == join.Hold && (!r.Recovering(now) || s.Elapsed/4 > 300*millisecond) {
+						t.Fatalf("held at %d ms", s.Elapsed/4/millisecond)
+					}
+					if got.Verdict != join.Admit {
+						break
+					}
+					r.See(now, control.Event{Kind: control.Arrival, Call: call})
+					if ok, _ := r.Room(now, s.Server); !ok {
+						break
+					}
+					send(r, now, call, s.Server)
+					open[call] = s.Server
+					if r.Recovering(now) && now-ready[s.Server] < 15*second {
+						sent[s.Server] = append(sent[s.Server], now)
+					}
+				case s.Kind == 9:
+					ready[s.Server] = now - s.Ready*second
+					sent[s.Server] = nil
+					r.See(now, list(false, in(s.Server, ready[s.Server])))
+				default:
+					for c, at := range open {
+						if at == s.Server && c == fmt.Sprint(n-1) {
+							delete(open, c)
+							kind := control.Stands
+							if s.Kind == 8 {
+								kind = control.Returned
+							}
+							r.See(now, control.Event{Kind: kind, Call: c, Server: at, Elapsed: s.Elapsed, Outcome: control.Overdue})
+						}
+					}
+				}
+				st := r.Status(now)
+				log = append(log, fmt.Sprintf("%+v", st))
+				if now-began >= 15*second && st.State != "done" {
+					t.Fatalf("no end: %+v", st)
+				}
+			}
+			for id, times := range sent { // in any window: the pace at its end, the saved credit, and one
+				for k := range times {
+					for j := k; j < len(times); j++ {
+						span := float64(times[j]-times[k]) / 1e9
+						if most := 120.0/3/20*span + 2 + 1; float64(j-k+1) > most {
+							t.Fatalf("server %d: %d set-ups in %.2f s, most %.1f", id, j-k+1, span, most)
+						}
+					}
+				}
+			}
+			if r.done && (len(r.servers)+len(r.out)+len(r.held)+len(r.brought) > 0) {
+				t.Fatal("something is kept after the end")
+			}
+			return log
+		}
+		if !reflect.DeepEqual(play(), play()) {
+			t.Fatal("the same events brought other decisions")
+		}
+	})
+}
--- a/control/types.go
+++ b/control/types.go
@@ -126,6 +126,7 @@
 	Class     int
 	Key       string
 	NotAfter  int64
+	Waited    int64 // an arrival: since the call was taken, where another module held it first
 	FarEnd    int
 	Resent    bool
 	InTransit bool
@@ -182,3 +183,7 @@
 	Tag     uint64
 	Wait    int64
 }
+
+// Cap has the module take a server for one without room while f says so. It is asked again before each set-up, so f
+// must not change anything.
+func (c *Controller) Cap(f func(server uint64) bool) { c.capped = f }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masthill/control"
+	"masthill/control/join"
 )
 
 const (
@@ -23,6 +24,10 @@
 	loadPart, loadEach = 4, 1 << 10
 	// unknownMost bounds the memory of servers that were on a list and have gone.
 	unknownMost = 1024
+	// heldFor is how long joined modules may hold a call before control sees it, in all; heldStep is the least wait
+	// between two looks, heldMost the part of the instance's memory that calls held so may take, with loadEach for one.
+	// Beyond any of them control decides at once: no module can keep a call from its decision.
+	heldFor, heldStep, heldMost = time.Second, 5 * time.Millisecond, 16
 )
 
 // call is a call in hand: waiting for its answer, or standing.
@@ -35,6 +40,8 @@
 	server   uint64
 	sentAt   int64
 	clearAt  int64 // no attempt before this
+	notAfter int64 // of its decisions
+	asked    int   // how often joined modules held it; -1: control has it
 	stands   bool
 	desc     []byte
 	answered int64
@@ -57,6 +64,8 @@
 	record  func(Record)
 	stray   func(id string, cut bool)
 	module  *control.Controller
+	chain   join.Chain
+	waits   int // calls that joined modules hold
 	set     control.Settings
 	offices Offices
 
@@ -90,8 +99,12 @@
 	if o.Memory == 0 {
 		o.Memory = 192 << 20
 	}
-	return &core{most: o.Memory, clock: o.Now, log: o.Log, record: o.Record, stray: o.Stray, module: module, set: o.Settings,
+	c := &core{most: o.Memory, chain: o.Join, clock: o.Now, log: o.Log, record: o.Record, stray: o.Stray, module: module, set: o.Settings,
 		calls: map[string]*call{}, known: map[uint64]Office{}, heard: map[uint64]int64{}, kept: map[string]*kept{}}
+	if len(o.Join) > 0 {
+		module.Cap(func(server uint64) bool { ok, _, _ := c.chain.Room(c.now, server); return !ok })
+	}
+	return c
 }
 
 // tell gives the module an event and does what it decides. Events that come up meanwhile wait their turn: the
@@ -105,6 +118,7 @@
 	for len(c.events) > 0 {
 		ev = c.events[0]
 		c.events = c.events[1:]
+		c.chain.See(c.now, ev)
 		for _, a := range c.module.Handle(c.now, ev) {
 			c.act(a)
 		}
@@ -134,8 +148,10 @@
 			c.withdraw(cl, control.Recalled)
 		}
 	case control.Refuse:
+		c.chain.Did(c.now, a)
 		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(a.Wait)})
 	case control.Fail:
+		c.chain.Did(c.now, a)
 		c.final(cl, Final{Verdict: Failed})
 	}
 }
@@ -144,9 +160,10 @@
 // never sent.
 func (c *core) send(cl *call, a control.Action) {
 	office, ok := c.known[a.Server]
-	if cl.out || c.now < cl.clearAt || !ok || office.State != control.In {
+	room, module, why := c.chain.Room(c.now, a.Server)
+	if cl.out || c.now < cl.clearAt || !ok || office.State != control.In || !room {
 		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.out,
-			"clear_in_ms", (cl.clearAt-c.now)/1e6, "listed", ok)
+			"clear_in_ms", (cl.clearAt-c.now)/1e6, "listed", ok, "capped_by", module, "why", why)
 		if !cl.out {
 			cl.sent++
 			c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server,
@@ -158,6 +175,7 @@
 	c.log.Debug("attempt", "call", cl.ID, "n", n, "server", a.Server, "dest", cl.Dest, "wait_ms", a.Wait/1e6,
 		"since_ms", (c.now-cl.Taken.UnixNano())/1e6)
 	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
+	c.chain.Did(c.now, a)
 	c.afterFor(cl, time.Duration(a.Wait), func(cl *call) {
 		if cl.out && cl.sent == n+1 {
 			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
@@ -216,6 +234,7 @@
 		return
 	}
 	notAfter := s.Until.Add(-answerLead).UnixNano()
+	cl.notAfter = notAfter
 	// The module ends every call in time by itself. Should it ever not, the caller is still owed an answer.
 	c.afterFor(cl, time.Duration(notAfter-c.now), func(cl *call) {
 		if cl.stands {
@@ -229,8 +248,39 @@
 			c.final(cl, Final{Verdict: Failed})
 		}
 	})
-	c.tell(control.Event{Kind: control.Arrival, Call: s.ID, Class: s.Class, Key: s.Number, NotAfter: notAfter,
-		FarEnd: s.Dest, Resent: s.Retry})
+	c.admit(cl)
+}
+
+// admit has the joined modules decide on a new call, and then control. A refusal goes out at once; a call that is held
+// is asked about again, until its bound.
+func (c *core) admit(cl *call) {
+	waited := c.now - cl.Taken.UnixNano()
+	r, module := c.chain.Admit(c.now, join.Call{ID: cl.ID, Key: cl.Number, Tenant: cl.Tenant, Class: cl.Class, Dest: cl.Dest,
+		Retry: cl.Retry, Taken: cl.Taken.UnixNano(), NotAfter: cl.notAfter, Asked: cl.asked})
+	if cl.asked > 0 {
+		c.waits--
+	}
+	switch {
+	case r.Verdict == join.Refuse:
+		c.log.Debug("call turned away", "call", cl.ID, "by", module, "why", r.Reason, "later_ms", r.Wait/1e6)
+		cl.asked = -1
+		c.tell(control.Event{Kind: control.Aborted, Call: cl.ID}) // for the other modules; control never had it
+		if !c.set.RetryAfter {
+			r.Wait = 0
+		}
+		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(min(max(r.Wait, 0), c.set.MaxRetryAfter))})
+	case r.Verdict == join.Hold && waited < int64(heldFor) && c.waits*loadEach < c.most/heldMost:
+		cl.asked++
+		c.waits++
+		c.afterFor(cl, max(time.Duration(r.Wait), heldStep), c.admit)
+	default:
+		if cl.asked == 0 { // decided at once, as it would be without the seam
+			waited = 0
+		}
+		cl.asked = -1
+		c.tell(control.Event{Kind: control.Arrival, Call: cl.ID, Class: cl.Class, Key: cl.Number, NotAfter: cl.notAfter,
+			FarEnd: cl.Dest, Resent: cl.Retry, Waited: waited})
+	}
 }
 
 // final gives a call its one final answer.
@@ -265,6 +315,9 @@
 }
 
 func (c *core) drop(cl *call) {
+	if cl.asked > 0 {
+		c.waits--
+	}
 	delete(c.calls, cl.ID)
 	c.load -= loadEach + len(cl.Desc) + len(cl.desc)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,12 +7,14 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"hash/maphash"
 	"log/slog"
 	"sync"
 	"time"
 
 	"masthill/control"
+	"masthill/control/join"
 )
 
 const (
@@ -142,6 +144,8 @@
 	// Stray takes the release of a call that this process never had: one from before its restart, whose
 	// caller still holds it. Called by the core, must not block.
 	Stray func(id string, cut bool)
+	// Join are the decision modules that take part beside control, in the order in which they are asked.
+	Join join.Chain
 }
 
 // Exchange runs the core. Its methods may be called from any goroutine, also from within the core's calls.
@@ -164,6 +168,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if names, twice := o.Join.Names(); twice {
+		return nil, fmt.Errorf("modules named twice: %v", names)
+	}
 	x := &Exchange{wake: make(chan struct{}, 1), done: make(chan struct{})}
 	x.room = sync.NewCond(&x.mu)
 	x.core = newCore(o, module)
