--- /dev/null
+++ b/cmd/masthill/inspect.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"syscall"
+
+	"masthill/internal/config"
+	"masthill/internal/ctl"
+)
+
+// checkCmd reads every file as serving would, and tells all faults in one go.
+type checkCmd struct {
+	JSON   bool `help:"Print the faults as JSON Lines."`
+	Schema bool `help:"Print the JSON Schema of the operators' settings and check nothing."`
+}
+
+func (c checkCmd) Run(out stdout) error {
+	if c.Schema {
+		_, err := out.Write(config.Schema)
+		return err
+	}
+	_, err := config.Load(os.Getenv)
+	own, ownErr := config.LoadProject(os.Getenv)
+	faults := append(config.All(err), config.All(ownErr)...)
+	for _, f := range faults {
+		if c.JSON {
+			json.NewEncoder(out).Encode(f)
+		} else {
+			fmt.Fprintln(out, f.Error())
+		}
+	}
+	if len(faults) > 0 {
+		return coded{exitUsage, fmt.Errorf("%d faults", len(faults))}
+	}
+	if own.Old {
+		fmt.Fprintln(out, oldName)
+	}
+	if !c.JSON {
+		fmt.Fprintln(out, "no faults")
+	}
+	return nil
+}
+
+const oldName = "the settings have a name of before: use deploy/masthill.toml and MASTHILL_SETTINGS"
+
+// statusCmd asks an instance.
+type statusCmd struct {
+	Socket string `help:"The instance's control socket; else the one that the settings name." placeholder:"PATH"`
+	JSON   bool   `help:"Print JSON."`
+}
+
+func (c statusCmd) Run(out stdout) error {
+	path := c.Socket
+	if path == "" {
+		own, err := config.LoadProject(os.Getenv)
+		if err != nil {
+			return coded{exitUsage, err}
+		}
+		if path = own.Socket.Path; path == "" {
+			return coded{exitUsage, errors.New("no socket: set socket.path in the settings, or give --socket")}
+		}
+	}
+	s, err := ctl.Ask(context.Background(), path)
+	if errors.Is(err, ctl.ErrNobody) {
+		return coded{exitNobody, err}
+	}
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(s)
+	}
+	s.Text(out)
+	return nil
+}
+
+// launchCmd becomes another program with LISTEN_PID set to this process, which only the process itself can know. The
+// fleet starts its instances by it, to pass listening sockets on.
+type launchCmd struct {
+	Program string   `arg:""`
+	Args    []string `arg:"" optional:"" passthrough:""`
+}
+
+func (c launchCmd) Run() error {
+	if os.Getenv("LISTEN_FDS") != "" {
+		os.Setenv("LISTEN_PID", strconv.Itoa(os.Getpid()))
+	}
+	return fmt.Errorf("%s: %w", c.Program, syscall.Exec(c.Program, append([]string{c.Program}, c.Args...), os.Environ()))
+}
--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -1,211 +1,137 @@
-// Command masthill is one session controller: it takes calls from callers and places each at an office.
+// Command masthill is one session controller: it takes calls from callers and places each at an office. Further
+// commands check its files, tell what an instance does, and run many of them on one machine.
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"log/slog"
-	"math"
-	"net"
+	"io"
 	"os"
 	"os/signal"
-	"reflect"
-	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
-	"golang.org/x/sync/errgroup"
-
-	"masthill/internal/caller"
-	"masthill/internal/callws"
-	"masthill/internal/config"
-	"masthill/internal/exchange"
-	"masthill/internal/journal"
-	"masthill/internal/office"
-	"masthill/internal/store"
+	"github.com/alecthomas/kong"
 )
 
+// The exit codes.
 const (
-	// acceptFor is how long after SIGTERM new connections are accepted (PROTOCOL: they come for 0.2 to
-	// 0.4 s), takeFor how long requests still come on open ones (0.2 s more), both with a margin.
-	acceptFor, takeFor = 500 * time.Millisecond, 800 * time.Millisecond
-	// refuseAfter is when what still waits is refused: SIGKILL comes no sooner than 3.7 s after SIGTERM.
-	refuseAfter = 3300 * time.Millisecond
-	// flushFor is the time that the last answers get to be written.
-	flushFor = 200 * time.Millisecond
-	// callersPart and socketsPart are the shares in a hundred of the descriptors for the two fronts' callers, and
-	// alonePart is that of the platform's where the other front is off. Good callers hold a third at most; the
-	// rest is for offices, the journal, the store and spares.
-	callersPart, socketsPart, alonePart = 40, 30, 70
-	// connPart and connEach bound the platform's callers by memory too: a connection's buffers, stacks and what
-	// may be queued for it, in an eighth of the limit.
-	connPart, connEach = 8, 32 << 10
-	// memoryPart is the part of the memory limit that the Go heap may take; the rest is for the program's own
-	// pages, stacks, socket buffers and files.
-	memoryPart = 0.7
+	exitOK     = 0
+	exitFailed = 1 // what was asked for failed
+	exitUsage  = 2 // the command line or a file is wrong; trying again is no use
+	exitNobody = 3 // no instance answers
+	exitHalted = 4 // a rollout halted, and was turned back where that was asked for
 )
 
-func main() {
-	level := slog.LevelInfo
-	if os.Getenv("MASTHILL_LOG") == "debug" {
-		level = slog.LevelDebug
-	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	// Caught before anything else: by default either signal would end the program at once.
-	signals := signals{term: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
-	signal.Notify(signals.term, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(signals.reload, syscall.SIGHUP)
-	p, err := config.Load(os.Getenv)
-	var own *config.Project
-	if err == nil {
-		own, err = config.LoadProject(os.Getenv)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "masthill: configuration:", err)
-		os.Exit(2)
-	}
-	if err := serve(p, own, signals, log.With("node", p.Name)); err != nil {
-		fmt.Fprintln(os.Stderr, "masthill:", err)
-		os.Exit(1)
-	}
+// coded is an error with the exit code that it means.
+type coded struct {
+	code int
+	error
 }
 
-// front is one way in for callers.
-type front interface {
-	Drain()
-	Close()
-	Serve(ctx context.Context, l net.Listener) error
+func (c coded) Unwrap() error { return c.error }
+
+// cli is the command line.
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"1" help:"Serve calls, as the platform starts it. The default."`
+	Check   checkCmd   `cmd:"" help:"Check every file that the program reads, and name each fault with file, line and key."`
+	Status  statusCmd  `cmd:"" help:"Tell what an instance does, over its control socket."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+	Help    helpCmd    `cmd:"" help:"Print this."`
+	Launch  launchCmd  `cmd:"" hidden:"" help:"Take over passed listening sockets and become the program."`
 }
 
 // signals are what the platform tells a running program.
 type signals struct{ term, reload chan os.Signal }
 
-func serve(p *config.Platform, own *config.Project, signals signals, log *slog.Logger) error {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
-	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
-
-	options := exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log, Memory: p.MemoryMB << 20}
-	var records *store.Store
-	if own.Store.Driver != "" {
-		var err error
-		records, err = store.Open(store.Options{Driver: own.Store.Driver, DSN: own.Store.DSN, Instance: p.Name, Log: log})
-		if err != nil {
-			return err
+// leave is the exit code that kong asks for.
+type leave int
+
+// stdout is where commands print, but for tests.
+type stdout struct{ io.Writer }
+
+func main() {
+	// Caught before anything else: by default either signal would end the program at once.
+	s := signals{term: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.term, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	os.Exit(run(os.Args[1:], s, os.Stdout, os.Stderr))
+}
+
+// run runs one command line and gives the exit code.
+func run(args []string, s signals, out, errs io.Writer) (code int) {
+	if len(args) == 0 { // as the platform starts it, where each megabyte counts: the parser's tables are not made
+		return finish(serveCmd{}.Run(s), errs)
+	}
+	defer func() { // kong asks to leave in the middle of parsing, after help
+		if r := recover(); r != nil {
+			left, ok := r.(leave)
+			if !ok {
+				panic(r)
+			}
+			code = int(left)
 		}
-		options.Record = records.Put
-	}
-	var calls *caller.Server
-	options.Stray = func(id string, cut bool) { calls.Release(id, cut) }
-	x, err := exchange.New(options)
+	}()
+	var c cli
+	parser, err := kong.New(&c, kong.Name("masthill"), kong.Writers(out, errs),
+		kong.Description("A session controller. Exit codes: 0 done; 1 failed; 2 the command line or a file is wrong; "+
+			"3 no instance answers; 4 a rollout halted."),
+		kong.Exit(func(code int) { panic(leave(code)) }), kong.Bind(s), kong.Bind(stdout{out}), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
-		return err
+		panic(err) // a fault of the program
 	}
-	part := callersPart
-	if own.CallWS.Listen == "" {
-		part = alonePart
+	if len(args) > 0 && args[0] == "help" {
+		args = append(args[1:len(args):len(args)], "--help")
 	}
-	calls = caller.New(caller.Options{Core: x, Log: log, Names: p.Names,
-		MaxOpen: min(p.Sockets*part/100, p.MemoryMB<<20/connPart/connEach)})
-	offices := office.NewPool(office.Options{Core: x, Log: log, ConnectWait: p.ConnectWait, Dials: map[string]office.Dial{
-		"": office.SIP(p.Name, p.Settings.Fields), "ws": callws.Dial(p.Settings.Fields)}})
-	x.Connect(offices)
-	feed := &journal.Client{Addr: p.Journal, Log: log, Tell: x.Members}
-	feed.Start(p.Known)
-
-	fronts := map[front]net.Listener{}
-	l, err := net.Listen("tcp", p.Listen)
+	ctx, err := parser.Parse(args)
 	if err != nil {
-		return err
-	}
-	fronts[calls] = l
-	if own.CallWS.Listen != "" {
-		if l, err = net.Listen("tcp", own.CallWS.Listen); err != nil {
-			return fmt.Errorf("callws.listen: %w", err)
-		}
-		fronts[callws.New(callws.Options{Core: x, Log: log, Names: p.Names, Callers: own.CallWS.Callers,
-			MaxOpen: p.Sockets * socketsPart / 100})] = l
-		log.Info("serving call control", "listen", l.Addr().String())
+		fmt.Fprintln(errs, "masthill:", err)
+		return exitUsage
 	}
+	return finish(ctx.Run(), errs)
+}
 
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return x.Run(ctx) })
-	g.Go(func() error { return offices.Run(ctx) })
-	g.Go(func() error { return feed.Run(ctx) })
-	if records != nil {
-		g.Go(func() error { return records.Run(ctx) })
-	}
-	for f, l := range fronts {
-		g.Go(func() error { return f.Serve(ctx, l) })
+// finish prints an error and gives its exit code.
+func finish(err error, errs io.Writer) int {
+	if err == nil {
+		return exitOK
 	}
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-signals.term:
-		}
-		end(x, fronts, log)
-		stop()
-		return nil
-	})
-	g.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-signals.reload:
-				reload(p, feed, log)
-			}
-		}
-	})
-	log.Info("serving", "listen", fronts[calls].Addr().String(), "pos", feed.Pos)
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
+	fmt.Fprintln(errs, "masthill:", err)
+	var known coded
+	if errors.As(err, &known) {
+		return known.code
 	}
-	return nil
+	return exitFailed
 }
 
-// reload takes a new configuration. Only the journal service can change under a running program; calls and
-// connections go on. A file that is wrong changes nothing.
-func reload(old *config.Platform, feed *journal.Client, log *slog.Logger) {
-	p, err := config.Load(os.Getenv)
-	if err != nil {
-		log.Error("configuration kept", "err", err)
-		return
-	}
-	if p.Listen != old.Listen || p.Name != old.Name || p.Cores != old.Cores || p.MemoryMB != old.MemoryMB ||
-		p.Sockets != old.Sockets || !reflect.DeepEqual(p.Settings, old.Settings) {
-		log.Warn("configuration read in part", "why", "name, listen, limits and settings take a restart")
-	}
-	log.Info("configuration read", "journal", p.Journal)
-	if p.Journal != old.Journal {
-		feed.Move(p.Journal)
-	}
-	old.Journal = p.Journal
+type helpCmd struct {
+	Command []string `arg:"" optional:"" help:"The command to explain."`
 }
 
-// end is the planned end: new calls are taken as long as they may come, and all that was taken is answered.
-func end(x *exchange.Exchange, fronts map[front]net.Listener, log *slog.Logger) {
-	began := time.Now()
-	log.Info("ending", "open", x.Open())
-	for f := range fronts {
-		f.Drain()
-	}
-	time.Sleep(acceptFor)
-	for _, l := range fronts {
-		l.Close()
-	}
-	time.Sleep(takeFor - time.Since(began))
-	for x.Open() > 0 && time.Since(began) < refuseAfter {
-		time.Sleep(5 * time.Millisecond)
+// Run is never reached: run asks for help in its place, which knows the command that help is wanted for.
+func (helpCmd) Run() error { return nil }
+
+type versionCmd struct{}
+
+func (versionCmd) Run(out stdout) error {
+	fmt.Fprintln(out, version())
+	return nil
+}
+
+// version is the program's, from what the build noted: a version of the module, or the commit.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && (v == "" || v == "(devel)") {
+			v = s.Value[:min(12, len(s.Value))]
+		}
 	}
-	x.RefuseAll()
-	for f := range fronts {
-		f.Close()
+	if v == "" {
+		v = "(devel)"
 	}
-	time.Sleep(flushFor)
-	log.Info("ended", "after_ms", time.Since(began).Milliseconds())
+	return v
 }
--- a/cmd/masthill/main_test.go
+++ b/cmd/masthill/main_test.go
@@ -77,7 +77,7 @@
 	p.stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := strings.Count(p.log.String(), `msg="caller connection ended" node=n0 reason=bad_framing`); n != 1 {
+	if n := strings.Count(p.log.String(), `msg="caller connection ended" node=n0 part=callers reason=bad_framing`); n != 1 {
 		t.Errorf("%d log lines for the connection", n)
 	}
 }
--- a/cmd/masthill/standin_test.go
+++ b/cmd/masthill/standin_test.go
@@ -82,7 +82,7 @@
 		}
 	}
 	p := &program{Cmd: exec.Command(os.Args[0]), config: file, t: t, ready: make(chan struct{}), ended: make(chan struct{})}
-	p.Env = append(os.Environ(), "MASTHILL_TEST_RUN=1", "PROXY_CONFIG="+file, "MASTHILL_CALLWS="+project)
+	p.Env = append(os.Environ(), "MASTHILL_TEST_RUN=1", "PROXY_CONFIG="+file, "MASTHILL_SETTINGS="+project)
 	p.Stderr = p
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
--- a/control/control.go
+++ b/control/control.go
@@ -145,7 +145,7 @@
 
 // New makes a controller from a front's settings and its seed.
 func New(s Settings, seed uint64) (*Controller, error) {
-	if err := s.check(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x6f78626f77)), calls: map[string]*call{},
--- /dev/null
+++ b/control/learnt_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"encoding/json"
+	"math"
+	"reflect"
+	"testing"
+)
+
+// warmedLearnt plays a script and gives the controller.
+func warmedLearnt(t *testing.T) (*Controller, int64) {
+	t.Helper()
+	c, err := New(settings(), 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := 1000 * second
+	c.Handle(now, Event{Kind: Members, Full: true, Entries: []Entry{{Server: 1, Cell: 0, Share: 1}, {Server: 2, Cell: 1, Share: 1}}})
+	for n := range 200 {
+		now += second / 20
+		id := string(rune('a'+n%26)) + string(rune('0'+n/26))
+		for _, a := range c.Handle(now, Event{Kind: Arrival, Call: id, NotAfter: now + 9*second, FarEnd: n % 2}) {
+			if a.Kind == Send {
+				c.Handle(now+30e6, Event{Kind: Stands, Call: id, Server: a.Server})
+				c.Handle(now+40e6, Event{Kind: Returned, Call: id, Server: a.Server, Ended: true})
+			}
+		}
+	}
+	c.Handle(now+45e6, Event{Kind: Arrival, Call: "out", NotAfter: now + 9*second})
+	return c, now + 45e6
+}
+
+func TestLearntComesBackAndFades(t *testing.T) {
+	c, now := warmedLearnt(t)
+	text, err := json.Marshal(c.Learnt())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l Learnt
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.Fatal(err)
+	}
+	after := func(wait int64, entries ...Entry) *Controller {
+		d, err := New(settings(), 10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Handle(now+wait, Event{Kind: Members, Full: true, Entries: entries})
+		if err := d.Restore(now+wait, l); err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	soon := after(second, Entry{Server: 1, Share: 1}, Entry{Server: 2, Cell: 1, Share: 1})
+	if !reflect.DeepEqual(soon.Learnt().Servers, l.Servers) || soon.fair(soon.servers[0]) < 0.8*c.fair(c.servers[0]) {
+		t.Errorf("%+v", soon.Learnt())
+	}
+	if len(soon.calls) != 0 || len(soon.servers[0].out)+len(soon.servers[1].out) != 0 {
+		t.Error("calls or attempts came back")
+	}
+	late := after(120*second, Entry{Server: 1, Share: 1}, Entry{Server: 2, Cell: 1, Share: 1})
+	if late.fair(late.servers[0]) > 0.2*c.fair(c.servers[0]) || late.delayAt(late.servers[0]) > 1e3 {
+		t.Errorf("after two minutes: %v of %v, %v", late.fair(late.servers[0]), c.fair(c.servers[0]), late.delayAt(late.servers[0]))
+	}
+	other := after(second, Entry{Server: 1, Share: 1, ReadyAt: now}, Entry{Server: 3, Cell: 1, Share: 1})
+	if s := other.server(1); s.delay != 0 || s.newsAt != 0 || other.server(2) != nil {
+		t.Error("what was known of another processor counts for this one")
+	}
+}
+
+func TestUnfitLearntChangesNothing(t *testing.T) {
+	c, now := warmedLearnt(t)
+	l := c.Learnt()
+	l.Servers[0].Weight = math.NaN()
+	d, _ := New(settings(), 10)
+	d.Handle(now, Event{Kind: Members, Full: true, Entries: []Entry{{Server: 1, Share: 1}}})
+	before := d.Learnt()
+	if err := d.Restore(now, l); err == nil || !reflect.DeepEqual(before, d.Learnt()) {
+		t.Error("it was taken")
+	}
+}
+
+// A look changes no decision: the state is the same to the last bit afterwards.
+func TestBeliefsChangeNothing(t *testing.T) {
+	c, now := warmedLearnt(t)
+	before := c.Learnt()
+	if b := c.Beliefs(now + second/2); len(b) != 2 || b[0].Out+b[1].Out != 1 || b[0].Cold || !b[0].In {
+		t.Errorf("%+v", b)
+	}
+	if !reflect.DeepEqual(before, c.Learnt()) {
+		t.Error("a look changed something")
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -29,21 +29,25 @@
 	ColdSpan      int64
 }
 
-// check names the first setting that makes no sense.
-func (s Settings) check() error {
+// Check names every setting that makes no sense, one a line; nil where all do.
+func (s Settings) Check() error {
+	var wrong []error
 	if len(s.Classes) == 0 {
-		return errors.New("grades: no classes")
+		wrong = append(wrong, errors.New("grades: no classes"))
 	}
 	for k, g := range s.Classes {
-		switch {
-		case g.Aim <= 0:
-			return fmt.Errorf("grades[%d].aim_ns: %d is not positive", k, g.Aim)
-		case g.Deadline <= 0:
-			return fmt.Errorf("grades[%d].deadline_ns: %d is not positive", k, g.Deadline)
-		case !(g.Worth >= 0):
-			return fmt.Errorf("grades[%d].worth: %v is no worth", k, g.Worth)
-		case !(g.LateValue >= 0):
-			return fmt.Errorf("grades[%d].late_value: %v is no share", k, g.LateValue)
+		for _, f := range []struct {
+			ok   bool
+			text string
+		}{
+			{g.Aim > 0, fmt.Sprintf("aim_ns: %d is not positive", g.Aim)},
+			{g.Deadline > 0, fmt.Sprintf("deadline_ns: %d is not positive", g.Deadline)},
+			{g.Worth >= 0, fmt.Sprintf("worth: %v is no worth", g.Worth)},
+			{g.LateValue >= 0, fmt.Sprintf("late_value: %v is no share", g.LateValue)},
+		} {
+			if !f.ok {
+				wrong = append(wrong, fmt.Errorf("grades[%d].%s", k, f.text))
+			}
 		}
 	}
 	for _, f := range []struct {
@@ -64,10 +68,10 @@
 		{"rules.cold_ns", s.ColdSpan > 0},
 	} {
 		if !f.ok {
-			return fmt.Errorf("%s: missing or out of its bounds", f.name)
+			wrong = append(wrong, fmt.Errorf("%s: missing or out of its bounds", f.name))
 		}
 	}
-	return nil
+	return errors.Join(wrong...)
 }
 
 // Class is one class of call.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"masthill/control"
@@ -28,6 +30,7 @@
 	Settings              control.Settings
 	Names                 exchange.Names
 	ConnectWait           time.Duration
+	Planned               float64 // load planned for all instances together, in calls a second; 0: not known
 }
 
 type file struct {
@@ -51,7 +54,8 @@
 		Deadline int64  `json:"deadline_ns"`
 	} `json:"grades"`
 	Tenants []struct {
-		Name string `json:"name"`
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_per_s"`
 	} `json:"tenants"`
 	Extra struct {
 		ClassCells [][]int `json:"class_cells"`
@@ -64,76 +68,85 @@
 // socketsLeast is what an instance needs to serve at all: a listener, the journal and a few connections.
 const socketsLeast = 32
 
-// Load reads PROXY_CONFIG; PROXY_NAME and PROXY_LISTEN come before what the file says. The error names the
-// key that is wrong.
+// Load reads PROXY_CONFIG; PROXY_NAME and PROXY_LISTEN come before what the file says. The error is a Faults with all
+// that is wrong.
 func Load(getenv func(string) string) (*Platform, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
-		return nil, errors.New("PROXY_CONFIG: not set")
+		return nil, Faults{{File: "PROXY_CONFIG", Text: "not set"}}
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+		return nil, Faults{{File: "PROXY_CONFIG", Text: err.Error()}}
 	}
-	p, err := Parse(data)
-	if err != nil {
-		return nil, err
-	}
-	if v := getenv("PROXY_NAME"); v != "" {
-		p.Name = v
-	}
-	if v := getenv("PROXY_LISTEN"); v != "" {
-		p.Listen = v
-	}
-	if _, _, err := net.SplitHostPort(p.Listen); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	return p, nil
+	return parse(path, data, getenv)
 }
 
 // Parse reads the platform's file.
 func Parse(data []byte) (*Platform, error) {
+	return parse("PROXY_CONFIG", data, func(string) string { return "" })
+}
+
+func parse(path string, data []byte, getenv func(string) string) (*Platform, error) {
 	var f file
+	var n names
 	if err := json.Unmarshal(data, &f); err != nil {
-		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+		return nil, Faults{{path, jsonErrorLine(data, err), "", "PROXY_CONFIG: " + err.Error()}}
+	}
+	var faults Faults
+	line := jsonLine(data)
+	fault := func(key, format string, a ...any) {
+		at := strings.FieldsFunc(key, func(c rune) bool { return c == '.' || c == '[' || c == ']' })
+		faults = append(faults, Fault{path, line(at), key, fmt.Sprintf(format, a...)})
 	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
-		return nil, fmt.Errorf("seed: %q is not 16 hex digits", f.Seed)
+		fault("seed", "%q is not 16 hex digits", f.Seed)
 	}
-	switch {
-	case f.Limits.Sockets < socketsLeast:
-		return nil, fmt.Errorf("limits.sockets: %d is under the %d that serving takes", f.Limits.Sockets, socketsLeast)
-	case f.Limits.MemoryMB <= 0:
-		return nil, fmt.Errorf("limits.memory_mb: %d is no limit", f.Limits.MemoryMB)
-	case !(f.Limits.Cores > 0):
-		return nil, fmt.Errorf("limits.cores: %v is no limit", f.Limits.Cores)
-	case f.Settings == nil:
-		return nil, errors.New("settings: missing")
+	if f.Limits.Sockets < socketsLeast {
+		fault("limits.sockets", "%d is under the %d that serving takes", f.Limits.Sockets, socketsLeast)
+	}
+	if f.Limits.MemoryMB <= 0 {
+		fault("limits.memory_mb", "%d is no limit", f.Limits.MemoryMB)
+	}
+	if !(f.Limits.Cores > 0) {
+		fault("limits.cores", "%v is no limit", f.Limits.Cores)
 	}
 	if _, _, err := net.SplitHostPort(f.Journal); err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
+		fault("journal", "%v", err)
 	}
-	set, err := wire.DecodeSettings(f.Settings)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	p := &Platform{Name: f.Name, Listen: f.Listen, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
+	if v := getenv("PROXY_NAME"); v != "" {
+		p.Name = v
 	}
-	if _, err := control.New(set, seed); err != nil {
-		return nil, fmt.Errorf("settings.%w", err)
+	if v := getenv("PROXY_LISTEN"); v != "" {
+		p.Listen = v
+	}
+	if _, _, err := net.SplitHostPort(p.Listen); err != nil {
+		fault("listen", "%v", err)
+	}
+	if f.Settings == nil {
+		fault("settings", "missing")
+		return nil, sorted(faults)
 	}
-	var n names
 	if err := json.Unmarshal(f.Settings, &n); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		fault("settings", "%v", err)
+	}
+	if p.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
+		fault("settings", "%v", err)
+	} else if err := p.Settings.Check(); err != nil {
+		for _, one := range strings.Split(err.Error(), "\n") { // as errors.Join puts them
+			key, text, _ := strings.Cut(one, ": ")
+			fault("settings."+key, "%s", text)
+		}
 	}
-	p := &Platform{Name: f.Name, Listen: f.Listen, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known, Settings: set,
-		ConnectWait: time.Duration(n.Limits.ConnectTimeout)}
-	if p.ConnectWait <= 0 {
-		return nil, errors.New("settings.limits.connect_timeout_ns: missing or not positive")
+	if p.ConnectWait = time.Duration(n.Limits.ConnectTimeout); p.ConnectWait <= 0 {
+		fault("settings.limits.connect_timeout_ns", "missing or not positive")
 	}
 	for k, g := range n.Grades {
 		if g.Name == "" {
-			return nil, fmt.Errorf("settings.grades[%d].name: missing", k)
+			fault(fmt.Sprintf("settings.grades[%d].name", k), "missing")
 		}
 		p.Names.Classes = append(p.Names.Classes, exchange.Class{Name: g.Name, Deadline: time.Duration(g.Deadline)})
 	}
@@ -143,6 +156,26 @@
 	}
 	for _, t := range n.Tenants {
 		p.Names.Tenants = append(p.Names.Tenants, t.Name)
+		p.Planned += t.Quota
+	}
+	if len(faults) > 0 {
+		return nil, sorted(faults)
 	}
 	return p, nil
 }
+
+// jsonErrorLine is the line of a fault that json found.
+func jsonErrorLine(data []byte, err error) int {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	offset := int64(0)
+	switch {
+	case errors.As(err, &syntax):
+		offset = syntax.Offset
+	case errors.As(err, &kind):
+		offset = kind.Offset
+	default:
+		return 0
+	}
+	return 1 + bytes.Count(data[:min(int(offset), len(data))], []byte("\n"))
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -56,7 +58,7 @@
 func TestGarbage(t *testing.T) {
 	netcase.Check(t, func(t *rapid.T) {
 		Parse(netcase.Garbage(t, []byte(good)))
-		ParseProject(string(netcase.Garbage(t, []byte(project))), func(string) string { return "" })
+		ParseProject("f", string(netcase.Garbage(t, []byte(project))), func(string) string { return "" })
 	})
 }
 
@@ -72,7 +74,7 @@
 
 func TestProjectFile(t *testing.T) {
 	env := func(name string) string { return map[string]string{"TOKEN": "a token of sixteen"}[name] }
-	p, err := ParseProject(project, env)
+	p, err := ParseProject("f", project, env)
 	if err != nil || p.CallWS.Callers["station-7"] != "a token of sixteen" || p.Store.DSN != "/tmp/calls.db" {
 		t.Fatalf("%+v, %v", p, err)
 	}
@@ -85,21 +87,53 @@
 		{`station-7 = "env:TOKEN"`, "a = \"env:TOKEN\"\nb = \"env:TOKEN\"", "the same token"},
 		{"sqlite", "oracle", "store.driver"},
 		{`dsn = "/tmp/calls.db"`, "", "store.dsn"},
-		{"[store]", "[", "callws.toml"},
+		{"[store]", "[", "f:7"},
 	} {
-		if _, err := ParseProject(strings.Replace(project, tc.old, tc.new, 1), env); err == nil || !strings.Contains(err.Error(), tc.want) {
+		if _, err := ParseProject("f", strings.Replace(project, tc.old, tc.new, 1), env); err == nil || !strings.Contains(err.Error(), tc.want) {
 			t.Errorf("%s: got %v, want it to name %s", tc.new, err, tc.want)
 		}
 	}
-	if p, err := ParseProject("", env); err != nil || p.CallWS.Listen != "" || p.Store.Driver != "" {
+	if p, err := ParseProject("", "", env); err != nil || p.CallWS.Listen != "" || p.Store.Driver != "" {
 		t.Errorf("an empty file: %+v, %v", p, err)
 	}
 }
 
 // The file that the platform runs with keeps both parts off.
 func TestDeployedFileIsOff(t *testing.T) {
-	p, err := LoadProject(func(name string) string { return map[string]string{"MASTHILL_CALLWS": "../../" + ProjectFile}[name] })
+	p, err := LoadProject(func(name string) string { return map[string]string{"MASTHILL_SETTINGS": "../../" + ProjectFile}[name] })
 	if err != nil || p.CallWS.Listen != "" || p.Store.Driver != "" {
 		t.Errorf("%+v, %v", p, err)
 	}
 }
+
+// All faults come in one go, each with its file, line and key.
+func TestAllFaultsAtOnce(t *testing.T) {
+	text := "[callws]\nlisten = \"here\"\n[store]\ndriver = \"oracle\"\n[state]\nevery = \"2 seconds\"\nfresh = 1\n"
+	_, err := ParseProject("m.toml", text, func(string) string { return "" })
+	got := All(err)
+	if len(got) != 3 || got[0].Line != 4 || got[0].Key != "store.driver" || got[1].Line != 6 || got[1].Key != "state.every" ||
+		got[2].Line != 7 || got[2].Key != "state.fresh" || got[2].File != "m.toml" {
+		t.Errorf("%v", err)
+	}
+	_, err = ParseProject("m.toml", "[state]\ndir = \"x\"\nevery = \"1ms\"\n[socket]\npath = \"s\"\n", func(string) string { return "" })
+	if got := All(err); len(got) != 3 || got[0].Line != 2 || got[1].Line != 3 || got[2].Line != 5 {
+		t.Errorf("%v", err)
+	}
+	spread := strings.NewReplacer(`"seed"`, "\n\"seed\"", `"sockets":1024`, "\n\"sockets\":3", `"fall_multiple":3.0`, "\n\"fall_multiple\":0").Replace(good)
+	_, err = Parse([]byte(strings.Replace(spread, "8c1f", "xyz", 1)))
+	if got := All(err); len(got) != 3 || got[0].Line != 2 || got[1].Line != 3 || got[2].Line != 4 || got[2].Key != "settings.rules.fall_multiple" {
+		t.Errorf("%v", err)
+	}
+}
+
+// The names of before still work.
+func TestTheOldVariable(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "callws.toml")
+	if err := os.WriteFile(file, []byte("[recovery]\nenabled = true\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p, err := LoadProject(func(name string) string { return map[string]string{"MASTHILL_CALLWS": file}[name] })
+	if err != nil || !p.Old || !p.Recovery.Enabled || p.State.Every != 2*time.Second {
+		t.Errorf("%+v, %v", p, err)
+	}
+}
--- /dev/null
+++ b/internal/config/project.go
@@ -0,0 +1,220 @@
+package config
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// ProjectFile is where the operators' settings lie, unless MASTHILL_SETTINGS names another file: several instances on
+// one machine need one each. OldFile and MASTHILL_CALLWS are the names before; they still work, with a warning.
+const (
+	ProjectFile = "deploy/masthill.toml"
+	OldFile     = "deploy/callws.toml"
+)
+
+// tokenLeast is the length under which a caller's token is a guess.
+const tokenLeast = 16
+
+// Schema is the published JSON Schema of the operators' settings; masthill check --schema prints it.
+//
+//go:embed masthill.schema.json
+var Schema []byte
+
+// Project is what the operators' settings say. Without the file everything is off.
+type Project struct {
+	File   string `toml:"-"` // empty: there is none
+	Old    bool   `toml:"-"` // found under a name of before
+	CallWS struct {
+		Listen  string            `toml:"listen"`  // empty: off
+		Callers map[string]string `toml:"callers"` // tokens by identity
+	} `toml:"callws"`
+	Store struct {
+		Driver string `toml:"driver"` // empty: off
+		DSN    string `toml:"dsn"`
+	} `toml:"store"`
+	Recovery struct {
+		Enabled bool `toml:"enabled"`
+	} `toml:"recovery"`
+	State struct {
+		Dir     string        `toml:"dir"` // empty: off
+		Every   time.Duration `toml:"every"`
+		MostAge time.Duration `toml:"most_age"`
+	} `toml:"state"`
+	Socket struct {
+		Path string `toml:"path"` // empty: off
+	} `toml:"socket"`
+	Log struct {
+		Format  string            `toml:"format"`
+		Level   string            `toml:"level"`
+		Levels  map[string]string `toml:"levels"` // by part
+		Repeats int               `toml:"repeats"`
+	} `toml:"log"`
+}
+
+// projectPath tells which file holds the settings; empty: none.
+func projectPath(getenv func(string) string) (path string, old bool) {
+	if path = getenv("MASTHILL_SETTINGS"); path != "" {
+		return path, false
+	}
+	if path = getenv("MASTHILL_CALLWS"); path != "" {
+		return path, true
+	}
+	if _, err := os.Stat(ProjectFile); errors.Is(err, fs.ErrNotExist) {
+		if _, err := os.Stat(OldFile); err == nil {
+			return OldFile, true
+		}
+		return "", false
+	}
+	return ProjectFile, false
+}
+
+// LoadProject reads the operators' settings. Values of tokens and of the store's dsn may be "env:NAME". The error is a
+// Faults with all that is wrong.
+func LoadProject(getenv func(string) string) (*Project, error) {
+	path, old := projectPath(getenv)
+	if path == "" {
+		return ParseProject("", "", getenv)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Faults{{File: path, Text: err.Error()}}
+	}
+	p, err := ParseProject(path, string(data), getenv)
+	if err != nil {
+		return nil, err
+	}
+	p.Old = old
+	return p, nil
+}
+
+// ParseProject reads the text of the settings; file is its name for faults.
+func ParseProject(file, text string, getenv func(string) string) (*Project, error) {
+	p := &Project{File: file}
+	line := tomlLine(text)
+	var doc map[string]any
+	if _, err := toml.Decode(text, &doc); err != nil {
+		var bad toml.ParseError
+		if errors.As(err, &bad) {
+			return nil, Faults{{file, bad.Position.Line, bad.LastKey, bad.Message}}
+		}
+		return nil, Faults{{File: file, Text: err.Error()}}
+	}
+	var faults Faults
+	if len(doc) > 0 { // an empty file is valid; compiling the schema for it would only cost memory
+		faults = validate(Schema, doc, file, line)
+	}
+	if len(faults) > 0 {
+		return nil, sorted(faults)
+	}
+	if _, err := toml.Decode(text, p); err != nil { // durations that overflow, say
+		return nil, Faults{{File: file, Text: err.Error()}}
+	}
+	fault := func(key, format string, a ...any) {
+		faults = append(faults, Fault{file, line(strings.Split(key, ".")), key, fmt.Sprintf(format, a...)})
+	}
+	p.defaults()
+	p.checkStore(getenv, fault)
+	p.checkCallWS(getenv, fault)
+	if p.State.Every < 100*time.Millisecond {
+		fault("state.every", "%v is under 100ms: a snapshot is written that often", p.State.Every)
+	}
+	if p.State.MostAge < p.State.Every {
+		fault("state.most_age", "%v is under state.every: every snapshot would be too old", p.State.MostAge)
+	}
+	for key, path := range map[string]string{"state.dir": p.State.Dir, "socket.path": p.Socket.Path} {
+		if path != "" && !filepath.IsAbs(path) {
+			fault(key, "%q is no absolute path", path)
+		}
+	}
+	if len(faults) > 0 {
+		return nil, sorted(faults)
+	}
+	return p, nil
+}
+
+// defaults are the figures for keys that are left out.
+func (p *Project) defaults() {
+	if p.State.Every == 0 {
+		p.State.Every = 2 * time.Second
+	}
+	if p.State.MostAge == 0 {
+		p.State.MostAge = 2 * time.Minute
+	}
+	if p.Log.Format == "" {
+		p.Log.Format = "text"
+	}
+	if p.Log.Level == "" {
+		p.Log.Level = "info"
+	}
+	if p.Log.Repeats == 0 {
+		p.Log.Repeats = 200
+	}
+}
+
+func (p *Project) checkStore(getenv func(string) string, fault func(key, format string, a ...any)) {
+	dsn, err := secret(p.Store.DSN, getenv)
+	if err != nil {
+		fault("store.dsn", "%v", err)
+	} else if p.Store.Driver != "" && dsn == "" {
+		fault("store.dsn", "missing")
+	}
+	p.Store.DSN = dsn
+}
+
+func (p *Project) checkCallWS(getenv func(string) string, fault func(key, format string, a ...any)) {
+	if p.CallWS.Listen == "" {
+		return
+	}
+	if _, _, err := net.SplitHostPort(p.CallWS.Listen); err != nil {
+		fault("callws.listen", "%v", err)
+	}
+	if len(p.CallWS.Callers) == 0 {
+		fault("callws.callers", "no caller could connect")
+	}
+	names := make([]string, 0, len(p.CallWS.Callers))
+	for name := range p.CallWS.Callers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	owner := map[string]string{}
+	for _, name := range names {
+		token, err := secret(p.CallWS.Callers[name], getenv)
+		switch {
+		case err != nil:
+			fault("callws.callers."+name, "%v", err)
+		case len(token) < tokenLeast:
+			fault("callws.callers."+name, "a token has %d characters at least", tokenLeast)
+		case owner[token] != "":
+			fault("callws.callers."+name, "the same token as another's")
+		}
+		p.CallWS.Callers[name], owner[token] = token, name
+	}
+}
+
+// sorted puts faults in the order of their lines.
+func sorted(f Faults) Faults {
+	sort.SliceStable(f, func(i, j int) bool { return f[i].Line < f[j].Line || f[i].Line == f[j].Line && f[i].Key < f[j].Key })
+	return f
+}
+
+// secret resolves a value that stands in the environment.
+func secret(value string, getenv func(string) string) (string, error) {
+	name, ok := strings.CutPrefix(value, "env:")
+	if !ok {
+		return value, nil
+	}
+	if value = getenv(name); value == "" {
+		return "", fmt.Errorf("%s is not set in the environment", name)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/ctl/text.go
@@ -0,0 +1,57 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Text writes a status for people.
+func (s *Status) Text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	age := "never heard"
+	if s.ListAgeMS >= 0 {
+		age = (time.Duration(s.ListAgeMS) * time.Millisecond).String() + " ago"
+	}
+	fmt.Fprintf(t, "%s\t%s, pid %d, version %s\n", s.Name, s.Phase, s.PID, s.Version)
+	fmt.Fprintf(t, "started\t%s ago, %s; snapshot: %s\n", time.Since(s.Started).Round(time.Second), s.StartReason, s.Snapshot)
+	fmt.Fprintf(t, "listen\t%s\n", s.Listen)
+	fmt.Fprintf(t, "list\tposition %d, heard of %s\n", s.ListPos, age)
+	fmt.Fprintf(t, "calls\t%d open (%d held, %d waiting), %d standing; %d stood, %d refused, %d failed\n", s.Core.Open, s.Core.Held,
+		s.Core.Waiting, s.Core.Standing, s.Core.Stands, s.Core.Refused, s.Core.Failed)
+	fmt.Fprintf(t, "held\t%.1f of %d MB, %d of %d descriptors, %d events waiting\n", s.MemoryMB, s.MemoryMostMB, s.Descriptors,
+		s.SocketsMost, s.Core.Inbox)
+	for _, m := range s.Core.Modules {
+		fmt.Fprintf(t, "%s\t%s (%s); held %d, refused %d, %d offices capped", m.Module, m.State, m.Reason, m.Held, m.Turned, m.Capped)
+		if m.Out != "" {
+			fmt.Fprintf(t, "; until %s", m.Out)
+		}
+		fmt.Fprintln(t)
+	}
+	if s.ConfigWarning != "" {
+		fmt.Fprintf(t, "warning\t%s\n", s.ConfigWarning)
+	}
+	t.Flush()
+	if len(s.Core.Offices) == 0 {
+		fmt.Fprintln(w, "no offices listed")
+		return
+	}
+	fmt.Fprintln(t, "office\taddress\tlisted\twarm\tbelieved\tout\tstanding\tdelay")
+	for _, o := range s.Core.Offices {
+		believed := ""
+		for _, b := range []struct {
+			is   bool
+			name string
+		}{{o.Down, "down"}, {o.Cold, "cold"}, {o.Marked, "marked"}, {o.Pressed, "pressed"}} {
+			if b.is {
+				believed += " " + b.name
+			}
+		}
+		if believed == "" {
+			believed = " well"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.0f%%\t%s\t%d\t%d\t%.0f ms\n", o.ID, o.Addr, o.Listed, 100*o.Warmth, believed[1:], o.Out, o.Standing, o.DelayMS)
+	}
+}
--- /dev/null
+++ b/internal/ctl/usage.go
@@ -0,0 +1,24 @@
+package ctl
+
+import (
+	"fmt"
+	"os"
+	"strings"
+)
+
+// Usage reads what this process holds, from /proc: resident memory in MB and open descriptors; 0 where that can't be
+// read.
+func Usage() (memoryMB float64, descriptors int) {
+	if text, err := os.ReadFile("/proc/self/status"); err == nil {
+		for line := range strings.Lines(string(text)) {
+			var kb float64
+			if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kb); n == 1 {
+				memoryMB = kb / 1024
+			}
+		}
+	}
+	if names, err := os.ReadDir("/proc/self/fd"); err == nil {
+		descriptors = len(names) - 1 // the directory itself was open
+	}
+	return memoryMB, descriptors
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"masthill/control"
@@ -65,7 +66,8 @@
 	stray   func(id string, cut bool)
 	module  *control.Controller
 	chain   join.Chain
-	waits   int // calls that joined modules hold
+	waits   int       // calls that joined modules hold
+	given   [3]uint64 // final answers by verdict
 	set     control.Settings
 	offices Offices
 
@@ -289,6 +291,7 @@
 		return
 	}
 	c.open--
+	c.given[f.Verdict]++
 	cl.answered = c.now
 	c.log.Debug("answer", "call", cl.ID, "verdict", f.Verdict, "later_ms", f.Wait.Milliseconds(), "attempts",
 		cl.sent, "server", cl.server, "after_ms", (c.now-cl.Taken.UnixNano())/1e6)
@@ -513,6 +516,22 @@
 	}
 }
 
+// status is a look at everything, for operators. It changes nothing.
+func (c *core) status() Status {
+	s := Status{Open: c.open, Held: c.module.Held(), Waiting: c.waits, Standing: len(c.calls) - c.open, Taken: c.serial,
+		Stands: c.given[Stands], Refused: c.given[Refused], Failed: c.given[Failed], Load: c.load, Modules: c.chain.Status(c.now)}
+	for _, b := range c.module.Beliefs(c.now) {
+		listed := "serving"
+		if !b.In {
+			listed = "draining"
+		}
+		s.Offices = append(s.Offices, OfficeState{ID: strconv.FormatUint(b.Server, 16), Addr: c.known[b.Server].Addr, Listed: listed,
+			Warmth: b.Warmth, Cold: b.Cold, Down: b.Down, Marked: b.Marked, Pressed: b.Pressed, Out: b.Out, Standing: b.Standing,
+			DelayMS: float64(b.Delay) / 1e6})
+	}
+	return s
+}
+
 func (c *core) refuseAll() {
 	for _, cl := range c.calls {
 		if !cl.stands {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -284,6 +284,66 @@
 	return n
 }
 
+// Restore has the module take up what the process before had learnt. To be called after what is known at the start has
+// been told, and before Run. What is unfit is logged and left out.
+func (x *Exchange) Restore(l control.Learnt) {
+	x.post(false, func() {
+		if err := x.core.module.Restore(x.core.now, l); err != nil {
+			x.core.log.Warn("snapshot left out", "why", err)
+		}
+	})
+}
+
+// Learnt gives what the module has learnt, also after Run's end.
+func (x *Exchange) Learnt() (l control.Learnt) {
+	got := false
+	x.ask(func() { l, got = x.core.module.Learnt(), true })
+	if !got { // the core has ended; nothing changes it any more
+		l = x.core.module.Learnt()
+	}
+	return l
+}
+
+// Status is what the core tells operators.
+type Status struct {
+	Open     int           `json:"open"`     // calls that wait for their answer
+	Held     int           `json:"held"`     // of these, held for a later try
+	Waiting  int           `json:"waiting"`  // of these, held by joined modules
+	Standing int           `json:"standing"` // calls
+	Taken    uint64        `json:"taken"`    // calls, since the start
+	Stands   uint64        `json:"stands"`   // final answers, since the start
+	Refused  uint64        `json:"refused"`
+	Failed   uint64        `json:"failed"`
+	Load     int           `json:"load_bytes"` // what the calls in hand hold
+	Inbox    int           `json:"inbox"`      // events that wait for the core
+	Offices  []OfficeState `json:"offices"`
+	Modules  []join.Status `json:"modules"`
+}
+
+// OfficeState is one office as listed and as believed.
+type OfficeState struct {
+	ID       string  `json:"id"` // hex
+	Addr     string  `json:"addr"`
+	Listed   string  `json:"listed"` // serving, draining
+	Warmth   float64 `json:"warmth"` // part of its capacity that it is taken to have
+	Cold     bool    `json:"cold"`
+	Down     bool    `json:"down"`
+	Marked   bool    `json:"marked"`
+	Pressed  bool    `json:"pressed"`
+	Out      int     `json:"out"`
+	Standing int     `json:"standing"`
+	DelayMS  float64 `json:"delay_ms"` // to be expected
+}
+
+// Status asks the core; the zero Status after its end.
+func (x *Exchange) Status() (s Status) {
+	x.ask(func() { s = x.core.status() })
+	x.mu.Lock()
+	s.Inbox = len(x.inbox)
+	x.mu.Unlock()
+	return s
+}
+
 // RefuseAll answers all that still waits, for an end that can't wait longer.
 func (x *Exchange) RefuseAll() { x.ask(x.core.refuseAll) }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"masthill/control"
@@ -103,6 +104,9 @@
 	Pos   int64 // of the last event taken
 	Retry func(failures int) time.Duration
 
+	told  atomic.Int64 // position told, for who looks from outside
+	heard atomic.Int64 // when the service last said anything, Unix nanoseconds; 0: never
+
 	mu    sync.Mutex
 	moved string             // where it is now, once Move was called
 	leave context.CancelFunc // ends the stream or the pause under way
@@ -136,6 +140,16 @@
 		c.take(raw)
 	}
 	c.Pos = max(c.Pos, k.Pos)
+	c.told.Store(c.Pos)
+}
+
+// Position tells how far the list goes, and when the service last said anything (zero: never). An old time means that
+// the list may be behind, whatever its position.
+func (c *Client) Position() (pos int64, heard time.Time) {
+	if at := c.heard.Load(); at > 0 {
+		heard = time.Unix(0, at)
+	}
+	return c.told.Load(), heard
 }
 
 // take handles one event. A malformed one is logged and passed over: what comes after it still counts.
@@ -237,6 +251,7 @@
 	for lines.Scan() {
 		alive()
 		heard = true
+		c.heard.Store(time.Now().UnixNano())
 		line := bytes.TrimSuffix(lines.Bytes(), []byte("\r"))
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
@@ -274,6 +289,7 @@
 		return
 	} else {
 		c.Pos = pos
+		c.told.Store(pos)
 	}
 	c.take(data)
 }
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,156 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masthill/control"
+	"masthill/internal/netcase"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func snapshot() Snapshot {
+	at := now.Add(-time.Second).UnixNano()
+	return Snapshot{Instance: "n3", At: now.Add(-time.Second), Learnt: control.Learnt{At: at, Began: at - 1e9, X: 5e7, Unit: 3,
+		Servers: []control.LearntServer{{ID: 7, ReadyAt: 5, ProvenAt: at, Delay: 4e7, Weight: 1}, {ID: 9, ProvenAt: at, Down: true}}}}
+}
+
+func encoded(t *testing.T, s Snapshot) []byte {
+	t.Helper()
+	text, err := Encode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestWhatIsRefusedAndWhy(t *testing.T) {
+	good := encoded(t, snapshot())
+	if s, err := Decode(good, "n3", now, time.Minute); err != nil || s.Learnt.X != 5e7 || len(s.Evidence()) != 1 || s.Evidence()[0].Server != 7 {
+		t.Fatal(s, err)
+	}
+	changed := func(f func(s *Snapshot)) []byte {
+		s := snapshot()
+		f(&s)
+		return encoded(t, s)
+	}
+	for _, tc := range []struct {
+		name string
+		text []byte
+		want error
+	}{
+		{"empty", nil, ErrDamaged},
+		{"newer", append([]byte("masthill-state 2"), good[len("masthill-state 1"):]...), ErrNewer},
+		{"another's", changed(func(s *Snapshot) { s.Instance = "n4" }), ErrForeign},
+		{"old", changed(func(s *Snapshot) { s.At = now.Add(-2 * time.Minute) }), ErrTooOld},
+		{"the clock went back", changed(func(s *Snapshot) { s.At = now.Add(time.Hour) }), ErrFuture},
+		{"negative", changed(func(s *Snapshot) { s.Learnt.Servers[0].Delay = -1 }), ErrNonsense},
+		{"a time to come", changed(func(s *Snapshot) { s.Learnt.Servers[0].NewsAt = now.UnixNano() + 1 }), ErrNonsense},
+		{"out of order", changed(func(s *Snapshot) { s.Learnt.Servers[1].ID = 7 }), ErrNonsense},
+	} {
+		if _, err := Decode(tc.text, "n3", now, time.Minute); !errors.Is(err, tc.want) {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
+
+// Cut anywhere, or with any bit turned, a file is refused; never taken for another one.
+func TestDamage(t *testing.T) {
+	good := encoded(t, snapshot())
+	for n := range good {
+		if _, err := Decode(good[:n], "n3", now, time.Minute); err == nil {
+			t.Fatalf("cut at byte %d it is taken", n)
+		}
+		for bit := range 8 {
+			bad := append([]byte{}, good...)
+			bad[n] ^= 1 << bit
+			if _, err := Decode(bad, "n3", now, time.Minute); err == nil {
+				t.Fatalf("with bit %d of byte %d turned it is taken", bit, n)
+			}
+		}
+	}
+	netcase.Check(t, func(t *rapid.T) { Decode(netcase.Garbage(t, good), "n3", now, time.Minute) })
+}
+
+// A crash at any byte of the write leaves the file before: the new one comes into its place whole or not at all.
+func TestACrashWhileWriting(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, fileName)
+	text := encoded(t, snapshot())
+	if err := write(path, text); err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; n < len(text); n += 7 { // what a crash leaves: a part of a temporary file beside it
+		if err := os.WriteFile(filepath.Join(dir, "."+fileName+"123"), text[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(dir, "n3", now, time.Minute); err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if _, err := Load(t.TempDir(), "n3", now, time.Minute); !errors.Is(err, ErrNone) {
+		t.Error(err)
+	}
+	if info, _ := os.Stat(path); info.Mode().Perm() != 0o600 {
+		t.Error(info.Mode())
+	}
+}
+
+// A full disk fails writes and nothing else; a frozen one holds one write, and the end waits no longer than its bound.
+func TestFullAndFrozenDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var full atomic.Bool
+		var writes, asked atomic.Int32
+		frozen := make(chan struct{})
+		var freeze atomic.Bool
+		k := &Keeper{Dir: "d", Instance: "n3", Every: time.Second, Log: netcase.Quiet(),
+			Learnt: func() control.Learnt { asked.Add(1); return control.Learnt{At: 1} },
+			Write: func(string, []byte) error {
+				writes.Add(1)
+				if freeze.Load() {
+					<-frozen
+				}
+				if full.Load() {
+					return syscall.ENOSPC
+				}
+				return nil
+			}}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { k.Run(ctx); close(ended) }()
+		full.Store(true)
+		time.Sleep(3500 * time.Millisecond)
+		if writes.Load() != 3 || !k.failing {
+			t.Errorf("%d writes", writes.Load())
+		}
+		full.Store(false)
+		time.Sleep(time.Second)
+		if k.failing {
+			t.Error("it still counts as failing")
+		}
+		freeze.Store(true)
+		before := writes.Load()
+		time.Sleep(20 * time.Second)
+		if writes.Load() != before+1 {
+			t.Errorf("%d writes on a frozen disk", writes.Load()-before)
+		}
+		began := time.Now()
+		cancel()
+		<-ended
+		if took := time.Since(began); took > finalFor {
+			t.Errorf("the end took %v", took)
+		}
+		close(frozen)
+		synctest.Wait()
+	})
+}
