--- /dev/null
+++ b/cmd/masthill-lab/main.go
@@ -0,0 +1,98 @@
+// Command masthill-lab runs experiments with real instances of the program against stand-ins, on loopback, bounded in
+// time and count.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"masthill/lab/wave"
+)
+
+type cli struct {
+	RestartWave waveCmd `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
+}
+
+type waveCmd struct {
+	Instances int     `default:"20" help:"Instances of the program."`
+	Servers   int     `default:"3" help:"Session servers."`
+	Seed      uint64  `default:"1" help:"Seed of all draws."`
+	Load      float64 `help:"Part of the planned load; drawn from 0.88 to 0.97 unless given."`
+	Program   string  `default:"bin/masthill" help:"The program to run." placeholder:"PATH"`
+	Settings  string  `help:"The operators' settings for each instance, %DIR% standing for its folder; else none." placeholder:"FILE"`
+	Column    string  `enum:"plain,recovery,snapshots" default:"recovery" help:"Without --settings: ${enum}."`
+	Kill      bool    `help:"SIGKILL in place of SIGTERM."`
+	JSON      string  `name:"json" help:"Write the result there." placeholder:"FILE"`
+	Plot      string  `help:"Draw the servers' waits and the served share there, as SVG or PNG." placeholder:"FILE"`
+}
+
+// columns are the settings that are compared.
+var columns = map[string]string{
+	"plain":     "",
+	"recovery":  "[recovery]\nenabled = true\n",
+	"snapshots": "[recovery]\nenabled = true\n[state]\ndir = \"%DIR%\"\nevery = \"1s\"\n",
+}
+
+func (c waveCmd) Run(ctx context.Context) error {
+	program, err := filepath.Abs(c.Program)
+	if err != nil {
+		return err
+	}
+	settings := columns[c.Column]
+	if c.Settings != "" {
+		text, err := os.ReadFile(c.Settings)
+		if err != nil {
+			return err
+		}
+		settings = string(text)
+	}
+	dir, err := os.MkdirTemp("", "masthill-lab-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r, err := wave.Run(ctx, wave.Options{Program: program, Settings: settings, Instances: c.Instances, Servers: c.Servers, Seed: c.Seed,
+		Load: c.Load, Kill: c.Kill, Dir: dir})
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		text, err := json.MarshalIndent(r, "", " ")
+		if err == nil {
+			err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if c.Plot != "" {
+		if err := wave.Plot(r, c.Plot); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("seed %d, load %.3f: cold wait %.0f of %.0f ms, fell over %v, served %.4f, %d calls, %d restarts, missing %d, twice %d, overlapping %d, late %.0f ms\n",
+		r.Seed, r.Load, r.ColdWait, r.Refusal, r.FellOver, r.Served, r.Calls, r.Restarts, r.Missing, r.Twice, r.Overlaps, r.LateMS)
+	for _, text := range append(r.Texts, r.Errors...) {
+		fmt.Println(" ", text)
+	}
+	if r.Any() || len(r.Errors) > 0 {
+		return fmt.Errorf("a rule was broken, or an instance failed")
+	}
+	return nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c cli
+	k := kong.Parse(&c, kong.Name("masthill-lab"), kong.Description("Experiments with real instances against stand-ins, on loopback."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/lab/processor/processor_test.go
@@ -0,0 +1,132 @@
+package processor
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+const ms = int64(1e6)
+
+func params() Params {
+	return Params{SetUp: 20 * ms, Answer: 5 * ms, Release: 5 * ms, Reject: 4 * ms, Refuse: 200 * ms, ColdFrom: 0.25, ColdSpan: 10_000 * ms,
+		FallMultiple: 2, FallWindow: 1000 * ms}
+}
+
+// play offers set-ups at a rate and finishes each call's answer; it gives the calls that stood and were turned away.
+func play(p *Processor, from, to int64, rate float64) (stood, refused int) {
+	take := func(done []Done) {
+		for len(done) > 0 {
+			d := done[0]
+			done = done[1:]
+			switch d.Step {
+			case SetUp:
+				done = append(done, p.Add(d.At, Answer, d.Call)...)
+			case Answer:
+				stood++
+				done = append(done, p.Add(d.At, Release, d.Call)...)
+			}
+		}
+	}
+	for n := 0; ; n++ {
+		at := from + int64(float64(n)/rate*1e9)
+		if at >= to {
+			break
+		}
+		taken, _, done := p.Offer(at, fmt.Sprint(n))
+		take(done)
+		if !taken {
+			refused++
+		}
+	}
+	take(p.Advance(to))
+	return stood, refused
+}
+
+func TestCapacityRefusalAndWork(t *testing.T) {
+	if c := params().Capacity(); math.Abs(c-33.3) > 0.1 {
+		t.Fatal(c)
+	}
+	p := New(params(), 0)
+	if stood, refused := play(p, 1, 20_000*ms, 30); refused > 0 || stood < 590 {
+		t.Errorf("under its capacity: %d stood, %d refused", stood, refused)
+	}
+	p = New(params(), 0)
+	if _, refused := play(p, 1, 20_000*ms, 60); refused == 0 || p.WorstWait() < 200*ms || p.WorstWait() > 250*ms {
+		t.Errorf("far beyond it: %d refused, worst wait %d ms", refused, p.WorstWait()/ms)
+	}
+	if p.Util() < 0.95 {
+		t.Error(p.Util())
+	}
+}
+
+// Answers wait behind new set-ups: under a flood of set-ups hardly anything stands.
+func TestAnswersWaitBehindSetUps(t *testing.T) {
+	p := New(params(), 0)
+	stood, _ := play(p, 1, 10_000*ms, 100)
+	if stood > 60 { // 333 without the flood
+		t.Errorf("%d stood", stood)
+	}
+}
+
+func TestColdWarmAndFall(t *testing.T) {
+	now := 1000 * ms
+	p := New(params(), now)
+	if p.Speed(now) != 0.25 || math.Abs(p.Speed(now+5000*ms)-0.625) > 1e-9 || p.Speed(now+10_000*ms) != 1 {
+		t.Error(p.Speed(now), p.Speed(now+5000*ms))
+	}
+	if play(p, now, now+3000*ms, 8); p.Fallen() {
+		t.Error("fell over at its present capacity")
+	}
+	p = New(params(), now)
+	if play(p, now, now+3000*ms, 40); !p.Fallen() || p.Speed(now+9000*ms) != 0 {
+		t.Error("stands at five times its present capacity")
+	}
+	p = New(params(), 0)
+	if play(p, now, now+3000*ms, 200); p.Fallen() {
+		t.Error("a warm one fell over")
+	}
+}
+
+func TestSlowSilentAndDropped(t *testing.T) {
+	p := New(params(), 0)
+	p.SetSlow(1, 2)
+	p.Offer(1, "a")
+	if due := p.Due(); due != 1+40*ms {
+		t.Error(due)
+	}
+	p.Offer(2, "b")
+	if w := p.Wait(2); w < 79*ms || w > 80*ms {
+		t.Error(w)
+	}
+	p.Drop(3, "b")
+	if w := p.Wait(3); w > 40*ms {
+		t.Error(w)
+	}
+	p.Silence(10*ms, true)
+	if done := p.Advance(1000 * ms); len(done) > 0 || p.Due() != 0 || p.Wait(1000*ms) != math.MaxInt64 {
+		t.Error("a silent processor works", done)
+	}
+	p.Silence(1000*ms, false)
+	if p.Speed(1000*ms) != 0.25/2 {
+		t.Error("it comes back warm", p.Speed(1000*ms))
+	}
+	if done := p.Advance(2000 * ms); len(done) != 1 || done[0].Call != "a" {
+		t.Error("what it was at is lost", done)
+	}
+}
+
+// However finely the clock is moved, the same work is finished at the same time.
+func TestStepsDoNotMatter(t *testing.T) {
+	whole, fine := New(params(), 1000*ms), New(params(), 1000*ms)
+	whole.Offer(1000*ms, "a")
+	fine.Offer(1000*ms, "a")
+	var a, b []Done
+	a = whole.Advance(1200 * ms)
+	for at := 1000 * ms; at <= 1200*ms; at += 50 * ms {
+		b = append(b, fine.Advance(at)...)
+	}
+	if len(a) != 1 || len(b) != 1 || math.Abs(float64(a[0].At-b[0].At)) > float64(ms) {
+		t.Error(a, b)
+	}
+}
--- /dev/null
+++ b/lab/wave/wave.go
@@ -0,0 +1,396 @@
+// Package wave runs the restart wave on loopback: real instances of the program, stand-in session servers of which one
+// is replaced by a cold one, and callers. Most of the instances restart within half a minute, a part of them at a time,
+// and come back with nothing but their last list.
+package wave
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masthill/lab/check"
+	"masthill/lab/processor"
+	"masthill/lab/standin"
+)
+
+// Options is what a wave is made from. Times that are 0 have the defaults of the brief.
+type Options struct {
+	Program   string // of the instances
+	Settings  string // the operators' settings of each, %DIR% standing for its folder
+	Instances int
+	Servers   int
+	Seed      uint64
+	Load      float64       // of the planned load: 0.88 to 0.97 on most days; 0: drawn from that
+	Planned   float64       // calls a second, all instances together
+	Share     float64       // of the instances that restart
+	Batch     float64       // of the instances, at a time
+	Warm      time.Duration // before the wave
+	Wave      time.Duration // within which all restarts begin
+	After     time.Duration // after the wave
+	Kill      bool          // SIGKILL in place of SIGTERM
+	Dir       string        // for the instances' folders
+}
+
+func (o *Options) defaults() {
+	set := func(x *float64, d float64) {
+		if *x == 0 {
+			*x = d
+		}
+	}
+	span := func(x *time.Duration, d time.Duration) {
+		if *x == 0 {
+			*x = d
+		}
+	}
+	set(&o.Planned, 66)
+	set(&o.Share, 0.93)
+	set(&o.Batch, 0.28)
+	span(&o.Warm, 10*time.Second)
+	span(&o.Wave, 28*time.Second)
+	span(&o.After, 12*time.Second)
+}
+
+// Result is what a wave showed.
+type Result struct {
+	Seed        uint64  `json:"seed"`
+	Instances   int     `json:"instances"`
+	Servers     int     `json:"servers"`
+	Load        float64 `json:"load"`
+	ColdWait    float64 `json:"cold_wait_max_ms"` // the longest that a set-up found at the cold server
+	Refusal     float64 `json:"refusal_point_ms"` // the wait beyond which it turns set-ups away
+	FellOver    bool    `json:"fell_over"`
+	ColdRefused int     `json:"cold_refused"`
+	Calls       int     `json:"calls"` // callers' calls; with redials, tries
+	Tries       int     `json:"tries"`
+	Attempts    int     `json:"attempts"`
+	check.Broken
+	Served     float64            `json:"served_share"`
+	Cut        int                `json:"cut"`
+	Restarts   int                `json:"restarts"`
+	Errors     []string           `json:"errors,omitempty"`
+	LateMS     float64            `json:"ran_late_ms"` // how late this rig itself ran at worst
+	Samples    []Sample           `json:"samples"`
+	Restarted  []float64          `json:"restart_at_s"`
+	Outcomes   []standin.Outcome  `json:"-"`
+	Refused    map[string]float64 `json:"wait_by_server_ms"` // worst of each
+	WallClockS float64            `json:"wall_s"`
+}
+
+// Sample is one look at the servers.
+type Sample struct {
+	AtS     float64   `json:"at_s"`
+	WaitMS  []float64 `json:"wait_ms"` // of each server, the cold one last
+	Served  float64   `json:"served"`  // of the calls first tried in the second before
+	Serving int       `json:"serving"` // instances in the rotation
+}
+
+// params draws a processor's figures as the brief gives their ranges.
+func params(o Options, rng *rand.Rand) (processor.Params, time.Duration) {
+	use := 0.72 + rng.Float64()*0.15
+	work := use * float64(o.Servers) / o.Planned * 1e9 // of a whole call, so that the planned load uses so much
+	follow := 0.25 + rng.Float64()*0.25
+	setup := work / (1 + follow)
+	refuse := time.Duration(2100+rng.IntN(1500)) * time.Millisecond
+	return processor.Params{SetUp: int64(setup), Answer: int64(setup * follow / 2), Release: int64(setup * follow / 2),
+		Reject: int64(setup * (0.1 + rng.Float64()*0.2)), Refuse: int64(refuse), ColdFrom: 0.31, ColdSpan: int64(15 * time.Second),
+		FallMultiple: 2, FallWindow: int64(time.Second)}, refuse
+}
+
+// configuration is the platform's part for an instance, but for its list.
+func configuration(o Options, name string, k int, journal string, rng *rand.Rand) map[string]any {
+	ns := func(d time.Duration) int64 { return int64(d) }
+	cells := make([]int, o.Servers)
+	for c := range cells {
+		cells[c] = c
+	}
+	tenants := []any{}
+	for _, t := range []struct {
+		name     string
+		fraction float64
+	}{{"slaney-vines", 0.55}, {"barrow-estate", 0.33}, {"suir-growers", 0.12}} {
+		tenants = append(tenants, map[string]any{"name": t.name, "fraction": t.fraction, "quota_per_s": o.Planned * t.fraction})
+	}
+	return map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": fmt.Sprintf("%016x", rng.Uint64()), "journal": journal,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"settings": map[string]any{"group_size": o.Instances, "ordinal": k, "discovery": "pushed",
+			"extra": map[string]any{"class_cells": [][]int{cells}, "clear_wait_ns": ns(300 * time.Millisecond), "this_node": -1,
+				"topology": "groups", "says_wait": true, "peer_load": "answers"},
+			"grades": []any{map[string]any{"name": "open-log", "aim_ns": ns(1200 * time.Millisecond), "deadline_ns": ns(9 * time.Second),
+				"effect": "free", "late_value": 0.25, "worth": 1.0, "stream": true}},
+			"limits": map[string]any{"max_attempts": 4, "may_cancel": true, "retry_after": true, "max_retry_after_ns": ns(2 * time.Second),
+				"connect_timeout_ns": ns(500 * time.Millisecond)},
+			"tenants": tenants, "feedback": map[string]any{"fields": []string{"spare", "total", "cpu", "waiting"}, "source": "answers"},
+			"resolution_ns": ns(5 * time.Millisecond),
+			"rules": map[string]any{"cold_from": 0.31, "cold_ns": ns(15 * time.Second), "drain_grace_ns": ns(time.Second),
+				"fall_multiple": 2.0, "fall_ns": ns(time.Second)}}}
+}
+
+// Run plays one wave. An error is a fault of the rig or of an instance's start; what the program did wrong is in the
+// result.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	o.defaults()
+	rng := rand.New(rand.NewPCG(o.Seed, 0x77617665))
+	if o.Load == 0 {
+		o.Load = 0.88 + rng.Float64()*0.09
+	}
+	p, refuse := params(o, rng)
+	ledger := check.New(check.Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second, Slack: 50 * time.Millisecond})
+	began := time.Now()
+	r := &Result{Seed: o.Seed, Instances: o.Instances, Servers: o.Servers, Load: o.Load, Refusal: float64(refuse.Milliseconds())}
+	w := &run{Options: o, ctx: ctx, r: r, ledger: ledger, rng: rng, params: p, began: began, lists: map[string]*standin.List{}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	w.ctx, w.group = ctx, g
+	err := w.play()
+	for _, i := range w.instances {
+		i.stop(true)
+	}
+	cancel()
+	if waited := g.Wait(); err == nil {
+		err = waited
+	}
+	if err != nil {
+		return nil, err
+	}
+	w.sum()
+	r.WallClockS = time.Since(began).Seconds()
+	return r, nil
+}
+
+// run is a wave under way.
+type run struct {
+	Options
+	ctx       context.Context
+	group     *errgroup.Group
+	r         *Result
+	ledger    *check.Ledger
+	rng       *rand.Rand
+	params    processor.Params
+	began     time.Time
+	names     []string
+	instances []*instance
+	lists     map[string]*standin.List
+	servers   []*standin.Server // the cold one last, once it is there
+	crowd     *standin.Crowd
+
+	mu      sync.Mutex
+	serving int
+}
+
+const hold = 9 * time.Second
+
+// server starts a session server and gives its entry for an instance.
+func (w *run) server(id string, cell int, started time.Time) (*standin.Server, error) {
+	s, err := standin.NewServer(id, cell, w.params, started, hold, w.names, w.rng.Uint64(), w.ledger)
+	if err != nil {
+		return nil, err
+	}
+	w.group.Go(func() error { return s.Run(w.ctx) })
+	return s, nil
+}
+
+func entry(s *standin.Server, instance, state string, started time.Time) standin.Entry {
+	e := standin.Entry{ID: s.ID, Addr: s.Addr(instance), Cell: s.Cell, State: state, Weight: 1}
+	if !started.IsZero() {
+		e.Started = started.UnixMilli()
+	}
+	return e
+}
+
+func (w *run) play() error {
+	for k := range w.Instances {
+		w.names = append(w.names, fmt.Sprintf("n%d", k))
+	}
+	for k := range w.Servers {
+		s, err := w.server(fmt.Sprintf("s-%08x", 0xa0+k), k, time.Time{})
+		if err != nil {
+			return err
+		}
+		w.servers = append(w.servers, s)
+	}
+	w.crowd = standin.NewCrowd(standin.Demand{Rate: w.Load * w.Planned, Class: "open-log",
+		Tenants: map[string]float64{"slaney-vines": 0.55, "barrow-estate": 0.33, "suir-growers": 0.12}, Aim: 1200 * time.Millisecond,
+		Deadline: 9 * time.Second, Patience: [2]float64{0.3, 0.4}, Redials: 2, Late: 0.25, Cells: w.Servers,
+		RedialGap: [2]time.Duration{300 * time.Millisecond, time.Second}}, w.ledger, w.rng.Uint64())
+	defer w.crowd.Close()
+	for k, name := range w.names {
+		var first []standin.Entry
+		for _, s := range w.servers {
+			first = append(first, entry(s, name, "SERVING", time.Time{}))
+		}
+		list, err := standin.NewList(first, func(e standin.Entry, at time.Time) {
+			if e.State != "SERVING" {
+				w.ledger.Told(name, e.ID, at)
+			}
+		})
+		if err != nil {
+			return err
+		}
+		w.lists[name] = list
+		w.group.Go(func() error { return list.Run(w.ctx) })
+		dir := filepath.Join(w.Dir, name)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		i := &instance{name: name, dir: dir, program: w.Program, settings: strings.ReplaceAll(w.Settings, "%DIR%", dir),
+			config: configuration(w.Options, name, k, list.Addr(), w.rng)}
+		w.instances = append(w.instances, i)
+		if err := w.up(i); err != nil {
+			return err
+		}
+	}
+	calm := time.Now()
+	w.began = calm
+	total := w.Warm + w.Wave + w.After
+	w.group.Go(func() error { return w.trouble(calm) })
+	w.group.Go(func() error { w.sample(calm, total); return nil })
+	return w.crowd.Run(w.ctx, total)
+}
+
+func (w *run) up(i *instance) error {
+	addr, err := i.start(w.ctx, w.lists[i.name].Known())
+	if err != nil {
+		return err
+	}
+	if err := w.crowd.Enter(w.ctx, i.name, addr); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.serving++
+	w.mu.Unlock()
+	return nil
+}
+
+// trouble replaces one server by a cold one just before the wave, and restarts instances batch by batch.
+func (w *run) trouble(calm time.Time) error {
+	rng := rand.New(rand.NewPCG(w.Seed, 0x74726f75))
+	if !w.until(calm.Add(w.Warm - 2*time.Second)) {
+		return nil
+	}
+	old := w.servers[w.Servers-1]
+	started := time.Now()
+	cold, err := w.server(fmt.Sprintf("s-%08x", 0xc0), old.Cell, started)
+	if err != nil {
+		return err
+	}
+	old.Drain()
+	w.mu.Lock()
+	w.servers = append(w.servers, cold)
+	w.mu.Unlock()
+	for _, name := range w.names { // the list is seconds late, for each instance in its own way
+		late := 500*time.Millisecond + time.Duration(rng.Int64N(int64(2500*time.Millisecond)))
+		w.lists[name].Change(entry(old, name, "DRAINING", time.Time{}), late)
+		w.lists[name].Change(entry(cold, name, "SERVING", started), late)
+		w.lists[name].Change(entry(old, name, "DELETED", time.Time{}), 12*time.Second)
+	}
+	w.group.Go(func() error {
+		if w.until(started.Add(11 * time.Second)) {
+			old.Stop()
+		}
+		return nil
+	})
+	order := rng.Perm(w.Instances)[:int(w.Share*float64(w.Instances)+0.5)]
+	batch := max(int(w.Batch*float64(w.Instances)), 1)
+	batches := (len(order) + batch - 1) / batch
+	for b := range batches {
+		if !w.until(calm.Add(w.Warm + w.Wave*time.Duration(b)/time.Duration(batches))) {
+			return nil
+		}
+		for _, k := range order[b*batch : min((b+1)*batch, len(order))] {
+			down := 200*time.Millisecond + time.Duration(rng.Int64N(int64(1300*time.Millisecond)))
+			w.group.Go(func() error { w.restart(w.instances[k], down); return nil })
+		}
+	}
+	return nil
+}
+
+func (w *run) until(t time.Time) bool {
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-time.After(time.Until(t)):
+		return true
+	}
+}
+
+func (w *run) restart(i *instance, down time.Duration) {
+	w.mu.Lock()
+	w.r.Restarts++
+	w.serving--
+	w.r.Restarted = append(w.r.Restarted, time.Since(w.began).Seconds())
+	w.mu.Unlock()
+	if w.Kill {
+		w.crowd.Killed(i.name)
+	} else { // the front notices that the test fails
+		time.AfterFunc(200*time.Millisecond, func() { w.crowd.Leave(i.name) })
+	}
+	err := i.stop(w.Kill)
+	if err == nil {
+		w.until(time.Now().Add(down))
+		err = w.up(i)
+	}
+	if err != nil && w.ctx.Err() == nil {
+		w.mu.Lock()
+		w.r.Errors = append(w.r.Errors, err.Error())
+		w.mu.Unlock()
+	}
+}
+
+// sample looks at the servers ten times a second, and notes how late this rig runs itself.
+func (w *run) sample(calm time.Time, total time.Duration) {
+	const every = 100 * time.Millisecond
+	for n := 1; time.Duration(n)*every <= total; n++ {
+		due := calm.Add(time.Duration(n) * every)
+		if !w.until(due) {
+			return
+		}
+		w.mu.Lock()
+		w.r.LateMS = max(w.r.LateMS, float64(time.Since(due).Microseconds())/1000)
+		s := Sample{AtS: (time.Duration(n) * every).Seconds(), Serving: w.serving}
+		for _, one := range w.servers {
+			s.WaitMS = append(s.WaitMS, float64(min(one.Wait(), time.Minute).Microseconds())/1000)
+		}
+		w.r.Samples = append(w.r.Samples, s)
+		w.mu.Unlock()
+	}
+}
+
+// sum makes the figures of the result.
+func (w *run) sum() {
+	r := w.r
+	r.Broken, r.Tries, r.Attempts = w.ledger.Result()
+	r.Outcomes = w.crowd.Results()
+	r.Calls = len(r.Outcomes)
+	worth := 0.0
+	bySecond, of := map[int]float64{}, map[int]int{}
+	for _, o := range r.Outcomes {
+		worth += o.Worth
+		bySecond[int(o.At/time.Second)] += o.Worth
+		of[int(o.At/time.Second)]++
+		if o.Cut {
+			r.Cut++
+		}
+	}
+	r.Served = worth / float64(max(r.Calls, 1))
+	for k := range r.Samples {
+		if at := int(r.Samples[k].AtS); of[at] > 0 {
+			r.Samples[k].Served = bySecond[at] / float64(of[at])
+		}
+	}
+	r.Refused = map[string]float64{}
+	for k, s := range w.servers {
+		worst, fallen, _, refused := s.Look()
+		r.Refused[s.ID] = float64(worst.Microseconds()) / 1000
+		if r.FellOver = r.FellOver || fallen; k == w.Servers {
+			r.ColdWait, r.ColdRefused = float64(worst.Microseconds())/1000, refused
+		}
+	}
+}
