A fleet on one machine: supervisor, rollouts decided by control/rollout, and takeover

Need: nobody started, restarted or upgraded many instances; a rolling change had no order, no pause and no way back. Change: masthill fleet up|status|reload|restart|upgrade|down. control/rollout is pure: the first instance goes alone and is watched, then batches under a share away, a pause while any office is cold or any instance recovers, a halt at the first failure and a way back. internal/fleet keeps the listening sockets over the ends of processes, tells a bad configuration from a crash loop, holds a lock for each instance's process so that no two of one name run, and takes its running instances over, with their sockets by SCM_RIGHTS, when it is itself killed and started again. The test found that the supervisor's own lock was let go by the garbage collector.

--- /dev/null
+++ b/cmd/masthill/fleet.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"masthill/control/rollout"
+	"masthill/internal/config"
+	"masthill/internal/ctl"
+	"masthill/internal/fleet"
+)
+
+// fleetCmd runs and changes many instances.
+type fleetCmd struct {
+	Up      fleetUp      `cmd:"" help:"Start the fleet and supervise it, until SIGTERM or 'fleet down'."`
+	Status  fleetStatus  `cmd:"" help:"Tell what the instances do."`
+	Reload  fleetReload  `cmd:"" help:"Write the instances' files anew and have them read."`
+	Restart fleetRestart `cmd:"" help:"Restart all instances, batch by batch."`
+	Upgrade fleetUpgrade `cmd:"" help:"Replace all instances by another program, batch by batch; halt and turn back when it fails."`
+	Down    fleetDown    `cmd:"" help:"End all instances in order, and the supervisor."`
+}
+
+// fleetFile is the argument that all have.
+type fleetFile struct {
+	File string `arg:"" name:"FLEET.toml" help:"The fleet's file."`
+}
+
+func (f fleetFile) load() (*fleet.Spec, error) {
+	spec, err := fleet.Load(f.File)
+	if err != nil {
+		return nil, coded{exitUsage, err}
+	}
+	return spec, nil
+}
+
+// dial finds the fleet's supervisor.
+func (f fleetFile) dial() (*fleet.Client, error) {
+	spec, err := f.load()
+	if err != nil {
+		return nil, err
+	}
+	return fleet.Dial(spec), nil
+}
+
+// nobody gives an error that tells of no supervisor its exit code.
+func nobody(err error) error {
+	if errors.Is(err, ctl.ErrNobody) {
+		return coded{exitNobody, err}
+	}
+	return err
+}
+
+type fleetUp struct{ fleetFile }
+
+func (c fleetUp) Run(s signals) error {
+	spec, err := c.load()
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	own, err := config.ParseProject("", "", os.Getenv)
+	if err != nil {
+		return coded{exitUsage, err}
+	}
+	log, err := logger(own)
+	if err != nil {
+		return coded{exitUsage, err}
+	}
+	super, err := fleet.New(spec, self, log.With("fleet", spec.Name))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.term:
+				cancel()
+				return
+			case <-s.reload:
+				if err := super.Reload(ctx); err != nil {
+					log.Error("configuration kept", "err", err)
+				}
+			}
+		}
+	}()
+	return super.Run(ctx)
+}
+
+type fleetStatus struct {
+	fleetFile
+	JSON bool `help:"Print JSON."`
+}
+
+func (c fleetStatus) Run(out stdout) error {
+	client, err := c.dial()
+	if err != nil {
+		return err
+	}
+	st, err := client.Status(context.Background())
+	if err != nil {
+		return nobody(err)
+	}
+	if c.JSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(st)
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s\tgeneration %s, %s\n", st.Name, st.Generation, st.Program)
+	if r := st.Rollout; r != nil {
+		fmt.Fprintf(t, "rollout\t%s %s %s, %d left\n", r.State, r.Reason, r.Detail, r.Left)
+	}
+	if o := st.Outcome; o != nil {
+		fmt.Fprintf(t, "last rollout\t%s %s %s, to generation %s in %.1f s\n", o.State, o.Reason, o.Detail, o.To, o.Took)
+	}
+	t.Flush()
+	fmt.Fprintln(t, "instance\tphase\tfor\tgeneration\tpid\tlisten\topen\tstanding\tMB\tends")
+	for _, m := range st.Instances {
+		fmt.Fprintf(t, "%s\t%s\t%.0fs\t%s\t%d\t%s\t%d\t%d\t%.1f\t%d\t%s\n", m.Name, m.Phase, m.ForS, m.Generation, m.PID, m.Listen, m.Open, m.Standing,
+			m.MemoryMB, m.Ends, m.Failed)
+	}
+	return t.Flush()
+}
+
+type fleetReload struct{ fleetFile }
+
+func (c fleetReload) Run() error {
+	client, err := c.dial()
+	if err != nil {
+		return err
+	}
+	return nobody(client.Order(context.Background(), "reload", ""))
+}
+
+type fleetDown struct{ fleetFile }
+
+func (c fleetDown) Run() error {
+	client, err := c.dial()
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	if err := client.Order(ctx, "down", ""); err != nil {
+		return nobody(err)
+	}
+	for { // until nobody answers any more
+		if _, err := client.Status(ctx); errors.Is(err, ctl.ErrNobody) {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+type fleetRestart struct {
+	fleetFile
+	NoWait bool `help:"Come back once it has begun."`
+}
+
+func (c fleetRestart) Run(out stdout) error { return roll(c.fleetFile, "", c.NoWait, out) }
+
+type fleetUpgrade struct {
+	fleetFile
+	Program string `arg:"" help:"The new program."`
+	NoWait  bool   `help:"Come back once it has begun."`
+}
+
+func (c fleetUpgrade) Run(out stdout) error { return roll(c.fleetFile, c.Program, c.NoWait, out) }
+
+// roll begins a rollout and follows it to its end. An interrupt ends the following, not the rollout.
+func roll(f fleetFile, program string, noWait bool, out stdout) error {
+	client, err := f.dial()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if program != "" { // as seen from here, not from where the supervisor runs
+		if info, err := os.Stat(program); err != nil || info.IsDir() {
+			return coded{exitUsage, fmt.Errorf("%s: no program there", program)}
+		}
+		if program, err = filepath.Abs(program); err != nil {
+			return err
+		}
+	}
+	if err := client.Order(ctx, "rollout", program); err != nil {
+		return nobody(err)
+	}
+	said := ""
+	for !noWait {
+		st, err := client.Status(ctx)
+		if err != nil {
+			return nobody(err)
+		}
+		if o := st.Outcome; st.Rollout == nil && o != nil {
+			fmt.Fprintf(out, "%s %s %s, %.1f s\n", o.State, o.Reason, o.Detail, o.Took)
+			if o.State != rollout.Done {
+				return coded{exitHalted, fmt.Errorf("rollout %s: %s", o.State, o.Detail)}
+			}
+			return nil
+		}
+		if r := st.Rollout; r != nil {
+			if line := fmt.Sprintf("%s %s, %d left", r.State, r.Reason, r.Left); line != said {
+				fmt.Fprintln(out, line)
+				said = line
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- a/cmd/masthill/inspect.go
+++ b/cmd/masthill/inspect.go
@@ -11,6 +11,7 @@
 
 	"masthill/internal/config"
 	"masthill/internal/ctl"
+	"masthill/internal/fleet"
 )
 
 // checkCmd reads every file as serving would, and tells all faults in one go.
@@ -81,14 +82,19 @@
 	return nil
 }
 
-// launchCmd becomes another program with LISTEN_PID set to this process, which only the process itself can know. The
-// fleet starts its instances by it, to pass listening sockets on.
+// launchCmd becomes another program, with LISTEN_PID set to this process, which only the process itself can know, and
+// with the lock of its folder held to its end. The fleet starts its instances by it.
 type launchCmd struct {
-	Program string   `arg:""`
-	Args    []string `arg:"" optional:"" passthrough:""`
+	Dir        string   `required:""`
+	Generation string   `required:""`
+	Program    string   `arg:""`
+	Args       []string `arg:"" optional:"" passthrough:""`
 }
 
 func (c launchCmd) Run() error {
+	if err := fleet.Claim(c.Dir, c.Generation, c.Program); err != nil {
+		return coded{exitFailed, err}
+	}
 	if os.Getenv("LISTEN_FDS") != "" {
 		os.Setenv("LISTEN_PID", strconv.Itoa(os.Getpid()))
 	}
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -104,7 +104,8 @@
 	core      *exchange.Exchange
 	feed      *journal.Client
 	fronts    map[front]net.Listener
-	keeper    *state.Keeper // nil: nothing is kept
+	listeners map[string]net.Listener // the same by name, for a supervisor that takes them over
+	keeper    *state.Keeper           // nil: nothing is kept
 	recovery  *recovery.Recovery
 	started   time.Time
 	reason    string // of the start
@@ -121,7 +122,7 @@
 	if own.Old {
 		log.Warn("settings under an old name", "file", own.File, "why", oldName)
 	}
-	in := &instance{p: p, own: own, log: log, started: time.Now(), fronts: map[front]net.Listener{}}
+	in := &instance{p: p, own: own, log: log, started: time.Now(), fronts: map[front]net.Listener{}, listeners: map[string]net.Listener{}}
 	passed, err := notify.Listeners(os.Getenv)
 	if err != nil {
 		return err
@@ -136,7 +137,7 @@
 		if known != nil {
 			brought = known.Evidence()
 		}
-		in.recovery = recovery.New(recovery.Settings{Control: p.Settings, Planned: p.Planned}, p.Seed, brought)
+		in.recovery = recovery.New(recovery.Settings{Control: p.Settings, Planned: p.Planned}, p.Seed, in.started.UnixNano(), brought)
 		options.Join = append(options.Join, join.Module(in.recovery))
 	}
 	var records *store.Store
@@ -171,11 +172,12 @@
 	if err != nil {
 		return err
 	}
-	in.fronts[calls], in.listen = l, l.Addr().String()
+	in.fronts[calls], in.listeners["callers"], in.listen = l, l, l.Addr().String()
 	if own.CallWS.Listen != "" {
 		if l, err = listen(passed, "callws", own.CallWS.Listen); err != nil {
 			return fmt.Errorf("callws.listen: %w", err)
 		}
+		in.listeners["callws"] = l
 		in.fronts[callws.New(callws.Options{Core: in.core, Log: log.With(logs.Part, "callws"), Names: p.Names, Callers: own.CallWS.Callers,
 			MaxOpen: p.Sockets * socketsPart / 100})] = l
 		log.Info("serving call control", "listen", l.Addr().String())
@@ -244,7 +246,9 @@
 		if err != nil { // calls do not depend on it
 			in.log.Error("control socket not opened", "err", err)
 		} else {
-			g.Go(func() error { return ctl.Serve(ctx, l, path, in.log.With(logs.Part, "socket"), in.status) })
+			g.Go(func() error {
+				return ctl.Serve(ctx, l, path, in.log.With(logs.Part, "socket"), in.status, in.listeners)
+			})
 		}
 	}
 	for f, l := range in.fronts {
--- a/control/recovery/recovery.go
+++ b/control/recovery/recovery.go
@@ -101,9 +101,9 @@
 	turned  int64
 }
 
-// New makes the module for a start; what a snapshot brought may be empty.
-func New(s Settings, seed uint64, brought []Evidence) *Recovery {
-	r := &Recovery{set: s, rng: rand.New(rand.NewPCG(seed, 0x7265636f76)), out: map[string]uint64{},
+// New makes the module for a start at a time, in Unix nanoseconds; what a snapshot brought may be empty.
+func New(s Settings, seed uint64, now int64, brought []Evidence) *Recovery {
+	r := &Recovery{set: s, began: now, rng: rand.New(rand.NewPCG(seed, 0x7265636f76)), out: map[string]uint64{},
 		brought: map[uint64]Evidence{}, held: map[string]bool{}, aim: s.Control.Classes[0].Aim}
 	for _, g := range s.Control.Classes {
 		r.aim = min(r.aim, g.Aim)
@@ -127,7 +127,7 @@
 
 // See implements join.Module.
 func (r *Recovery) See(now int64, ev control.Event) {
-	if r.begin(now); r.done {
+	if r.done {
 		return
 	}
 	switch ev.Kind {
@@ -147,12 +147,6 @@
 	r.look(now)
 }
 
-func (r *Recovery) begin(now int64) {
-	if r.began == 0 {
-		r.began = now
-	}
-}
-
 // members takes the list. A server with another start than before has proven nothing.
 func (r *Recovery) members(now int64, ev control.Event) {
 	if ev.Full {
@@ -262,7 +256,7 @@
 
 // Did implements join.Module.
 func (r *Recovery) Did(now int64, a control.Action) {
-	if r.begin(now); r.done || a.Kind != control.Send || len(r.out) >= outMost {
+	if r.done || a.Kind != control.Send || len(r.out) >= outMost {
 		return
 	}
 	if s := r.find(a.Server); s != nil {
@@ -276,7 +270,7 @@
 // where as many are held as can have room soon, control decides. A redial is refused there: its caller was turned
 // away before, and callers with a first try come first.
 func (r *Recovery) Admit(now int64, c join.Call) join.Ruling {
-	if r.begin(now); r.done {
+	if r.done {
 		return join.Ruling{}
 	}
 	if r.look(now); r.done || r.listed == 0 || r.anyRoom(now) {
@@ -317,7 +311,7 @@
 }
 
 // over tells whether the span has passed: whatever had started unseen before this process is warm by then.
-func (r *Recovery) over(now int64) bool { return r.began > 0 && now-r.began >= r.set.Control.ColdSpan }
+func (r *Recovery) over(now int64) bool { return now-r.began >= r.set.Control.ColdSpan }
 
 // look ends the recovery when every listed server is proven and warm, or its span is over.
 func (r *Recovery) look(now int64) {
--- a/control/recovery/recovery_test.go
+++ b/control/recovery/recovery_test.go
@@ -32,7 +32,7 @@
 
 // A window opens with evidence and closes without it; when every server is proven the recovery is over.
 func TestEvidenceEndsIt(t *testing.T) {
-	r, now := New(settings(), 1, nil), 100*second
+	r, now := New(settings(), 1, 100*second, nil), 100*second
 	r.See(now, list(true, in(1, 0)))
 	for n := range 2 {
 		if ok, why := r.Room(now, 1); !ok {
@@ -61,7 +61,7 @@
 
 // Late and refused set-ups close the window instead.
 func TestAQueueClosesTheWindow(t *testing.T) {
-	r, now := New(settings(), 1, nil), 100*second
+	r, now := New(settings(), 1, 100*second, nil), 100*second
 	r.See(now, list(true, in(1, 0)))
 	send(r, now, "a", 1)
 	r.See(now, control.Event{Kind: control.Stands, Call: "a", Server: 1, Elapsed: 900 * millisecond})
@@ -92,7 +92,7 @@
 		{"slow", Evidence{1, 7, now - second, 900 * millisecond}, false},
 		{"from the future", Evidence{1, 7, now + second, 50 * millisecond}, false},
 	} {
-		r := New(settings(), 1, []Evidence{tc.e})
+		r := New(settings(), 1, 100*second, []Evidence{tc.e})
 		r.See(now, list(true, in(1, 7)))
 		if r.Recovering(now) == tc.done {
 			t.Errorf("%s: %+v", tc.name, r.Status(now))
@@ -102,7 +102,7 @@
 
 // A redial is refused only once as many calls are held as can have room soon, with a wait from the upper half.
 func TestRedialsAreTurnedAway(t *testing.T) {
-	r, now := New(settings(), 1, nil), 100*second
+	r, now := New(settings(), 1, 100*second, nil), 100*second
 	r.See(now, list(true, in(1, 0)))
 	send(r, now, "a", 1)
 	send(r, now, "b", 1)
@@ -141,7 +141,7 @@
 				rapid.Uint64Range(1, 3).Draw(t, "server"), rapid.Int64Range(0, 2*second).Draw(t, "elapsed"), rapid.Int64Range(0, 20).Draw(t, "ready")}
 		}), 1, 300).Draw(t, "steps")
 		play := func() (log []string) {
-			r, now := New(settings(), 7, nil), 100*second
+			r, now := New(settings(), 7, 100*second, nil), 100*second
 			began, n := now, 0
 			sent := map[uint64][]int64{} // to cold servers
 			open := map[string]uint64{}
--- /dev/null
+++ b/control/rollout/rollout_test.go
@@ -0,0 +1,176 @@
+package rollout
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const second = int64(1e9)
+
+var limits = Limits{MostAway: 0.28, HealthyFor: 5 * second, StartWithin: 10 * second, ColdMost: 30 * second, Back: true}
+
+func fleet(n int, phase Phase) (all []Seen) {
+	for k := range n {
+		all = append(all, Seen{Name: fmt.Sprintf("n%02d", k), Generation: "1", Phase: phase})
+	}
+	return all
+}
+
+func TestTheFirstGoesAloneThenBatches(t *testing.T) {
+	r, seen := &Rollout{From: "1", To: "2"}, fleet(10, Serving)
+	step := r.Next(0, limits, seen, 0)
+	if !reflect.DeepEqual(step.Replace, []string{"n00"}) || step.Left != 10 || step.As != "2" {
+		t.Fatalf("%+v", step)
+	}
+	seen[0] = Seen{"n00", "2", Starting, 0, 0}
+	if step = r.Next(second, limits, seen, 0); step.State != Paused || step.Reason != Watching || len(step.Replace) > 0 {
+		t.Fatalf("%+v", step)
+	}
+	seen[0].Phase, seen[0].Since = Recovering, 2*second
+	if step = r.Next(3*second, limits, seen, 0); step.Reason != Unsettled {
+		t.Fatalf("%+v", step)
+	}
+	seen[0].Phase, seen[0].Since = Serving, 4*second
+	if step = r.Next(5*second, limits, seen, 0); step.Reason != Watching {
+		t.Fatalf("%+v", step)
+	}
+	if step = r.Next(9*second, limits, seen, 1); step.Reason != Cold {
+		t.Fatalf("%+v", step)
+	}
+	if step = r.Next(10*second, limits, seen, 0); !reflect.DeepEqual(step.Replace, []string{"n01", "n02"}) {
+		t.Fatalf("%+v", step)
+	}
+	seen[1].Phase, seen[2].Phase = Draining, Down
+	if step = r.Next(11*second, limits, seen, 0); step.Reason != Away {
+		t.Fatalf("%+v", step)
+	}
+	r.ColdAt = 0
+	seen[1].Phase, seen[2].Phase = Serving, Serving
+	r.Next(20*second, limits, seen, 1)
+	if step = r.Next(51*second, limits, seen, 1); len(step.Replace) != 2 {
+		t.Fatalf("a list that calls an office cold for good stops it for good: %+v", step)
+	}
+}
+
+func TestABadVersionHaltsAndTurnsBack(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		l := limits
+		l.Back = back
+		r, seen := &Rollout{From: "1", To: "2"}, fleet(5, Serving)
+		seen[0] = Seen{"n00", "2", Down, second, 1}
+		step := r.Next(2*second, l, seen, 0)
+		if !back {
+			if step.State != Halted || step.Reason != Crashed || len(step.Replace) > 0 {
+				t.Fatalf("%+v", step)
+			}
+			continue
+		}
+		if step.State != Turning || !reflect.DeepEqual(step.Replace, []string{"n00"}) || step.As != "1" {
+			t.Fatalf("%+v", step)
+		}
+		seen[0] = Seen{"n00", "1", Serving, 3 * second, 0}
+		if step = r.Next(4*second, l, seen, 0); step.State != Turned || step.Left != 0 {
+			t.Fatalf("%+v", step)
+		}
+	}
+	r, seen := &Rollout{From: "1", To: "2"}, fleet(5, Serving)
+	seen[0] = Seen{"n00", "2", Starting, 0, 0}
+	if step := r.Next(11*second, limits, seen, 0); step.Reason != StartFails {
+		t.Fatalf("%+v", step)
+	}
+}
+
+func TestCrashLoopsAndBadSettings(t *testing.T) {
+	young := 0
+	for n := range loopMost {
+		var v Verdict
+		if v, young = Judge(Exit{1, second}, young); (v == Loop) != (n == loopMost-1) {
+			t.Fatal(n, v)
+		}
+	}
+	if v, n := Judge(Exit{1, 60 * second}, 5); v != Again || n != 0 {
+		t.Error(v, n)
+	}
+	if v, _ := Judge(Exit{2, 0}, 0); v != BadSet {
+		t.Error(v)
+	}
+}
+
+// Over random fleets, crashes, kills of the supervisor and slow starts: never more away by the rollout's doing than
+// allowed, nothing replaced while an office is cold, always an end, and it is the same after a restart from its text.
+func TestRandomRollouts(t *testing.T) {
+	flag.Set("rapid.seed", "7")
+	flag.Set("rapid.checks", "2000")
+	flag.Set("rapid.nofailfile", "true")
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "n")
+		bad := rapid.Bool().Draw(t, "bad")
+		l := limits
+		l.Back = rapid.Bool().Draw(t, "back")
+		l.MostAway = rapid.Float64Range(0, 1).Draw(t, "away")
+		seen := fleet(n, Serving)
+		r := &Rollout{From: "1", To: "2"}
+		most := max(int(l.MostAway*float64(n)), 1)
+		starts := rapid.SliceOfN(rapid.Int64Range(0, 4), n*2, n*2).Draw(t, "starts")
+		coldFrom, coldFor := rapid.Int64Range(0, 60).Draw(t, "cold from"), rapid.Int64Range(0, 25).Draw(t, "cold for")
+		for tick := range int64(3000) {
+			now := (tick + 100) * second
+			for k := range seen { // what the supervisor and the instances do
+				s := &seen[k]
+				took := 1 + starts[(k+int(tick))%len(starts)]
+				switch {
+				case s.Phase == Draining && now-s.Since >= second:
+					s.Phase, s.Since = Starting, now
+				case s.Phase == Starting && s.Generation == "2" && bad && k%3 == 1:
+					s.Phase, s.Since, s.Crashes = Down, now, s.Crashes+1
+				case s.Phase == Starting && now-s.Since >= took*second:
+					s.Phase, s.Since = Recovering, now
+				case s.Phase == Recovering && now-s.Since >= 2*second:
+					s.Phase, s.Since = Serving, now
+				}
+			}
+			cold := 0
+			if tick >= coldFrom && tick < coldFrom+coldFor {
+				cold = 1
+			}
+			again := *r
+			step := r.Next(now, l, seen, cold)
+			if step2 := again.Next(now, l, seen, cold); !reflect.DeepEqual(step, step2) || again != *r {
+				t.Fatal("another decision on the same sight")
+			}
+			if step.State == Done || step.State == Turned || step.State == Halted {
+				if step.State == Done && (step.Left > 0 || bad && n > 1) {
+					t.Fatalf("done with %d left", step.Left)
+				}
+				if step.State != Done && !bad {
+					t.Fatalf("%s of a good version: %+v", step.State, step)
+				}
+				return
+			}
+			away, took := 0, 0
+			for _, s := range seen {
+				if s.Phase != Serving && s.Phase != Recovering {
+					away++
+				} else if contains(step.Replace, s.Name) {
+					took++
+				}
+			}
+			if took > 0 && away+took > most {
+				t.Fatalf("%d away and %d more of %d, most %d", away, took, n, most)
+			}
+			if took > 0 && cold > 0 {
+				t.Fatal("replaced while an office is cold")
+			}
+			for k := range seen {
+				if contains(step.Replace, seen[k].Name) {
+					seen[k] = Seen{seen[k].Name, step.As, Draining, now, 0}
+				}
+			}
+		}
+		t.Fatal("no end")
+	})
+}
--- a/internal/config/project.go
+++ b/internal/config/project.go
@@ -100,28 +100,16 @@
 // ParseProject reads the text of the settings; file is its name for faults.
 func ParseProject(file, text string, getenv func(string) string) (*Project, error) {
 	p := &Project{File: file}
-	line := tomlLine(text)
-	var doc map[string]any
-	if _, err := toml.Decode(text, &doc); err != nil {
-		var bad toml.ParseError
-		if errors.As(err, &bad) {
-			return nil, Faults{{file, bad.Position.Line, bad.LastKey, bad.Message}}
-		}
-		return nil, Faults{{File: file, Text: err.Error()}}
-	}
-	var faults Faults
-	if len(doc) > 0 { // an empty file is valid; compiling the schema for it would only cost memory
-		faults = validate(Schema, doc, file, line)
-	}
+	line, faults := DecodeTOML(file, text, Schema, p)
 	if len(faults) > 0 {
-		return nil, sorted(faults)
-	}
-	if _, err := toml.Decode(text, p); err != nil { // durations that overflow, say
-		return nil, Faults{{File: file, Text: err.Error()}}
+		return nil, faults
 	}
 	fault := func(key, format string, a ...any) {
 		faults = append(faults, Fault{file, line(strings.Split(key, ".")), key, fmt.Sprintf(format, a...)})
 	}
+	if path := getenv("MASTHILL_SOCKET"); path != "" {
+		p.Socket.Path = path
+	}
 	p.defaults()
 	p.checkStore(getenv, fault)
 	p.checkCallWS(getenv, fault)
@@ -142,6 +130,30 @@
 	return p, nil
 }
 
+// DecodeTOML reads a TOML file into a value after holding it against a schema. line finds the line of a key for further
+// faults; the faults are in the order of the lines.
+func DecodeTOML(file, text string, schema []byte, into any) (line func(path []string) int, faults Faults) {
+	line = tomlLine(text)
+	var doc map[string]any
+	if _, err := toml.Decode(text, &doc); err != nil {
+		var bad toml.ParseError
+		if errors.As(err, &bad) {
+			return line, Faults{{file, bad.Position.Line, bad.LastKey, bad.Message}}
+		}
+		return line, Faults{{File: file, Text: err.Error()}}
+	}
+	if len(doc) == 0 { // an empty file; compiling the schema for it would only cost memory
+		return line, nil
+	}
+	if faults = validate(schema, doc, file, line); len(faults) > 0 {
+		return line, sorted(faults)
+	}
+	if _, err := toml.Decode(text, into); err != nil { // durations that overflow, say
+		return line, Faults{{File: file, Text: err.Error()}}
+	}
+	return line, nil
+}
+
 // defaults are the figures for keys that are left out.
 func (p *Project) defaults() {
 	if p.State.Every == 0 {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -14,7 +14,6 @@
 	"os"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"masthill/internal/exchange"
@@ -92,18 +91,24 @@
 	return l, nil
 }
 
-// Serve answers until ctx ends, and takes the socket away then.
-func Serve(ctx context.Context, l net.Listener, path string, log *slog.Logger, status func() Status) error {
+// Serve answers until ctx ends, and takes the socket away then. listeners are the program's listening sockets, which a
+// supervisor that was started again takes over.
+func Serve(ctx context.Context, l net.Listener, path string, log *slog.Logger, status func() Status, listeners map[string]net.Listener) error {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST /listeners", func(w http.ResponseWriter, _ *http.Request) {
+		if err := pass(w, listeners); err != nil {
+			log.Warn("listening sockets not passed on", "err", err)
+		}
+	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(status())
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: answerFor, WriteTimeout: 2 * answerFor, IdleTimeout: answerFor,
-		MaxHeaderBytes: headerMost, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+		MaxHeaderBytes: headerMost, ConnState: limit(connsMost), ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		if err := server.Serve(netutil.LimitListener(l, connsMost)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("control socket ended", "err", err) // calls go on without it
 		}
 		return nil
@@ -117,6 +122,20 @@
 	return g.Wait()
 }
 
+// limit bounds a server's connections: the next one is accepted when one has ended. A limited listener would do the same,
+// but would hide what passes descriptors on.
+func limit(most int) func(net.Conn, http.ConnState) {
+	places := make(chan struct{}, most)
+	return func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			places <- struct{}{}
+		case http.StateClosed, http.StateHijacked:
+			<-places
+		}
+	}
+}
+
 // Ask asks an instance's socket. ErrNobody tells that no process serves it.
 func Ask(ctx context.Context, path string) (*Status, error) {
 	client := http.Client{Timeout: 3 * answerFor, Transport: &http.Transport{DisableKeepAlives: true,
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -35,9 +35,12 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
+	tcp := netcase.Listen(t)
 	want := Status{Name: "n3", Phase: Recovering, ListAgeMS: -1, Core: exchange.Status{Open: 3,
 		Offices: []exchange.OfficeState{{ID: "a", Listed: "serving", Cold: true, Marked: true, Warmth: 0.5}}}}
-	go func() { done <- Serve(ctx, l, path, netcase.Quiet(), func() Status { return want }) }()
+	go func() {
+		done <- Serve(ctx, l, path, netcase.Quiet(), func() Status { return want }, map[string]net.Listener{"callers": tcp})
+	}()
 	if _, err := Listen(path); err == nil {
 		t.Error("a second process took the socket over")
 	}
@@ -60,6 +63,22 @@
 	if !strings.Contains(out.String(), "cold marked") || !strings.Contains(out.String(), "never heard") {
 		t.Error(out.String())
 	}
+	files, err := TakeListeners(t.Context(), path)
+	if err != nil || files["callers"] == nil {
+		t.Fatal(files, err)
+	}
+	tcp.Close()
+	again, err := net.FileListener(files["callers"])
+	if err != nil || again.Addr().String() != tcp.Addr().String() {
+		t.Fatal(again, err)
+	}
+	if c, err := net.Dial("tcp", tcp.Addr().String()); err != nil { // the copy listens on
+		t.Error(err)
+	} else {
+		c.Close()
+	}
+	again.Close()
+	files["callers"].Close()
 	cancel()
 	if err := <-done; err != nil {
 		t.Error(err)
--- /dev/null
+++ b/internal/fleet/claim.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+)
+
+// The files of an instance's folder.
+const (
+	lockFile = "lock" // held by the instance's process from before it runs to its end
+	runFile  = "run.json"
+)
+
+// claimed is what an instance's process notes of itself once it holds the lock.
+type claimed struct {
+	PID        int    `json:"pid"`
+	Generation string `json:"generation"`
+	Program    string `json:"program"`
+}
+
+// Claim takes an instance's folder for this process, and for the program that it becomes: the lock goes with the
+// process and ends with it, however that ends. It fails where another process has it, so that no two instances of one
+// name ever run.
+func Claim(dir, generation, program string) error {
+	f, err := os.OpenFile(filepath.Join(dir, lockFile), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return err
+	}
+	fd, err := syscall.Dup(int(f.Fd())) // without close-on-exec, and never closed: it is to outlive this program's text
+	if err != nil {
+		return err
+	}
+	f.Close()
+	if err := syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return fmt.Errorf("%s: another process runs there", dir)
+	}
+	text, err := json.Marshal(claimed{os.Getpid(), generation, program})
+	if err != nil {
+		return err
+	}
+	return replace(filepath.Join(dir, runFile), text)
+}
+
+// running tells whether an instance's process runs, and what it noted of itself. A process that has the lock and has
+// not noted anything yet is told with a pid of 0.
+func running(dir string) (c claimed, is bool) {
+	f, err := os.OpenFile(filepath.Join(dir, lockFile), os.O_RDWR, 0)
+	if err != nil {
+		return c, false
+	}
+	defer f.Close()
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+	if err == nil { // nobody has it; closing lets go again
+		return c, false
+	}
+	if !errors.Is(err, syscall.EWOULDBLOCK) {
+		return c, false
+	}
+	text, err := os.ReadFile(filepath.Join(dir, runFile))
+	if err != nil || json.Unmarshal(text, &c) != nil || !alive(c.PID) {
+		return claimed{}, true
+	}
+	return c, true
+}
+
+// alive tells whether a process is there and no corpse that nobody has buried yet.
+func alive(pid int) bool {
+	if pid <= 0 || syscall.Kill(pid, 0) != nil {
+		return false
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return true // no /proc here; the signal found it
+	}
+	_, state, _ := strings.Cut(string(text), ") ")
+	return !strings.HasPrefix(state, "Z")
+}
--- /dev/null
+++ b/internal/fleet/supervisor.go
@@ -0,0 +1,442 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masthill/control/rollout"
+)
+
+const (
+	// tickEvery is how often the loop looks at everything, askEvery how often at instances' status, trimEvery at logs.
+	tickEvery, askEvery, trimEvery = 50 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second
+	// stateFile holds the supervisor's state over its own end.
+	stateFile = "fleet.json"
+	// programsMost bounds the generations whose programs are remembered.
+	programsMost = 8
+)
+
+// state is what outlives a supervisor.
+type state struct {
+	Generation string            `json:"generation"` // that instances are to have
+	Last       int               `json:"last"`       // number of the newest generation
+	Programs   map[string]string `json:"programs"`   // by generation
+	Rollout    *rollout.Rollout  `json:"rollout,omitempty"`
+	Outcome    *Outcome          `json:"outcome,omitempty"` // of the last rollout
+}
+
+// Outcome is how a rollout ended.
+type Outcome struct {
+	State  rollout.State `json:"state"`
+	Reason string        `json:"reason,omitempty"`
+	Detail string        `json:"detail,omitempty"`
+	To     string        `json:"to"`
+	Took   float64       `json:"took_s"`
+}
+
+// Supervisor runs a fleet. One goroutine, the loop, owns its state; everything else posts to it.
+type Supervisor struct {
+	spec  *Spec
+	log   *slog.Logger
+	Self  string // the program that launches instances: this one
+	state state
+	step  rollout.Step
+
+	ctx     context.Context
+	group   *errgroup.Group
+	members []*member
+	events  chan func()
+	down    bool // all instances are being ended
+	wrote   string
+	lock    *os.File // of the fleet's folder, held as long as this process supervises it
+	once    sync.Once
+	over    chan struct{}
+}
+
+// ErrRunning tells that the fleet has a supervisor already.
+var ErrRunning = errors.New("the fleet has a supervisor already")
+
+// New makes a supervisor, and takes the fleet's folder for this process.
+func New(spec *Spec, self string, log *slog.Logger) (*Supervisor, error) {
+	if err := os.MkdirAll(spec.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(spec.Dir, lockFile), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, ErrRunning
+	}
+	s := &Supervisor{lock: lock, spec: spec, log: log, Self: self, events: make(chan func(), 256), over: make(chan struct{})}
+	text, err := os.ReadFile(filepath.Join(spec.Dir, stateFile))
+	if err == nil {
+		err = json.Unmarshal(text, &s.state)
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		log.Error("state of before not taken up", "err", err)
+		s.state = state{}
+	}
+	if s.state.Programs == nil {
+		s.state.Programs = map[string]string{}
+	}
+	program := spec.Program
+	if program == "" {
+		program = self
+	}
+	if s.state.Generation == "" {
+		s.state.Generation = s.generation(program)
+	}
+	for n := range spec.Instances {
+		m := newMember(s, n)
+		m.gen = s.state.Generation
+		if err := os.MkdirAll(m.dir, 0o700); err != nil {
+			return nil, err
+		}
+		s.members = append(s.members, m)
+	}
+	return s, nil
+}
+
+// generation makes a new one for a program, and forgets the oldest.
+func (s *Supervisor) generation(program string) string {
+	s.state.Last++
+	g := strconv.Itoa(s.state.Last)
+	s.state.Programs[g] = program
+	for old := range s.state.Programs {
+		if n, _ := strconv.Atoi(old); n <= s.state.Last-programsMost {
+			delete(s.state.Programs, old)
+		}
+	}
+	return g
+}
+
+// post has the loop do something. It never blocks for good: the loop takes everything until its end.
+func (s *Supervisor) post(f func()) {
+	select {
+	case s.events <- f:
+	case <-s.over:
+	}
+}
+
+// ask has the loop do something and waits for it.
+func (s *Supervisor) ask(f func()) {
+	done := make(chan struct{})
+	s.post(func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-s.over:
+	}
+}
+
+// Run supervises until ctx ends or Down was called; then it ends all instances in order and comes back.
+func (s *Supervisor) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, inner := errgroup.WithContext(inner)
+	s.group, s.ctx = g, inner
+	for _, m := range s.members {
+		if !m.adopt(inner) {
+			m.why = "first"
+		}
+	}
+	s.write()
+	g.Go(func() error { return s.serve(inner) })
+	g.Go(func() error {
+		defer cancel()
+		s.loop(ctx)
+		return nil
+	})
+	err := g.Wait()
+	s.lock.Close()
+	for _, m := range s.members {
+		for _, f := range m.listeners {
+			f.Close()
+		}
+	}
+	return err
+}
+
+func (s *Supervisor) loop(ctx context.Context) {
+	defer s.once.Do(func() { close(s.over) })
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	var asked, trimmed time.Time
+	for {
+		select {
+		case f := <-s.events:
+			f()
+			continue
+		case <-tick.C:
+		}
+		if ctx.Err() != nil {
+			s.down = true
+		}
+		if time.Since(asked) >= askEvery {
+			asked = time.Now()
+			for _, m := range s.members {
+				m.look()
+			}
+		}
+		if time.Since(trimmed) >= trimEvery {
+			trimmed = time.Now()
+			for _, m := range s.members {
+				m.trim()
+			}
+		}
+		if s.down {
+			if s.end() {
+				return
+			}
+			continue
+		}
+		s.roll()
+		for _, m := range s.members {
+			s.keep(m)
+		}
+		s.write()
+	}
+}
+
+// keep starts an instance that is down and is to run.
+func (s *Supervisor) keep(m *member) {
+	if m.phase != rollout.Down || m.pid > 0 || time.Now().Before(m.retryAt) {
+		return
+	}
+	if _, is := running(m.dir); is { // a process of before that has not ended yet
+		return
+	}
+	if err := m.start(); err != nil {
+		m.retryAt = time.Now().Add(m.wait.NextBackOff())
+		s.log.Error("instance not started", "instance", m.name, "err", err)
+	}
+}
+
+// roll carries out the next step of the rollout under way.
+func (s *Supervisor) roll() {
+	r := s.state.Rollout
+	if r == nil {
+		return
+	}
+	var seen []rollout.Seen
+	for _, m := range s.members {
+		seen = append(seen, rollout.Seen{Name: m.name, Generation: m.gen, Phase: m.phase, Since: m.since.UnixNano(), Crashes: m.crashes})
+	}
+	before := s.step
+	s.step = r.Next(time.Now().UnixNano(), s.spec.limits(), seen, s.cold())
+	if s.step.State != before.State || s.step.Reason != before.Reason {
+		s.log.Info("rollout", "state", s.step.State, "reason", s.step.Reason, "detail", s.step.Detail, "left", s.step.Left)
+	}
+	for _, name := range s.step.Replace {
+		for _, m := range s.members {
+			if m.name != name {
+				continue
+			}
+			m.gen, m.crashes, m.young, m.failed, m.retryAt, m.why = s.step.As, 0, 0, "", time.Time{}, r.Why
+			m.wait.Reset()
+			if m.phase == rollout.Failed {
+				m.enter(rollout.Down)
+			}
+			m.stop()
+		}
+	}
+	switch s.step.State {
+	case rollout.Done, rollout.Turned, rollout.Halted:
+		s.state.Outcome = &Outcome{State: s.step.State, Reason: s.step.Reason, Detail: s.step.Detail, To: r.To,
+			Took: float64(time.Now().UnixNano()-r.Began) / 1e9}
+		if s.step.State == rollout.Turned {
+			s.state.Generation = r.From
+		}
+		s.state.Rollout = nil
+		s.log.Info("rollout ended", "state", s.step.State, "reason", s.step.Reason, "detail", s.step.Detail)
+	}
+}
+
+// cold counts the offices that any instance believes to be cold.
+func (s *Supervisor) cold() int {
+	cold := map[string]bool{}
+	for _, m := range s.members {
+		if m.status == nil {
+			continue
+		}
+		for _, o := range m.status.Core.Offices {
+			if o.Cold && o.Listed == "serving" {
+				cold[o.ID] = true
+			}
+		}
+	}
+	return len(cold)
+}
+
+// end ends all instances in order; it tells when all are gone.
+func (s *Supervisor) end() bool {
+	left := 0
+	for _, m := range s.members {
+		if m.pid > 0 {
+			m.stop()
+			left++
+		}
+	}
+	return left == 0
+}
+
+// write writes the state down when it has changed.
+func (s *Supervisor) write() {
+	text, err := json.MarshalIndent(s.state, "", " ")
+	if err != nil || string(text) == s.wrote {
+		return
+	}
+	if err := replace(filepath.Join(s.spec.Dir, stateFile), text); err != nil {
+		s.log.Error("state not written", "err", err)
+		return
+	}
+	s.wrote = string(text)
+}
+
+// Rollout begins to replace all instances: by a new program, or by the same one (empty). The program first reads the
+// files that the instances will get; a fault in them replaces nothing.
+func (s *Supervisor) Rollout(ctx context.Context, program string) (err error) {
+	why := "upgrade"
+	var first *member
+	s.ask(func() {
+		switch {
+		case s.state.Rollout != nil:
+			err = errors.New("a rollout is under way")
+		case s.down:
+			err = errors.New("the fleet is going down")
+		default:
+			first = s.members[0]
+		}
+		if program == "" {
+			why, program = "restart", s.state.Programs[s.state.Generation]
+		}
+	})
+	if err != nil || first == nil {
+		return errors.Join(err, ctx.Err())
+	}
+	if program, err = filepath.Abs(program); err != nil {
+		return err
+	}
+	if err := s.checkAll(ctx, program); err != nil {
+		return err
+	}
+	s.ask(func() {
+		if s.state.Rollout != nil {
+			err = errors.New("a rollout is under way")
+			return
+		}
+		from := s.state.Generation
+		s.state.Generation = s.generation(program)
+		s.state.Rollout = &rollout.Rollout{From: from, To: s.state.Generation, Began: time.Now().UnixNano(), Why: why}
+		s.state.Outcome, s.step = nil, rollout.Step{}
+		s.write()
+		s.log.Info("rollout begins", "why", why, "from", from, "to", s.state.Generation, "program", program)
+	})
+	return err
+}
+
+// checkAll writes the files anew and has a program read them; the running instances have read theirs long ago.
+func (s *Supervisor) checkAll(ctx context.Context, program string) error {
+	var all []*member
+	var err error
+	s.ask(func() {
+		for _, m := range s.members {
+			all = append(all, m)
+			err = errors.Join(err, m.files())
+		}
+	})
+	for _, m := range all {
+		err = errors.Join(err, m.check(ctx, program))
+	}
+	return err
+}
+
+// Reload writes the files anew, and has every instance read them. An instance that was given up is tried again.
+func (s *Supervisor) Reload(ctx context.Context) error {
+	var program string
+	s.ask(func() { program = s.state.Programs[s.state.Generation] })
+	if err := s.checkAll(ctx, program); err != nil {
+		return err
+	}
+	s.ask(func() {
+		for _, m := range s.members {
+			if m.pid > 0 && !m.asked {
+				syscall.Kill(m.pid, syscall.SIGHUP)
+			}
+			if m.phase == rollout.Failed {
+				m.failed, m.young, m.retryAt = "", 0, time.Time{}
+				m.enter(rollout.Down)
+			}
+		}
+	})
+	return nil
+}
+
+// Down ends all instances and the supervisor.
+func (s *Supervisor) Down() { s.ask(func() { s.down = true }) }
+
+// Status is what a fleet tells operators.
+type Status struct {
+	Name       string         `json:"name"`
+	PID        int            `json:"pid"`
+	Generation string         `json:"generation"`
+	Program    string         `json:"program"`
+	Rollout    *rollout.Step  `json:"rollout,omitempty"` // under way
+	Outcome    *Outcome       `json:"outcome,omitempty"` // of the last one
+	Instances  []MemberStatus `json:"instances"`
+}
+
+// MemberStatus is one instance.
+type MemberStatus struct {
+	Name       string        `json:"name"`
+	PID        int           `json:"pid"`
+	Phase      rollout.Phase `json:"phase"`
+	ForS       float64       `json:"for_s"`
+	Generation string        `json:"generation"`
+	Listen     string        `json:"listen"`
+	Socket     string        `json:"socket"`
+	Ends       int           `json:"ends_unasked"`
+	Failed     string        `json:"failed,omitempty"`
+	Open       int           `json:"open"`
+	Standing   int           `json:"standing"`
+	MemoryMB   float64       `json:"memory_mb"`
+}
+
+// Status looks at everything.
+func (s *Supervisor) Status() (st Status) {
+	s.ask(func() {
+		st = Status{Name: s.spec.Name, PID: os.Getpid(), Generation: s.state.Generation, Program: s.state.Programs[s.state.Generation], Outcome: s.state.Outcome}
+		if s.state.Rollout != nil {
+			step := s.step
+			st.Rollout = &step
+		}
+		for _, m := range s.members {
+			one := MemberStatus{Name: m.name, PID: m.pid, Phase: m.phase, ForS: time.Since(m.since).Seconds(), Generation: m.gen,
+				Listen: m.addrs["callers"], Socket: m.socket(), Ends: m.ends, Failed: m.failed}
+			if m.status != nil {
+				one.Open, one.Standing, one.MemoryMB = m.status.Core.Open, m.status.Core.Standing, m.status.MemoryMB
+			}
+			st.Instances = append(st.Instances, one)
+		}
+		sort.Slice(st.Instances, func(i, j int) bool {
+			return len(st.Instances[i].Name) < len(st.Instances[j].Name) || len(st.Instances[i].Name) == len(st.Instances[j].Name) && st.Instances[i].Name < st.Instances[j].Name
+		})
+	})
+	return st
+}
+
+func (s Status) String() string { return fmt.Sprintf("fleet %s of %d", s.Name, len(s.Instances)) }
