Shares: while calls are turned away, a member's flood leaves the others' service

Need: a flood by one member is turned away at random with everybody's calls, and takes the others' service with it. Change: control/shares, a decision module at the seam: while more than 8% is turned away, each instance follows the room that it has, admits each member's calls within its fraction, lends what others leave, and refuses the rest at once with a spread wait. Counts are bounded by the settings' members. [shares] in the settings, off by default; the model has a flood, masthill-lab flood plays it in pairs.

--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -20,6 +20,7 @@
 type cli struct {
 	Demo        demoCmd  `cmd:"" help:"Run a fleet of three against stand-ins, and restart it."`
 	Model       modelCmd `cmd:"" help:"Play the wave on a simulated clock at any size, with and without recovery, over paired seeds."`
+	Flood       floodCmd `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
 	RestartWave waveCmd  `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
 }
 
--- a/cmd/masthill-lab/model.go
+++ b/cmd/masthill-lab/model.go
@@ -15,6 +15,7 @@
 	"masthill/control"
 	"masthill/control/join"
 	"masthill/control/recovery"
+	"masthill/control/shares"
 	"masthill/lab/model"
 )
 
@@ -107,6 +108,57 @@
 	return nil
 }
 
+// floodCmd plays a flood by one member, with and without shares.
+type floodCmd struct {
+	Controllers int     `default:"7" help:"Session controllers."`
+	Servers     int     `default:"3" help:"Session servers."`
+	Seeds       int     `default:"6" help:"Seeds, from 1."`
+	Load        float64 `default:"0.8" help:"Part of the planned load, beside the flood."`
+	Flood       float64 `default:"1.5" help:"The flood, as a part of the planned load of all."`
+}
+
+func (c floodCmd) Run(ctx context.Context) error {
+	const from, to = 20, 60 // seconds of the flood
+	for _, on := range []bool{false, true} {
+		all := make([]*model.Result, c.Seeds)
+		g, ctx := errgroup.WithContext(ctx)
+		g.SetLimit(8)
+		for k := range all {
+			g.Go(func() (err error) {
+				sc := model.Scenario{Seed: uint64(k + 1), Controllers: min(c.Controllers, 1000), Servers: min(c.Servers, 100), Load: c.Load, For: to * time.Second,
+					Redials: 2, Flood: &model.Flood{Tenant: "barrow-estate", At: from * time.Second, For: (to - from) * time.Second, Load: c.Flood}}
+				if on {
+					sc.Join = func(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
+						return join.Chain{shares.New(s, model.Tenants(), planned, seed, now)}
+					}
+				}
+				if err = ctx.Err(); err == nil {
+					all[k], err = model.Run(sc)
+				}
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+		by, good := map[string]float64{}, 0.0
+		for _, r := range all {
+			for name, share := range r.InFlood {
+				by[name] += share / float64(len(all))
+			}
+			for s := from; s < to; s++ {
+				good += r.BySecond[s] * float64(r.OfferedByS[s]) / (to - from) / 22 / float64(r.Servers) / float64(len(all))
+			}
+			if r.Any() {
+				return fmt.Errorf("seed %d: a rule was broken: %v", r.Seed, r.Texts)
+			}
+		}
+		fmt.Printf("shares %-5v slaney-vines %.3f, suir-growers %.3f, barrow-estate (the flood) %.3f; placed %.2f of the plan\n", on, by["slaney-vines"],
+			by["suir-growers"], by["barrow-estate"], good)
+	}
+	return nil
+}
+
 // paired gives the mean of b - a and half the width of its 95% interval, by Student's distribution.
 func paired(a, b []float64) (mean, half float64) {
 	d := make([]float64, len(a))
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -19,6 +19,7 @@
 	"masthill/control"
 	"masthill/control/join"
 	"masthill/control/recovery"
+	"masthill/control/shares"
 	"masthill/internal/caller"
 	"masthill/internal/callws"
 	"masthill/internal/config"
@@ -140,6 +141,9 @@
 		in.recovery = recovery.New(recovery.Settings{Control: p.Settings, Planned: p.Planned}, p.Seed, in.started.UnixNano(), brought)
 		options.Join = append(options.Join, join.Module(in.recovery))
 	}
+	if own.Shares.Enabled {
+		options.Join = append(options.Join, join.Module(shares.New(p.Settings, p.Shares, p.Planned, p.Seed, in.started.UnixNano())))
+	}
 	var records *store.Store
 	if own.Store.Driver != "" {
 		records, err = store.Open(store.Options{Driver: own.Store.Driver, DSN: own.Store.DSN, Instance: p.Name, Log: log.With(logs.Part, "store")})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"masthill/control"
+	"masthill/control/shares"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
 	"masthill/internal/wire"
@@ -30,6 +31,7 @@
 	Settings              control.Settings
 	Names                 exchange.Names
 	ConnectWait           time.Duration
+	Shares                []shares.Tenant
 	Planned               float64 // load planned for all instances together, in calls a second; 0: not known
 }
 
@@ -56,6 +58,7 @@
 	Tenants []struct {
 		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
+		Part  float64 `json:"fraction"`
 	} `json:"tenants"`
 	Extra struct {
 		ClassCells [][]int `json:"class_cells"`
@@ -157,6 +160,7 @@
 	for _, t := range n.Tenants {
 		p.Names.Tenants = append(p.Names.Tenants, t.Name)
 		p.Planned += t.Quota
+		p.Shares = append(p.Shares, shares.Tenant{Name: t.Name, Fraction: t.Part})
 	}
 	if len(faults) > 0 {
 		return nil, sorted(faults)
--- a/internal/config/project.go
+++ b/internal/config/project.go
@@ -45,6 +45,9 @@
 	Recovery struct {
 		Enabled bool `toml:"enabled"`
 	} `toml:"recovery"`
+	Shares struct {
+		Enabled bool `toml:"enabled"`
+	} `toml:"shares"`
 	State struct {
 		Dir     string        `toml:"dir"` // empty: off
 		Every   time.Duration `toml:"every"`
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -11,6 +11,7 @@
 
 	"masthill/control"
 	"masthill/control/join"
+	"masthill/control/shares"
 	"masthill/internal/exchange"
 	"masthill/lab/check"
 	"masthill/lab/processor"
@@ -26,6 +27,7 @@
 	For         time.Duration
 	Rate        func(at time.Duration) float64 // times the load; nil: 1
 	Troubles    []Trouble
+	Flood       *Flood
 	ListLate    [2]time.Duration // how late each controller hears of a change
 	Redials     int
 	// Join makes the decision modules of a controller that starts at a time; nil: none.
@@ -44,6 +46,13 @@
 	Times float64 // slow: so many times slower
 }
 
+// Flood is one member's callers calling far beyond its share, beside the usual calls.
+type Flood struct {
+	Tenant  string
+	At, For time.Duration
+	Load    float64 // of the planned load of all
+}
+
 // Result is what a run showed.
 type Result struct {
 	Seed        uint64  `json:"seed"`
@@ -65,6 +74,7 @@
 	MemoryKB   float64            `json:"controller_kb"` // heap at the end, over the controllers
 	RealS      float64            `json:"real_s"`
 	ByTenant   map[string]float64 `json:"served_by_tenant"`
+	InFlood    map[string]float64 `json:"served_in_flood_by_tenant,omitempty"`
 	BySecond   []float64          `json:"served_by_second"`
 	OfferedByS []int              `json:"offered_by_second"`
 }
@@ -82,6 +92,14 @@
 	share float64
 }{{"slaney-vines", 0.55}, {"barrow-estate", 0.33}, {"suir-growers", 0.12}}
 
+// Tenants are the members with their fractions, as the model's callers call.
+func Tenants() (all []shares.Tenant) {
+	for _, t := range tenants {
+		all = append(all, shares.Tenant{Name: t.name, Fraction: t.share})
+	}
+	return all
+}
+
 type model struct {
 	clock
 	Scenario
@@ -138,6 +156,9 @@
 		m.trouble(t, stream(sc.Seed, streamTrouble, k))
 	}
 	m.after(1, m.arrivals)
+	if f := sc.Flood; f != nil {
+		m.after(int64(f.At), m.flood)
+	}
 	if sc.Look != nil {
 		m.after(1e9, m.look)
 	}
@@ -161,6 +182,16 @@
 	m.after(int64(m.rng.ExpFloat64()/max(rate, 1e-3)*1e9), m.arrivals)
 }
 
+// flood plans the next call of a flood.
+func (m *model) flood() {
+	f := m.Flood
+	if at := time.Duration(m.now - start); at >= f.At+f.For || at >= m.For {
+		return
+	}
+	m.caller().tenant = f.Tenant
+	m.after(int64(m.rng.ExpFloat64()/(f.Load*m.Planned)*1e9), m.flood)
+}
+
 func (m *model) look() {
 	at := time.Duration(m.now - start)
 	var all []exchange.Status
@@ -283,6 +314,19 @@
 	for name := range r.ByTenant {
 		r.ByTenant[name] /= of[name]
 	}
+	if f := m.Flood; f != nil {
+		r.InFlood = map[string]float64{}
+		n := map[string]float64{}
+		for _, c := range m.all {
+			if at := time.Duration(c.first - start); at >= f.At && at < f.At+f.For {
+				r.InFlood[c.tenant] += c.worth()
+				n[c.tenant]++
+			}
+		}
+		for name := range r.InFlood {
+			r.InFlood[name] /= n[name]
+		}
+	}
 	for k := range r.BySecond {
 		r.BySecond[k] /= float64(max(r.OfferedByS[k], 1))
 	}
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -8,6 +8,7 @@
 	"masthill/control"
 	"masthill/control/join"
 	"masthill/control/recovery"
+	"masthill/control/shares"
 )
 
 func withRecovery(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
@@ -44,6 +45,28 @@
 	}
 }
 
+// A flood by one member leaves the other two's service nearly as it was, where shares are on; without them all suffer.
+func TestAFloodByOneMember(t *testing.T) {
+	played := func(join func(control.Settings, float64, uint64, int64) join.Chain) map[string]float64 {
+		r, err := Run(Scenario{Seed: 2, Controllers: 7, Servers: 3, Load: 0.8, For: 60 * time.Second, Redials: 2, Join: join,
+			Flood: &Flood{Tenant: "barrow-estate", At: 20 * time.Second, For: 40 * time.Second, Load: 1.5}})
+		if err != nil || r.Any() {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		return r.InFlood
+	}
+	plain := played(nil)
+	fair := played(func(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
+		return join.Chain{shares.New(s, Tenants(), planned, seed, now)}
+	})
+	for _, name := range []string{"slaney-vines", "suir-growers"} {
+		if fair[name] < 0.9 || fair[name] < plain[name]+0.05 {
+			t.Errorf("%s: %.3f with shares, %.3f without", name, fair[name], plain[name])
+		}
+	}
+	t.Logf("with shares %v, without %v", fair, plain)
+}
+
 // A calm day serves all; far beyond the servers' capacity it can't.
 func TestLoadTells(t *testing.T) {
 	calm, err := Run(Scenario{Seed: 1, Controllers: 5, Servers: 2, Load: 0.6, For: 20 * time.Second, Redials: 2})
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -338,8 +338,8 @@
 	ended   bool
 }
 
-// caller makes a call.
-func (m *model) caller() {
+// caller makes a call; its first try follows at once.
+func (m *model) caller() *caller {
 	c := &caller{m: m, rng: rand.New(rand.NewPCG(m.rng.Uint64(), 7)), first: m.now}
 	u := c.rng.Float64()
 	for _, t := range tenants {
@@ -350,7 +350,8 @@
 	}
 	c.number, c.dest = fmt.Sprintf("%016x", c.rng.Uint64()), c.rng.IntN(m.Servers)
 	m.all = append(m.all, c)
-	c.try()
+	m.after(0, c.try)
+	return c
 }
 
 func (c *caller) try() {
