Named levels of reduced service, with their evidence, reasons and what leads out

Need: near the limit nobody could tell from outside whether an instance sheds load on purpose or fails. Change: control/levels at the seam: normal, busy, reduced, severe, emergency, by the share turned away, set-up delay, full answers, and gauges of the instance itself and of the list's age; evidence adds up over 2 s, a least stay of 6 s, leaving at 0.6 of the entering point for 12 s, missing readings are no good news, a recovery is no shortage. Each change is a log line with its reading; status shows it. [levels] in the settings, off by default.

--- /dev/null
+++ b/cmd/masthill-lab/levels.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masthill/control"
+	"masthill/control/join"
+	"masthill/control/levels"
+	"masthill/control/recovery"
+	"masthill/lab/model"
+)
+
+// levelsCmd plays a scenario with and without levels, over paired seeds.
+type levelsCmd struct {
+	Scenario    string `arg:"" enum:"swing,jump,slowdown,overload" help:"One of ${enum}."`
+	Controllers int    `default:"7" help:"Session controllers."`
+	Servers     int    `default:"3" help:"Session servers."`
+	Seeds       int    `default:"8" help:"Seeds, from 1."`
+}
+
+// swingEvery is half of a swing.
+const swingEvery = 4 * time.Second
+
+func (c levelsCmd) scenario(seed uint64) model.Scenario {
+	sc := model.Scenario{Seed: seed, Controllers: min(c.Controllers, 1000), Servers: min(c.Servers, 100), Load: 1, For: 80 * time.Second, Redials: 2}
+	switch c.Scenario {
+	case "swing": // from 90% to 120% of plan and back
+		sc.Rate = func(at time.Duration) float64 {
+			if at > 10*time.Second && at/swingEvery%2 == 1 {
+				return 1.2
+			}
+			return 0.9
+		}
+	case "jump": // for three seconds
+		sc.Rate = func(at time.Duration) float64 {
+			if at > 20*time.Second && at < 23*time.Second {
+				return 0.93 * 1.8
+			}
+			return 0.93
+		}
+	case "slowdown": // that ends while a restart wave begins
+		sc.Load = 0.93
+		sc.Troubles = []model.Trouble{{Kind: "slow", At: 15 * time.Second, For: 15 * time.Second, Times: 2.5},
+			{Kind: "restarts", At: 29 * time.Second, For: 20 * time.Second, Share: 0.93, Batch: 0.28}}
+	case "overload": // for a minute
+		sc.Rate = func(at time.Duration) float64 {
+			if at > 10*time.Second && at < 70*time.Second {
+				return 1.5
+			}
+			return 0.9
+		}
+	}
+	return sc
+}
+
+func (c levelsCmd) Run(ctx context.Context) error {
+	type played struct {
+		r       *model.Result
+		most    int // changes of level of one controller
+		changes int // of all
+		highest levels.Level
+	}
+	runs := [2][]played{make([]played, c.Seeds), make([]played, c.Seeds)}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(8)
+	for on := range 2 {
+		for k := range c.Seeds {
+			g.Go(func() (err error) {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				p, sc := &runs[on][k], c.scenario(uint64(k+1))
+				count := map[int]int{}
+				sc.Join = func(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
+					r := recovery.New(recovery.Settings{Control: s, Planned: planned}, seed, now, nil)
+					if on == 0 {
+						return join.Chain{r}
+					}
+					return join.Chain{r, levels.New(s, seed, now, r.Recovering, func(ch levels.Change) {
+						count[s.Ordinal]++
+						p.changes++
+						p.most, p.highest = max(p.most, count[s.Ordinal]), max(p.highest, ch.To)
+					})}
+				}
+				p.r, err = model.Run(sc)
+				return err
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	var served [2][]float64
+	for on := range 2 {
+		most, changes, worst, high := 0, 0, 1.0, levels.Normal
+		for _, p := range runs[on] {
+			if p.r.Any() {
+				return fmt.Errorf("seed %d: a rule was broken: %v", p.r.Seed, p.r.Texts)
+			}
+			served[on] = append(served[on], p.r.Served)
+			most, changes, high, worst = max(most, p.most), changes+p.changes, max(high, p.highest), min(worst, p.r.Served)
+		}
+		mean := 0.0
+		for _, x := range served[on] {
+			mean += x / float64(len(served[on]))
+		}
+		fmt.Printf("levels %-3s served %.4f (worst %.4f); changes of level: %.1f a controller, %d at most; highest %s\n", [...]string{"off", "on"}[on], mean, worst,
+			float64(changes)/float64(c.Seeds*c.Controllers), most, high)
+	}
+	mean, half := paired(served[0], served[1])
+	fmt.Printf("on - off: %+.4f, 95%% interval %+.4f to %+.4f\n", mean, mean-half, mean+half)
+	return nil
+}
--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -18,10 +18,11 @@
 )
 
 type cli struct {
-	Demo        demoCmd  `cmd:"" help:"Run a fleet of three against stand-ins, and restart it."`
-	Model       modelCmd `cmd:"" help:"Play the wave on a simulated clock at any size, with and without recovery, over paired seeds."`
-	Flood       floodCmd `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
-	RestartWave waveCmd  `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
+	Demo        demoCmd   `cmd:"" help:"Run a fleet of three against stand-ins, and restart it."`
+	Model       modelCmd  `cmd:"" help:"Play the wave on a simulated clock at any size, with and without recovery, over paired seeds."`
+	Flood       floodCmd  `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
+	Levels      levelsCmd `cmd:"" help:"Play a swing, a jump, a slowdown into a restart wave, or an overload on a simulated clock, with and without levels."`
+	RestartWave waveCmd   `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
 }
 
 type demoCmd struct {
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -18,6 +18,7 @@
 
 	"masthill/control"
 	"masthill/control/join"
+	"masthill/control/levels"
 	"masthill/control/recovery"
 	"masthill/control/shares"
 	"masthill/internal/caller"
@@ -141,6 +142,16 @@
 		in.recovery = recovery.New(recovery.Settings{Control: p.Settings, Planned: p.Planned}, p.Seed, in.started.UnixNano(), brought)
 		options.Join = append(options.Join, join.Module(in.recovery))
 	}
+	if own.Levels.Enabled {
+		var recovering func(int64) bool
+		if in.recovery != nil {
+			recovering = in.recovery.Recovering
+		}
+		part := log.With(logs.Part, "levels")
+		options.Join = append(options.Join, join.Module(levels.New(p.Settings, p.Seed, in.started.UnixNano(), recovering, func(c levels.Change) {
+			part.Warn("level of service", "from", c.From, "to", c.To, "reason", c.Reason, "score", math.Round(c.Score*100)/100, "until", c.Out)
+		})))
+	}
 	if own.Shares.Enabled {
 		options.Join = append(options.Join, join.Module(shares.New(p.Settings, p.Shares, p.Planned, p.Seed, in.started.UnixNano())))
 	}
@@ -282,6 +293,9 @@
 			}
 		}
 	})
+	if in.own.Levels.Enabled {
+		g.Go(func() error { in.gauge(ctx); return nil })
+	}
 	g.Go(func() error { return in.manager.Watch(ctx, func() { in.core.Open() }) })
 	pos, _ := in.feed.Position()
 	in.log.Info("serving", "listen", in.listen, "pos", pos, "start", in.reason, "snapshot", in.snapshot)
@@ -293,6 +307,29 @@
 	return nil
 }
 
+// gaugeEvery is how often the instance's own readings are taken for the levels: a few reads of /proc.
+const gaugeEvery = time.Second
+
+// gauge brings the levels what no event tells.
+func (in *instance) gauge(ctx context.Context) {
+	tick := time.NewTicker(gaugeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		memory, descriptors := ctl.Usage()
+		in.core.Gauge(levels.Memory, memory/float64(in.p.MemoryMB))
+		in.core.Gauge(levels.Descriptors, float64(descriptors)/float64(in.p.Sockets))
+		in.core.Gauge(levels.Inbox, in.core.InboxUsed())
+		if _, heard := in.feed.Position(); !heard.IsZero() {
+			in.core.Gauge(levels.List, time.Since(heard).Seconds()/10)
+		}
+	}
+}
+
 // status is what the control socket tells.
 func (in *instance) status() ctl.Status {
 	core := in.core.Status()
--- a/control/join/join.go
+++ b/control/join/join.go
@@ -54,6 +54,21 @@
 	Status(now int64) Status
 }
 
+// Gauged is a module that wants readings of the instance itself, which no event tells: the part of a resource that is
+// used, or what the module says of a name.
+type Gauged interface {
+	Gauge(now int64, name string, used float64)
+}
+
+// Gauge passes a reading on to those who want it.
+func (c Chain) Gauge(now int64, name string, used float64) {
+	for _, m := range c {
+		if g, ok := m.(Gauged); ok {
+			g.Gauge(now, name, used)
+		}
+	}
+}
+
 // Status is a module's state for operators.
 type Status struct {
 	Module string `json:"module"`
--- a/internal/config/project.go
+++ b/internal/config/project.go
@@ -45,6 +45,9 @@
 	Recovery struct {
 		Enabled bool `toml:"enabled"`
 	} `toml:"recovery"`
+	Levels struct {
+		Enabled bool `toml:"enabled"`
+	} `toml:"levels"`
 	Shares struct {
 		Enabled bool `toml:"enabled"`
 	} `toml:"shares"`
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -328,6 +328,18 @@
 	return l
 }
 
+// Gauge brings joined modules a reading of the instance itself. It never blocks.
+func (x *Exchange) Gauge(name string, used float64) {
+	x.post(false, func() { x.core.chain.Gauge(x.core.now, name, used) })
+}
+
+// InboxUsed is the part of the inbox's bound that is used now.
+func (x *Exchange) InboxUsed() float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return float64(len(x.inbox)) / float64(max(x.most, 1))
+}
+
 // Status is what the core tells operators.
 type Status struct {
 	Open     int           `json:"open"`     // calls that wait for their answer
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -7,6 +7,7 @@
 
 	"masthill/control"
 	"masthill/control/join"
+	"masthill/control/levels"
 	"masthill/control/recovery"
 	"masthill/control/shares"
 )
@@ -67,6 +68,36 @@
 	t.Logf("with shares %v, without %v", fair, plain)
 }
 
+// Under a swing of the load the level changes once a swing at most, and service is no worse.
+func TestLevelsUnderASwing(t *testing.T) {
+	sc := Scenario{Seed: 3, Controllers: 7, Servers: 3, Load: 1, For: 60 * time.Second, Redials: 2, Rate: func(at time.Duration) float64 {
+		if at/(4*time.Second)%2 == 1 {
+			return 1.3
+		}
+		return 0.9
+	}}
+	off, err := Run(sc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := map[int]int{}
+	sc.Join = func(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
+		return join.Chain{levels.New(s, seed, now, nil, func(levels.Change) { changes[s.Ordinal]++ })}
+	}
+	on, err := Run(sc)
+	if err != nil || on.Any() || on.Served < off.Served-0.02 {
+		t.Errorf("%.4f with levels, %.4f without, %v", on.Served, off.Served, err)
+	}
+	if len(changes) == 0 {
+		t.Error("no level ever changed")
+	}
+	for n, k := range changes {
+		if k > 7 {
+			t.Errorf("controller %d changed its level %d times in 7 swings", n, k)
+		}
+	}
+}
+
 // A calm day serves all; far beyond the servers' capacity it can't.
 func TestLoadTells(t *testing.T) {
 	calm, err := Run(Scenario{Seed: 1, Controllers: 5, Servers: 2, Load: 0.6, For: 20 * time.Second, Redials: 2})
