The history of levels goes on over a restart, and masthill levels prints it side by side

Need: after an incident operators ask which instance shed load when and why; the log lines of many instances answer that only with work. What makes no sense in a history is left out; the level itself begins anew, as its evidence does. Result: tests of the round trip, of damaged histories and of the command against a running fleet.

--- a/cmd/masthill/fleet_test.go
+++ b/cmd/masthill/fleet_test.go
@@ -37,7 +37,7 @@
 	text := strings.NewReplacer(`"n0"`, `"%NAME%"`, "127.0.0.1:0", "%LISTEN%", "8c1f30d27a5be964", "%SEED%", `"cold_ns":15000000000`, `"cold_ns":400000000`,
 		`"group_size":1`, `"group_size":%COUNT%,"ordinal":%ORDINAL%`).Replace(configuration(newJournal(t), offices))
 	b := &fleetBed{t: t, file: filepath.Join(dir, "fleet.toml")}
-	for name, text := range map[string]string{"platform.json": text, "masthill.toml": "[recovery]\nenabled = true\n[state]\ndir = \"%DIR%\"\nevery = \"100ms\"\n",
+	for name, text := range map[string]string{"platform.json": text, "masthill.toml": "[recovery]\nenabled = true\n[levels]\nenabled = true\n[shares]\nenabled = true\n[state]\ndir = \"%DIR%\"\nevery = \"100ms\"\n",
 		"fleet.toml": fmt.Sprintf("name = \"h\"\ndir = \"run\"\ninstances = %d\nlisten = \"127.0.0.1:0\"\nplatform = \"platform.json\"\n"+
 			"settings = \"masthill.toml\"\n[rollout]\nmost_away = 0.5\nhealthy_for = \"200ms\"\nstart_within = \"10s\"\n", instances)} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
@@ -227,8 +227,12 @@
 	if s.Instances[0].Ends != 1 || s.Instances[0].Listen != m.Listen {
 		t.Errorf("%+v", s.Instances[0])
 	}
+	out, err := b.masthill("levels", "--fleet", b.file).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "h-0") || !strings.Contains(string(out), "no change") {
+		t.Errorf("%v: %s", err, out)
+	}
 	st, err := ctl.Ask(t.Context(), s.Instances[0].Socket)
-	if err != nil || st.StartReason != "crash" || !strings.HasPrefix(st.Snapshot, "taken up") {
+	if err != nil || len(st.Core.Modules) != 3 || st.StartReason != "crash" || !strings.HasPrefix(st.Snapshot, "taken up") {
 		t.Errorf("%+v, %v", st, err)
 	}
 }
--- /dev/null
+++ b/cmd/masthill/levels.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"masthill/control/levels"
+	"masthill/internal/config"
+	"masthill/internal/ctl"
+	"masthill/internal/fleet"
+)
+
+// levelsCmd prints the history of levels.
+type levelsCmd struct {
+	Socket string `help:"The instance's control socket; else the one that the settings name." placeholder:"PATH"`
+	Fleet  string `help:"A fleet's file: the history of all its instances, side by side." placeholder:"FLEET.toml"`
+	JSON   bool   `help:"Print a JSON line for each change."`
+}
+
+// entry is one change of one instance.
+type entry struct {
+	Instance string `json:"instance"`
+	levels.Change
+}
+
+func (c levelsCmd) Run(out stdout) error {
+	ctx := context.Background()
+	sockets := []string{c.Socket}
+	switch {
+	case c.Fleet != "":
+		spec, err := fleet.Load(c.Fleet)
+		if err != nil {
+			return coded{exitUsage, err}
+		}
+		st, err := fleet.Dial(spec).Status(ctx)
+		if err != nil {
+			return nobody(err)
+		}
+		sockets = nil
+		for _, m := range st.Instances {
+			sockets = append(sockets, m.Socket)
+		}
+	case c.Socket == "":
+		own, err := config.LoadProject(os.Getenv)
+		if err != nil {
+			return coded{exitUsage, err}
+		}
+		if sockets[0] = own.Socket.Path; sockets[0] == "" {
+			return coded{exitUsage, errors.New("no socket: set socket.path in the settings, or give --socket or --fleet")}
+		}
+	}
+	var names []string
+	var all []entry
+	for _, path := range sockets {
+		st, err := ctl.Ask(ctx, path)
+		if err != nil && c.Fleet != "" { // the others still tell
+			fmt.Fprintf(os.Stderr, "masthill: %s: %v\n", path, err)
+			continue
+		}
+		if err != nil {
+			return nobody(err)
+		}
+		names = append(names, st.Name)
+		for _, ch := range st.Levels {
+			all = append(all, entry{st.Name, ch})
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At < all[j].At })
+	if c.JSON {
+		for _, e := range all {
+			if err := json.NewEncoder(out).Encode(e); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return table(out, names, all)
+}
+
+// table prints a column for each instance, and a line for each change.
+func table(out stdout, names []string, all []entry) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprint(t, "time")
+	now := map[string]levels.Level{}
+	for _, name := range names {
+		fmt.Fprint(t, "\t", name)
+	}
+	fmt.Fprintln(t, "\tby\treason\treading\tuntil")
+	for _, e := range all {
+		now[e.Instance] = e.To
+		fmt.Fprint(t, time.Unix(0, e.At).UTC().Format("15:04:05.0"))
+		for _, name := range names {
+			fmt.Fprint(t, "\t", now[name])
+		}
+		fmt.Fprintf(t, "\t%s\t%s\t%.2f\t%s\n", e.Instance, e.Reason, e.Score, e.Out)
+	}
+	if len(all) == 0 {
+		fmt.Fprintln(t, "no change")
+	}
+	return t.Flush()
+}
--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -36,6 +36,7 @@
 	Serve   serveCmd   `cmd:"" default:"1" help:"Serve calls, as the platform starts it. The default."`
 	Check   checkCmd   `cmd:"" help:"Check every file that the program reads, and name each fault with file, line and key."`
 	Status  statusCmd  `cmd:"" help:"Tell what an instance does, over its control socket."`
+	Levels  levelsCmd  `cmd:"" help:"Print the last changes of the level of service, of one instance or of a fleet side by side."`
 	Fleet   fleetCmd   `cmd:"" help:"Run and change many instances on this machine."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Help    helpCmd    `cmd:"" help:"Print this."`
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -109,6 +109,7 @@
 	listeners map[string]net.Listener // the same by name, for a supervisor that takes them over
 	keeper    *state.Keeper           // nil: nothing is kept
 	recovery  *recovery.Recovery
+	levels    *levels.Levels // nil: off
 	started   time.Time
 	reason    string // of the start
 	snapshot  string // taken up, or why not
@@ -148,9 +149,16 @@
 			recovering = in.recovery.Recovering
 		}
 		part := log.With(logs.Part, "levels")
-		options.Join = append(options.Join, join.Module(levels.New(p.Settings, p.Seed, in.started.UnixNano(), recovering, func(c levels.Change) {
+		in.levels = levels.New(p.Settings, p.Seed, in.started.UnixNano(), recovering, func(c levels.Change) {
 			part.Warn("level of service", "from", c.From, "to", c.To, "reason", c.Reason, "score", math.Round(c.Score*100)/100, "until", c.Out)
-		})))
+		})
+		if known != nil {
+			in.levels.Restore(in.started.UnixNano(), known.Levels)
+		}
+		if in.keeper != nil {
+			in.keeper.Levels = in.history
+		}
+		options.Join = append(options.Join, join.Module(in.levels))
 	}
 	if own.Shares.Enabled {
 		options.Join = append(options.Join, join.Module(shares.New(p.Settings, p.Shares, p.Planned, p.Seed, in.started.UnixNano())))
@@ -330,6 +338,16 @@
 	}
 }
 
+// history are the last changes of the level of service, also after the core's end.
+func (in *instance) history() (all []levels.Change) {
+	looked := false
+	in.core.Look(func() { all, looked = in.levels.History(), true })
+	if !looked {
+		all = in.levels.History() // nothing changes it any more
+	}
+	return all
+}
+
 // status is what the control socket tells.
 func (in *instance) status() ctl.Status {
 	core := in.core.Status()
@@ -339,6 +357,9 @@
 	if !heard.IsZero() {
 		s.ListAgeMS = time.Since(heard).Milliseconds()
 	}
+	if in.levels != nil {
+		s.Levels = in.history()
+	}
 	s.MemoryMB, s.Descriptors = ctl.Usage()
 	s.ConfigWarning, _ = in.atWarning.Load().(string)
 	switch {
--- a/control/levels/levels.go
+++ b/control/levels/levels.go
@@ -352,10 +352,40 @@
 // History gives the last changes, the oldest first.
 func (l *Levels) History() []Change { return append([]Change{}, l.history...) }
 
+// Restore takes up the changes of the process before, for operators: the level itself begins anew, as its evidence does.
+// Changes that are out of order, of no level or still to come are left out with all that are older.
+func (l *Levels) Restore(now int64, history []Change) {
+	keep := len(history)
+	last := now
+	for keep > 0 {
+		c := history[keep-1]
+		if c.At > last || c.From < Normal || c.From > Emergency || c.To < Normal || c.To > Emergency {
+			break
+		}
+		last = c.At
+		keep--
+	}
+	l.history = append(append([]Change{}, history[max(keep, len(history)-historyMost):]...), l.history...)
+}
+
+// MarshalText gives a level's name.
+func (l Level) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
+
+// UnmarshalText reads a level's name.
+func (l *Level) UnmarshalText(text []byte) error {
+	for k := Normal; k <= Emergency; k++ {
+		if k.String() == string(text) {
+			*l = k
+			return nil
+		}
+	}
+	return fmt.Errorf("no level %q", text)
+}
+
 // Status implements join.Module.
 func (l *Levels) Status(int64) join.Status {
 	st := join.Status{Module: l.Name(), State: l.level.String(), Reason: Calm, Since: l.since, Turned: l.refused, Out: out(l.level)}
-	if n := len(l.history); n > 0 {
+	if n := len(l.history); n > 0 && l.changed {
 		st.Reason = l.history[n-1].Reason
 	}
 	return st
--- a/control/levels/levels_test.go
+++ b/control/levels/levels_test.go
@@ -1,9 +1,11 @@
 package levels
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -109,6 +111,37 @@
 	}
 }
 
+// The history goes on over a restart, as JSON; what makes no sense in it is left out. The level begins anew.
+func TestHistoryOverARestart(t *testing.T) {
+	l := New(settings(), 1, 100*second, nil, nil)
+	now := play(l, 100*second, 20, 0.3)
+	text, err := json.Marshal(l.History())
+	if err != nil || !strings.Contains(string(text), `"to":"reduced"`) {
+		t.Fatalf("%s, %v", text, err)
+	}
+	var history []Change
+	if err := json.Unmarshal(text, &history); err != nil || !reflect.DeepEqual(history, l.History()) {
+		t.Fatal(history, err)
+	}
+	again := New(settings(), 2, now, nil, nil)
+	again.Restore(now, history)
+	if !reflect.DeepEqual(again.History(), history) || again.Level() != Normal || again.Status(now).Reason != Calm {
+		t.Errorf("%+v", again.Status(now))
+	}
+	history[0].At = now + second
+	again = New(settings(), 2, now, nil, nil)
+	if again.Restore(now, history); len(again.History()) != len(history)-1 {
+		t.Errorf("%+v", again.History())
+	}
+	many := make([]Change, 2*historyMost)
+	if again.Restore(now, many); len(again.History()) > 2*historyMost {
+		t.Error("unbounded")
+	}
+	if err := new(Level).UnmarshalText([]byte("odd")); err == nil {
+		t.Error("an unknown level")
+	}
+}
+
 // A missing reading is no good news: without calls and gauges the level stays where it is. A recovery is no shortage.
 func TestMissingReadingsAndRecovery(t *testing.T) {
 	l := New(settings(), 1, 100*second, nil, nil)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"masthill/control/levels"
 	"masthill/internal/exchange"
 )
 
@@ -57,6 +58,7 @@
 	SocketsMost   int             `json:"sockets_most"`
 	Core          exchange.Status `json:"core"`
 	ConfigWarning string          `json:"config_warning,omitempty"`
+	Levels        []levels.Change `json:"levels,omitempty"` // the last changes, the oldest first
 }
 
 // Listen opens the socket. A socket that nobody listens on any more, left by a process that died, makes room; one that
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -333,6 +333,9 @@
 	x.post(false, func() { x.core.chain.Gauge(x.core.now, name, used) })
 }
 
+// Look runs f where the core's state may be looked at, and waits for it; it runs nothing after the core's end.
+func (x *Exchange) Look(f func()) { x.ask(f) }
+
 // InboxUsed is the part of the inbox's bound that is used now.
 func (x *Exchange) InboxUsed() float64 {
 	x.mu.Lock()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -21,6 +21,7 @@
 	"github.com/google/renameio/v2"
 
 	"masthill/control"
+	"masthill/control/levels"
 	"masthill/control/recovery"
 )
 
@@ -54,6 +55,8 @@
 	Started  time.Time      `json:"started"` // of the process that wrote it
 	Ended    string         `json:"ended"`   // why that process ended, in its last snapshot; empty before
 	Learnt   control.Learnt `json:"learnt"`
+	// Levels are the last changes of the level of service.
+	Levels []levels.Change `json:"levels,omitempty"`
 }
 
 // Encode gives the file's text: a line with version and checksum, and the snapshot as JSON.
@@ -134,7 +137,8 @@
 	Dir, Instance string
 	Every         time.Duration
 	Log           *slog.Logger
-	Learnt        func() control.Learnt // asks the core; may take as long as the core does
+	Learnt        func() control.Learnt  // asks the core; may take as long as the core does
+	Levels        func() []levels.Change // the same; nil: there are none
 	Write         func(path string, text []byte) error
 
 	started time.Time
@@ -171,10 +175,13 @@
 			return nil
 		}
 		done := make(chan struct{})
-		learnt := k.Learnt()
+		s := Snapshot{Learnt: k.Learnt(), Ended: ended}
+		if k.Levels != nil {
+			s.Levels = k.Levels()
+		}
 		go func() {
 			defer close(done)
-			k.save(learnt, ended)
+			k.save(s)
 			<-busy
 		}()
 		return done
@@ -203,11 +210,12 @@
 	}
 }
 
-func (k *Keeper) save(l control.Learnt, ended string) {
-	if l.At == 0 { // the core has ended, or has had no event yet
+func (k *Keeper) save(s Snapshot) {
+	if s.Learnt.At == 0 { // the core has ended, or has had no event yet
 		return
 	}
-	text, err := Encode(Snapshot{Instance: k.Instance, At: time.Now(), Started: k.started, Ended: ended, Learnt: l})
+	s.Instance, s.At, s.Started = k.Instance, time.Now(), k.started
+	text, err := Encode(s)
 	if err == nil {
 		err = k.Write(filepath.Join(k.Dir, fileName), text)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"masthill/control"
+	"masthill/control/levels"
 	"masthill/internal/netcase"
 )
 
@@ -21,7 +22,7 @@
 
 func snapshot() Snapshot {
 	at := now.Add(-time.Second).UnixNano()
-	return Snapshot{Instance: "n3", At: now.Add(-time.Second), Learnt: control.Learnt{At: at, Began: at - 1e9, X: 5e7, Unit: 3,
+	return Snapshot{Levels: []levels.Change{{At: at, To: levels.Busy, Reason: levels.Delay}}, Instance: "n3", At: now.Add(-time.Second), Learnt: control.Learnt{At: at, Began: at - 1e9, X: 5e7, Unit: 3,
 		Servers: []control.LearntServer{{ID: 7, ReadyAt: 5, ProvenAt: at, Delay: 4e7, Weight: 1}, {ID: 9, ProvenAt: at, Down: true}}}}
 }
 
@@ -36,7 +37,7 @@
 
 func TestWhatIsRefusedAndWhy(t *testing.T) {
 	good := encoded(t, snapshot())
-	if s, err := Decode(good, "n3", now, time.Minute); err != nil || s.Learnt.X != 5e7 || len(s.Evidence()) != 1 || s.Evidence()[0].Server != 7 {
+	if s, err := Decode(good, "n3", now, time.Minute); err != nil || s.Learnt.X != 5e7 || len(s.Levels) != 1 || s.Levels[0].To != levels.Busy || len(s.Evidence()) != 1 || s.Evidence()[0].Server != 7 {
 		t.Fatal(s, err)
 	}
 	changed := func(f func(s *Snapshot)) []byte {
