--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -142,7 +143,7 @@
 	Write         func(path string, text []byte) error
 
 	started time.Time
-	failing bool
+	failing atomic.Bool
 }
 
 // write puts a file in its place at once: whoever reads sees the old one or the new one, and a crash leaves either.
@@ -220,10 +221,10 @@
 		err = k.Write(filepath.Join(k.Dir, fileName), text)
 	}
 	switch {
-	case err != nil && !k.failing:
+	case err != nil && !k.failing.Load():
 		k.Log.Error("snapshots fail", "dir", k.Dir, "err", err)
-	case err == nil && k.failing:
+	case err == nil && k.failing.Load():
 		k.Log.Info("snapshots work again", "dir", k.Dir)
 	}
-	k.failing = err != nil
+	k.failing.Store(err != nil)
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -131,12 +131,12 @@
 		go func() { k.Run(ctx); close(ended) }()
 		full.Store(true)
 		time.Sleep(3500 * time.Millisecond)
-		if writes.Load() != 3 || !k.failing {
+		if writes.Load() != 3 || !k.failing.Load() {
 			t.Errorf("%d writes", writes.Load())
 		}
 		full.Store(false)
 		time.Sleep(time.Second)
-		if k.failing {
+		if k.failing.Load() {
 			t.Error("it still counts as failing")
 		}
 		freeze.Store(true)
