--- a/control/recovery/recovery_test.go
+++ b/control/recovery/recovery_test.go
@@ -128,6 +128,7 @@
 func TestRandomHistories(t *testing.T) {
 	flag.Set("rapid.seed", "1")
 	flag.Set("rapid.checks", "2000")
+	flag.Set("rapid.nofailfile", "true")
 	rapid.Check(t, func(t *rapid.T) {
 		type step struct {
 			After   int64
