A supervisor without its control socket starts nothing; one that ended unnoted is down

Cause, found by reading the change again: Run opened the control socket beside the loop, so that a fleet whose socket could not be opened ran on with nobody able to give it an order; and an instance taken over by its lock alone, which ended before it had noted its pid, stayed 'starting' for good. Change: the socket is opened before anything is started; an instance whose lock is free and whose pid was never known is down.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"masthill/control/rollout"
+	"masthill/internal/config"
+	"masthill/internal/netcase"
+)
+
+func newSpec(t *testing.T) *Spec {
+	t.Helper()
+	dir := t.TempDir()
+	file := filepath.Join(dir, "f.toml")
+	for name, text := range map[string]string{"p.json": "{}", "f.toml": "name = \"h\"\ndir = \"run\"\ninstances = 1\nlisten = \"127.0.0.1:0\"\nplatform = \"p.json\"\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	spec, err := Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return spec
+}
+
+// A process that has its folder's lock and ends before it has noted its pid is no running instance for good.
+func TestAnInstanceThatEndsBeforeItsPid(t *testing.T) {
+	spec := newSpec(t)
+	s, err := New(spec, "/nowhere", netcase.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(spec, "/nowhere", netcase.Quiet()); !errors.Is(err, ErrRunning) {
+		t.Error("a second supervisor", err)
+	}
+	m := s.members[0]
+	lock, err := os.Create(filepath.Join(m.dir, lockFile))
+	if err != nil || syscall.Flock(int(lock.Fd()), syscall.LOCK_EX) != nil {
+		t.Fatal(err)
+	}
+	if !m.adopt(t.Context()) || m.phase != rollout.Starting {
+		t.Fatal(m.phase)
+	}
+	if m.look(); m.phase != rollout.Starting {
+		t.Error("it still has the lock", m.phase)
+	}
+	lock.Close()
+	if m.look(); m.phase != rollout.Down {
+		t.Error("it is gone", m.phase)
+	}
+	s.lock.Close()
+}
+
+// Without its control socket a supervisor starts nothing, and says so.
+func TestNoControlSocket(t *testing.T) {
+	spec := newSpec(t)
+	s, err := New(spec, "/nowhere", netcase.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(spec.Socket(), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Run(t.Context()); err == nil || !strings.Contains(err.Error(), "no socket") {
+		t.Error(err)
+	}
+	if s.members[0].phase != rollout.Down {
+		t.Error("an instance was started")
+	}
+}
+
+func TestFaultsOfAFleetsFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "f.toml")
+	os.WriteFile(file, []byte("name = \"h\"\ndir = \"run\"\ninstances = 3\nlisten = \"127.0.0.1:65534\"\nplatform = \"none.json\"\n"), 0o600)
+	_, err := Load(file)
+	if got := config.All(err); len(got) != 2 || !strings.Contains(err.Error(), "f.toml:4: listen") || !strings.Contains(err.Error(), "f.toml:5: platform") {
+		t.Error(err)
+	}
+	os.WriteFile(file, []byte("instances = 0\n"), 0o600)
+	if _, err := Load(file); len(config.All(err)) != 5 { // the count, and four keys that are missing
+		t.Error(err)
+	}
+}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -297,12 +297,12 @@
 
 // look follows what the instance's process is at.
 func (m *member) look() {
-	if m.pid == 0 && !m.child || m.pid > 0 && !m.child {
+	if !m.child {
 		if c, is := running(m.dir); is {
 			if c.PID > 0 {
 				m.pid = c.PID
 			}
-		} else if m.pid > 0 {
+		} else if m.pid > 0 || m.phase == rollout.Starting { // the latter: it ended before it had noted its pid
 			m.ended(-1) // another's child: how it ended nobody tells
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -32,11 +32,7 @@
 }
 
 // serve answers on the fleet's control socket until ctx ends.
-func (s *Supervisor) serve(ctx context.Context) error {
-	l, err := ctl.Listen(s.spec.Socket())
-	if err != nil {
-		return err
-	}
+func (s *Supervisor) serve(ctx context.Context, l net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s.Status()) })
 	do := func(path string, f func(ctx context.Context, o order) error) {
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/control/rollout"
+	"masthill/internal/ctl"
 )
 
 const (
@@ -145,6 +146,12 @@
 
 // Run supervises until ctx ends or Down was called; then it ends all instances in order and comes back.
 func (s *Supervisor) Run(ctx context.Context) error {
+	defer s.lock.Close()
+	// Before anything is started: a fleet that nobody can give an order to is not to run unseen.
+	l, err := ctl.Listen(s.spec.Socket())
+	if err != nil {
+		return err
+	}
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, inner := errgroup.WithContext(inner)
@@ -155,14 +162,13 @@
 		}
 	}
 	s.write()
-	g.Go(func() error { return s.serve(inner) })
+	g.Go(func() error { return s.serve(inner, l) })
 	g.Go(func() error {
 		defer cancel()
 		s.loop(ctx)
 		return nil
 	})
-	err := g.Wait()
-	s.lock.Close()
+	err = g.Wait()
 	for _, m := range s.members {
 		for _, f := range m.listeners {
 			f.Close()
