--- /dev/null
+++ b/cmd/masthill-lab/jam.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"masthill/control"
+	"masthill/control/join"
+	"masthill/lab/model"
+	"masthill/lab/processor"
+)
+
+// jamCmd plays a jump of the load that may tip a fleet into a jam, over seeds on a simulated clock.
+type jamCmd struct {
+	Controllers int           `default:"300" help:"Session controllers, up to 1,000."`
+	Servers     int           `default:"24" help:"Session servers, up to 100."`
+	Load        float64       `default:"0.93" help:"Part of the planned load."`
+	Times       float64       `default:"1.8" help:"The jump, as a multiple of the load."`
+	For         time.Duration `default:"9.3s" help:"How long the jump lasts; it begins after 20 s."`
+	Seeds       string        `default:"1-20" help:"Seeds, as FIRST-LAST or one."`
+	Redials     int           `default:"2" help:"How often callers dial again."`
+	Line        string        `enum:"setups-first,in-turn,answers-first" default:"setups-first" help:"The order of work at the servers: ${enum}."`
+	DropAnswers bool          `help:"A call that is given up takes its pending answer with it."`
+	Plain       bool          `help:"The program without the modules that run has beside control."`
+	JSON        string        `name:"json" help:"Write an array with a result for each seed there." placeholder:"FILE"`
+	Plot        string        `help:"Draw the served share by second there, as SVG or PNG; else beside the JSON file." placeholder:"FILE"`
+}
+
+const (
+	jamFrom, jamLength = 20 * time.Second, 80 * time.Second
+	// jamBack is how long after the jump's end service has to be back, and over what.
+	jamBack, jamServed = 15 * time.Second, 0.98
+)
+
+// seeds reads FIRST-LAST or one number.
+func seeds(text string) (all []uint64, err error) {
+	first, last, two := strings.Cut(text, "-")
+	from, err := strconv.ParseUint(first, 10, 32)
+	to := from
+	if err == nil && two {
+		to, err = strconv.ParseUint(last, 10, 32)
+	}
+	if err != nil || to < from || to-from >= 10_000 {
+		return nil, fmt.Errorf("seeds %q: wanted FIRST-LAST, such as 1-20, of 10,000 at most", text)
+	}
+	for s := from; s <= to; s++ {
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+func (c jamCmd) scenario(seed uint64, with func(control.Settings, float64, uint64, int64) join.Chain) model.Scenario {
+	return model.Scenario{Seed: seed, Controllers: c.Controllers, Servers: c.Servers, Load: c.Load, For: jamLength, Redials: c.Redials, Join: with,
+		Line: processor.Lines[c.Line], DropAnswers: c.DropAnswers, Rate: func(at time.Duration) float64 {
+			if at >= jamFrom && at < jamFrom+c.For {
+				return c.Times
+			}
+			return 1
+		}}
+}
+
+// share is the part of the calls first offered from a second on, up to another, that was served.
+func share(r *model.Result, from, to int) float64 {
+	var served, offered float64
+	for k := from; k < min(to, len(r.BySecond)); k++ {
+		served += r.BySecond[k] * float64(r.OfferedByS[k])
+		offered += float64(r.OfferedByS[k])
+	}
+	return served / max(offered, 1)
+}
+
+func (c jamCmd) Run(ctx context.Context) error {
+	if c.Controllers < 1 || c.Controllers > 1000 || c.Servers < 1 || c.Servers > 100 || c.For < 0 || jamFrom+c.For+jamBack > jamLength {
+		return fmt.Errorf("wanted 1 to 1,000 controllers, 1 to 100 servers and a jump of %v at most", jamLength-jamFrom-jamBack)
+	}
+	numbers, err := seeds(c.Seeds)
+	if err != nil {
+		return err
+	}
+	with := asRun
+	if c.Plain {
+		with = nil
+	}
+	all := make([]*model.Result, len(numbers))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallel)
+	for k, seed := range numbers {
+		g.Go(func() (err error) {
+			if err = ctx.Err(); err == nil {
+				all[k], err = model.Run(c.scenario(seed, with))
+			}
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	back := int((jamFrom + c.For + jamBack) / time.Second)
+	var served, after []float64
+	broken := 0
+	for _, r := range all {
+		served, after = append(served, r.Served), append(after, share(r, back, int(jamLength/time.Second)))
+		if r.Any() || r.FellOver {
+			broken++
+			fmt.Println(" ", r.Seed, r.Texts)
+		}
+	}
+	fmt.Printf("served %.4f (worst %.4f), 15 s after the jump %.4f (worst %.4f), %d seeds\n", stat.Mean(served, nil), least(served), stat.Mean(after, nil), least(after), len(all))
+	for k, r := range all {
+		fmt.Printf("  seed %d: %.3f, after %.3f, refused by servers %d, tries %.2f a call\n", r.Seed, r.Served, after[k], r.Refused, float64(r.Tries)/float64(max(r.Calls, 1)))
+	}
+	if c.JSON != "" {
+		text, err := json.MarshalIndent(all, "", " ")
+		if err == nil {
+			err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
+		}
+		if err != nil {
+			return err
+		}
+		if c.Plot == "" {
+			c.Plot = strings.TrimSuffix(c.JSON, ".json") + ".svg"
+		}
+	}
+	if c.Plot != "" {
+		if err := c.plot(all); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("a rule was broken in %d runs", broken)
+	}
+	return nil
+}
+
+// plot draws what was served of the calls of each second: each seed thin, the mean over them thick.
+func (c jamCmd) plot(all []*model.Result) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%d controllers, %d servers, load %.2f, %.1f times that for %v", c.Controllers, c.Servers, c.Load, c.Times, c.For)
+	p.X.Label.Text, p.Y.Label.Text, p.Y.Min, p.Y.Max = "time of the first try (s)", "served share", 0, 1.02
+	var mean plotter.XYs
+	for k := range int(jamLength / time.Second) {
+		sum := 0.0
+		for _, r := range all {
+			sum += r.BySecond[k]
+		}
+		mean = append(mean, plotter.XY{X: float64(k), Y: sum / math.Max(float64(len(all)), 1)})
+	}
+	for k, r := range all {
+		var one plotter.XYs
+		for s := range mean {
+			one = append(one, plotter.XY{X: float64(s), Y: r.BySecond[s]})
+		}
+		line, err := plotter.NewLine(one)
+		if err != nil {
+			return err
+		}
+		line.Width, line.Color = vg.Points(0.4), plotutil.SoftColors[k%len(plotutil.SoftColors)]
+		p.Add(line)
+	}
+	line, err := plotter.NewLine(mean)
+	if err != nil {
+		return err
+	}
+	line.Width = vg.Points(2)
+	p.Add(line)
+	return p.Save(24*vg.Centimeter, 12*vg.Centimeter, c.Plot)
+}
--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -21,6 +21,8 @@
 	Demo        demoCmd   `cmd:"" help:"Run a fleet of three against stand-ins, and restart it."`
 	Model       modelCmd  `cmd:"" help:"Play the wave on a simulated clock at any size, with and without recovery, over paired seeds."`
 	Flood       floodCmd  `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
+	Jam         jamCmd    `cmd:"" help:"Play a jump of the load that may tip a fleet into a jam, on a simulated clock."`
+	Scenes      scenesCmd `cmd:"" help:"Play scenes on a simulated clock, with what run has beside control and without, over paired seeds."`
 	Levels      levelsCmd `cmd:"" help:"Play a swing, a jump, a slowdown into a restart wave, or an overload on a simulated clock, with and without levels."`
 	RestartWave waveCmd   `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
 }
--- /dev/null
+++ b/cmd/masthill-lab/scenes.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+
+	"masthill/lab/model"
+)
+
+// scenesCmd plays scenes with what the deploy file's run has beside control, and without, over paired seeds.
+type scenesCmd struct {
+	Scene       []string `default:"all" help:"Scenes by name, or all."`
+	Controllers int      `default:"300" help:"Session controllers, up to 1,000."`
+	Servers     int      `default:"24" help:"Session servers, up to 100."`
+	Seeds       string   `default:"1-8" help:"Seeds, as FIRST-LAST or one."`
+	JSON        string   `name:"json" help:"Write a line for each run there." placeholder:"FILE"`
+}
+
+func (c scenesCmd) Run(ctx context.Context) error {
+	if c.Controllers < 1 || c.Controllers > 1000 || c.Servers < 1 || c.Servers > 100 {
+		return fmt.Errorf("wanted 1 to 1,000 controllers and 1 to 100 servers")
+	}
+	numbers, err := seeds(c.Seeds)
+	if err != nil {
+		return err
+	}
+	list := model.Scenes()
+	if len(c.Scene) != 1 || c.Scene[0] != "all" {
+		list = nil
+		for _, name := range c.Scene {
+			s, err := model.SceneNamed(name)
+			if err != nil {
+				return err
+			}
+			list = append(list, s)
+		}
+	}
+	var lines *json.Encoder
+	if c.JSON != "" {
+		f, err := os.Create(c.JSON)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		lines = json.NewEncoder(f)
+	}
+	fmt.Printf("%-11s %8s %8s %10s %22s %8s %8s %8s\n", "scene", "plain", "run", "run-plain", "95% interval", "worst", "worst", "late")
+	broken := 0
+	for _, s := range list {
+		off, on := make([]*model.Result, len(numbers)), make([]*model.Result, len(numbers))
+		g, ctx := errgroup.WithContext(ctx)
+		g.SetLimit(parallel)
+		for k, seed := range numbers {
+			for _, with := range []bool{false, true} {
+				g.Go(func() (err error) {
+					if ctx.Err() != nil {
+						return ctx.Err()
+					}
+					sc, into := s.Scenario(seed, c.Controllers, c.Servers), off
+					if with {
+						sc.Join, into = asRun, on
+					}
+					into[k], err = model.Run(sc)
+					return err
+				})
+			}
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+		var a, b, late []float64
+		for k := range numbers {
+			a, b, late = append(a, off[k].Served), append(b, on[k].Served), append(late, on[k].Late)
+			for column, r := range map[string]*model.Result{"plain": off[k], "run": on[k]} {
+				if r.Any() {
+					broken++
+					fmt.Println(" ", s.Name, column, r.Seed, r.Texts)
+				}
+				if lines != nil {
+					if err := lines.Encode(struct {
+						Scene  string `json:"scene"`
+						Column string `json:"column"`
+						*model.Result
+					}{s.Name, column, r}); err != nil {
+						return err
+					}
+				}
+			}
+		}
+		mean, half := paired(a, b)
+		fmt.Printf("%-11s %8.4f %8.4f %+10.4f  %+9.4f to %+.4f %8.4f %8.4f %8.4f\n", s.Name, stat.Mean(a, nil), stat.Mean(b, nil), mean, mean-half, mean+half, least(a), least(b),
+			stat.Mean(late, nil))
+	}
+	if broken > 0 {
+		return fmt.Errorf("a rule was broken in %d runs", broken)
+	}
+	return nil
+}
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -30,6 +30,8 @@
 	Flood       *Flood
 	ListLate    [2]time.Duration // how late each controller hears of a change
 	Redials     int
+	Line        processor.Line // the order of work at the servers
+	DropAnswers bool           // a call that is given up takes its pending answer with it
 	// Join makes the decision modules of a controller that starts at a time; nil: none.
 	Join func(s control.Settings, planned float64, seed uint64, now int64) join.Chain
 	// Look, if any, is called once a simulated second with what the controllers tell.
@@ -38,12 +40,12 @@
 
 // Trouble is one thing that goes wrong.
 type Trouble struct {
-	Kind  string // replace, crash, slow, silent, restarts
+	Kind  string // replace, crash, down, slow, silent, restarts, kill, late, lossy
 	At    time.Duration
-	For   time.Duration
-	Share float64 // of the servers (one at least) or, for restarts, of the controllers
-	Batch float64 // restarts: of the controllers, at a time
-	Times float64 // slow: so many times slower
+	For   time.Duration // restarts and replace: until the last of them begins
+	Share float64       // of the servers (one at least); restarts and kill: of the controllers; lossy: of the answers
+	Batch float64       // restarts: of the controllers, at a time
+	Times float64       // slow: so many times slower; late: so many seconds later
 }
 
 // Flood is one member's callers calling far beyond its share, beside the usual calls.
@@ -113,6 +115,7 @@
 	ids         uint64
 	all         []*caller
 	restarts    int
+	lossy       float64 // part of the answers that get lost now
 	discard     *slog.Logger
 }
 
@@ -137,7 +140,8 @@
 	m := &model{clock: clock{now: start}, Scenario: sc, ledger: check.New(check.Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second}),
 		rng: stream(sc.Seed, streamCallers, 0), callers: map[string]*caller{}, discard: slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.Level(100)})),
 		params: processor.Params{SetUp: int64(setup), Answer: int64(setup * follow / 2), Release: int64(setup * follow / 2), Reject: int64(setup * 0.2), Refuse: refuse,
-			ColdFrom: 0.31, ColdSpan: 15e9, FallMultiple: 2, FallWindow: 1e9}}
+			ColdFrom: 0.31, ColdSpan: 15e9, FallMultiple: 2, FallWindow: 1e9,
+			Line: sc.Line, DropAnswers: sc.DropAnswers}}
 	for cell := range sc.Servers {
 		s := m.newServer(cell, 0)
 		m.listed = append(m.listed, s)
@@ -240,14 +244,37 @@
 	m.at(start+int64(t.At), func() {
 		switch t.Kind {
 		case "replace":
+			for k, cell := range rng.Perm(m.Servers)[:struck] {
+				m.after(int64(t.For)*int64(k)/int64(struck), func() {
+					old, s := m.listed[cell], m.newServer(cell, m.now)
+					m.listed[cell] = s
+					old.drains = true
+					m.tell(old, control.Lame)
+					m.tell(s, control.In)
+					m.after(11e9, func() { old.stop(); m.tell(old, control.Out) })
+				})
+			}
+		case "down": // its process is away for a while, and begins anew
 			for _, cell := range rng.Perm(m.Servers)[:struck] {
-				old, s := m.listed[cell], m.newServer(cell, m.now)
-				m.listed[cell] = s
-				old.drains = true
-				m.tell(old, control.Lame)
-				m.tell(s, control.In)
-				m.after(11e9, func() { old.stop(); m.tell(old, control.Out) })
+				s := m.listed[cell]
+				s.stop()
+				m.after(int64(t.For), func() {
+					s.gone = false
+					s.crash()
+					m.tell(s, control.In)
+				})
+			}
+		case "kill":
+			for _, n := range rng.Perm(m.Controllers)[:int(t.Share*float64(m.Controllers)+0.5)] {
+				m.controllers[n].kill(int64(200e6 + rng.Float64()*1.3e9))
 			}
+		case "late":
+			usual, more := m.ListLate, time.Duration(t.Times*1e9)
+			m.ListLate = [2]time.Duration{usual[0] + more, usual[1] + more}
+			m.after(int64(t.For), func() { m.ListLate = usual })
+		case "lossy":
+			m.lossy = t.Share
+			m.after(int64(t.For), func() { m.lossy = 0 })
 		case "crash":
 			for _, cell := range rng.Perm(m.Servers)[:struck] {
 				s := m.listed[cell]
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -127,7 +127,9 @@
 		case processor.Answer:
 			a.stands = true
 			s.m.ledger.Ended(a.id, s.name(), false, s.m.time())
-			a.from.later(a.gen, s.cell, func() { a.from.x.Stood(s.id, a.id, a.n, nil) })
+			if s.m.lossy == 0 || s.rng.Float64() >= s.m.lossy {
+				a.from.later(a.gen, s.cell, func() { a.from.x.Stood(s.id, a.id, a.n, nil) })
+			}
 			s.m.after(int64(s.rng.ExpFloat64()*float64(hold)), func() {
 				if s.calls[a.id] == a && !s.gone {
 					s.done(s.proc.Add(s.m.now, processor.Release, a.id))
@@ -254,6 +256,35 @@
 	c.m.after(800e6, wait)
 }
 
+// kill ends the process at once: callers see their connections end, and servers give up the set-ups on theirs.
+func (c *controller) kill(down int64) {
+	if c.x == nil {
+		return
+	}
+	c.m.restarts++
+	c.open, c.x = false, nil
+	c.m.after(down, func() {
+		if c.x == nil {
+			c.up()
+		}
+	})
+	for _, id := range byName(c.m.callers) {
+		if one := c.m.callers[id]; one.at == c && one.id == id && one.stoodAt == 0 {
+			c.m.ledger.Left(id)
+			one.again(0)
+		}
+	}
+	for _, s := range c.m.servers {
+		c.send(s.id, func(s *server) {
+			for _, id := range byName(s.calls) {
+				if a := s.calls[id]; a.from == c && a.gen == c.gen && !a.stands {
+					s.cancel(id)
+				}
+			}
+		})
+	}
+}
+
 // hear takes a change of the list.
 func (c *controller) hear(o exchange.Office) {
 	c.list[o.Server] = o
@@ -333,6 +364,7 @@
 	first   int64
 	tries   int
 	id      string // of the try under way
+	at      *controller
 	stoodAt int64
 	cut     bool
 	ended   bool
@@ -376,7 +408,7 @@
 	c.tries++
 	id := fmt.Sprintf("%08x%08x", uint32(m.Seed), uint32(m.ids))
 	c.id = id
-	m.callers[id] = c
+	m.callers[id], c.at = c, open[0]
 	m.ledger.Offered(id, m.time())
 	open[0].x.Arrive(exchange.Setup{ID: id, Owner: "model", Name: "open-log", Tenant: c.tenant, Number: c.number, Dest: c.dest, Retry: c.tries > 1,
 		Taken: m.time(), Until: time.Unix(0, m.now+patience)}, m)
@@ -409,10 +441,14 @@
 		c.stoodAt = m.now
 		return
 	}
+	c.again(int64(f.Wait))
+}
+
+// again ends a try; the caller dials once more after its own wait, or the told one if that is longer.
+func (c *caller) again(told int64) {
+	delete(c.m.callers, c.id)
 	c.id = ""
-	delete(m.callers, id)
-	gap := max(int64((0.3+0.7*c.rng.Float64())*1e9), int64(f.Wait))
-	m.after(gap, c.try)
+	c.m.after(max(int64((0.3+0.7*c.rng.Float64())*1e9), told), c.try)
 }
 
 // Release implements exchange.Caller.
--- a/lab/processor/processor.go
+++ b/lab/processor/processor.go
@@ -1,10 +1,13 @@
 // Package processor models the processor of a session server as the operators describe it: one line, in which answers
-// and releases wait behind new set-ups; a refusal, which costs work too, once the wait is too long; a cold start, from
+// and releases wait behind new set-ups (other orders can be tried); a refusal, which costs work too, once the wait is too long; a cold start, from
 // which it falls over when far more is sent than it can do. It is told the time (nanoseconds) and does no I/O, so that
 // sockets and a simulated clock drive the same code.
 package processor
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Params are a processor's figures. Works are times on a warm processor.
 type Params struct {
@@ -15,8 +18,23 @@
 	ColdSpan               int64   // until it is warm; linear in between
 	FallMultiple           float64 // of the present capacity, over FallWindow: a cold one falls over and stays down
 	FallWindow             int64
+	Line                   Line // in which order the work is done; the zero Line is the operators' description
+	DropAnswers            bool // a call that is given up takes its pending answer with it, not its set-up alone
 }
 
+// Line is the order in which a processor does its work.
+type Line int
+
+// The orders.
+const (
+	SetUpsFirst  Line = iota // answers and releases wait behind all set-ups, also later ones
+	InTurn                   // one line for all: answers and releases wait behind the set-ups that came before
+	AnswersFirst             // set-ups wait behind answers and releases
+)
+
+// Lines are the names of the orders, as experiments take them.
+var Lines = map[string]Line{"setups-first": SetUpsFirst, "in-turn": InTurn, "answers-first": AnswersFirst}
+
 // Capacity is the calls a second that a warm processor can take from set-up to release.
 func (p Params) Capacity() float64 { return 1e9 / float64(p.SetUp+p.Answer+p.Release) }
 
@@ -42,6 +60,7 @@
 	step Step
 	call string
 	left float64 // work
+	seq  int     // in order of coming
 }
 
 // Processor is one processor's state.
@@ -60,6 +79,7 @@
 	worst    int64   // the longest wait seen by a set-up that came
 	setupsIn int
 	refused  int
+	seq      int
 }
 
 // New makes a processor that started at a time, cold, or long ago (0).
@@ -108,6 +128,11 @@
 	for _, j := range p.setups {
 		work += j.left
 	}
+	if p.p.Line != SetUpsFirst {
+		for _, j := range p.rest {
+			work += j.left
+		}
+	}
 	return work
 }
 
@@ -146,15 +171,20 @@
 	p.worst = max(p.worst, wait)
 	if wait > p.p.Refuse {
 		p.refused++
-		p.rest = append(p.rest, &job{reject, call, float64(p.p.Reject)})
-		p.next()
+		p.wait(&p.rest, reject, call, p.p.Reject)
 		return false, wait, done
 	}
-	p.setups = append(p.setups, &job{SetUp, call, float64(p.p.SetUp)})
-	p.next()
+	p.wait(&p.setups, SetUp, call, p.p.SetUp)
 	return true, 0, done
 }
 
+// wait puts work at the end of a line.
+func (p *Processor) wait(line *[]*job, s Step, call string, work int64) {
+	p.seq++
+	*line = append(*line, &job{s, call, float64(work), p.seq})
+	p.next()
+}
+
 // fall notes a set-up that came, and lets a cold processor fall over that gets too many.
 func (p *Processor) fall(now int64) {
 	p.arrivals = append(p.arrivals, now)
@@ -180,8 +210,7 @@
 		work = p.p.Release
 	}
 	if !p.fallen {
-		p.rest = append(p.rest, &job{s, call, float64(work)})
-		p.next()
+		p.wait(&p.rest, s, call, work)
 	}
 	return done
 }
@@ -189,11 +218,12 @@
 // Drop takes a set-up that was given up out of the line.
 func (p *Processor) Drop(now int64, call string) []Done {
 	done := p.Advance(now)
-	for k, j := range p.setups {
-		if j.call == call {
-			p.setups = append(p.setups[:k:k], p.setups[k+1:]...)
-			break
-		}
+	drop := func(line []*job, s Step) []*job {
+		return slices.DeleteFunc(line, func(j *job) bool { return j.call == call && j.step == s })
+	}
+	p.setups = drop(p.setups, SetUp)
+	if p.p.DropAnswers {
+		p.rest = drop(p.rest, Answer)
 	}
 	return done
 }
@@ -203,7 +233,11 @@
 	if p.cur != nil {
 		return
 	}
-	if len(p.setups) > 0 {
+	setup := len(p.setups) > 0
+	if setup && len(p.rest) > 0 {
+		setup = p.p.Line == SetUpsFirst || p.p.Line == InTurn && p.setups[0].seq < p.rest[0].seq
+	}
+	if setup {
 		p.cur, p.setups = p.setups[0], p.setups[1:]
 	} else if len(p.rest) > 0 {
 		p.cur, p.rest = p.rest[0], p.rest[1:]
