--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Formatting, vet and all tests; needs nothing outside the repository, and fails on any unformatted file.
+# Formatting, vet, the deploy file's build and all tests; needs nothing outside the repository, and fails on any unformatted file.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -8,4 +8,5 @@
   exit 1
 fi
 go vet ./...
+sh -c "$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
 go test -race -count=1 ./...
