--- a/cmd/masthill-lab/scenes.go
+++ b/cmd/masthill-lab/scenes.go
@@ -79,7 +79,7 @@
 			for column, r := range map[string]*model.Result{"plain": off[k], "run": on[k]} {
 				if r.Any() {
 					broken++
-					fmt.Println(" ", s.Name, column, r.Seed, r.Texts)
+					fmt.Println(" ", s.Name, column, r.Seed, len(r.Texts), r.Texts[0])
 				}
 				if lines != nil {
 					if err := lines.Encode(struct {
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -108,6 +108,13 @@
 	l.told[instance+" "+server] = at
 }
 
+// Listed notes that an instance was told that a server takes work again.
+func (l *Ledger) Listed(instance, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.told, instance+" "+server)
+}
+
 // Sent notes an attempt that reached a server whole.
 func (l *Ledger) Sent(call, instance, server string, at time.Time) {
 	l.mu.Lock()
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -140,7 +140,7 @@
 			delete(s.calls, a.id)
 			report := s.state()
 			c := a.from
-			s.m.after(c.way[s.cell], func() { // also to the process after a restart: it passes it on
+			s.m.after(c.delay(s.cell), func() { // also to the process after a restart: it passes it on
 				if c.x == nil {
 					s.m.over(a.id, false)
 					return
@@ -290,6 +290,8 @@
 	c.list[o.Server] = o
 	if o.State != control.In {
 		c.m.ledger.Told(c.name(), fmt.Sprint(o.Server), c.m.time())
+	} else {
+		c.m.ledger.Listed(c.name(), fmt.Sprint(o.Server))
 	}
 	if c.x != nil {
 		c.x.Members([]exchange.Office{o}, false)
@@ -316,9 +318,14 @@
 	})
 }
 
+// delay is the time that something takes to or from a cell now.
+func (c *controller) delay(cell int) int64 {
+	return c.way[cell] + max(c.m.cutUntil[cell]-c.m.now, 0)
+}
+
 // later has the process of now hear something from a server, after its way.
 func (c *controller) later(gen, cell int, f func()) {
-	c.m.after(c.way[cell], func() {
+	c.m.after(c.delay(cell), func() {
 		if c.x != nil && c.gen == gen {
 			f()
 			c.drive()
@@ -329,7 +336,7 @@
 // send has a server hear something after the way.
 func (c *controller) send(id uint64, f func(s *server)) {
 	s := c.m.servers[id-0x1000]
-	c.m.after(c.way[s.cell], func() { f(s) })
+	c.m.after(c.delay(s.cell), func() { f(s) })
 }
 
 // List implements exchange.Offices.
--- a/lab/processor/processor.go
+++ b/lab/processor/processor.go
@@ -111,7 +111,7 @@
 func (p *Processor) Silence(now int64, silent bool) []Done {
 	done := p.Advance(now)
 	if p.silent && !silent {
-		p.started = now
+		p.started, p.arrivals = now, nil // what came before has met no cold processor
 	}
 	p.silent = silent
 	return done
