What is out without an answer is bounded by what came back in time: a jam ends by itself

In the model 300 controllers on 24 servers did not leave a jam after a jump of 1.8 times for 9.3 s. Its cause is that answers wait behind set-ups, so that every set-up is worked on and none is answered before its caller has left; no server is ever full, and an instance that sees a call or two a second has no evidence on any one of 24 servers. control/goodput goes by all of an instance's set-ups together: the share that came to nothing in time, and the rate that came back (Little's law). Redials stand back while first tries meet the bound.

--- a/cmd/masthill-lab/jam.go
+++ b/cmd/masthill-lab/jam.go
@@ -27,6 +27,7 @@
 type jamCmd struct {
 	Controllers int           `default:"300" help:"Session controllers, up to 1,000."`
 	Servers     int           `default:"24" help:"Session servers, up to 100."`
+	Planned     float64       `help:"Calls a second that the servers are planned for; else 22 for each server."`
 	Load        float64       `default:"0.93" help:"Part of the planned load."`
 	Times       float64       `default:"1.8" help:"The jump, as a multiple of the load."`
 	For         time.Duration `default:"9.3s" help:"How long the jump lasts; it begins after 20 s."`
@@ -63,7 +64,7 @@
 }
 
 func (c jamCmd) scenario(seed uint64, with func(control.Settings, float64, uint64, int64) join.Chain) model.Scenario {
-	return model.Scenario{Seed: seed, Controllers: c.Controllers, Servers: c.Servers, Load: c.Load, For: jamLength, Redials: c.Redials, Join: with,
+	return model.Scenario{Seed: seed, Controllers: c.Controllers, Servers: c.Servers, Planned: c.Planned, Load: c.Load, For: jamLength, Redials: c.Redials, Join: with,
 		Line: processor.Lines[c.Line], DropAnswers: c.DropAnswers, Rate: func(at time.Duration) float64 {
 			if at >= jamFrom && at < jamFrom+c.For {
 				return c.Times
--- /dev/null
+++ b/cmd/masthill-lab/main_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"masthill/control"
+	"masthill/internal/config"
+	"masthill/lab/model"
+)
+
+// What experiments play as run is what the repository's settings turn on.
+func TestAsRun(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/masthill.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := config.ParseProject("masthill.toml", string(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	for name, on := range map[string]bool{"recovery": p.Recovery.Enabled, "levels": p.Levels.Enabled, "shares": p.Shares.Enabled, "goodput": p.Goodput.Enabled} {
+		if on {
+			want = append(want, name)
+		}
+	}
+	slices.Sort(want)
+	got, twice := asRun(control.Settings{Classes: []control.Class{{Aim: 1e9, Deadline: 9e9}}}, 66, 1, 0).Names()
+	if slices.Sort(got); twice || !slices.Equal(got, want) {
+		t.Errorf("the settings turn on %v, experiments play %v", want, got)
+	}
+}
+
+func TestSeeds(t *testing.T) {
+	for text, want := range map[string][]uint64{"3": {3}, "2-4": {2, 3, 4}, "4-2": nil, "": nil, "a-b": nil, "1-100000": nil, "-1": nil} {
+		got, err := seeds(text)
+		if !reflect.DeepEqual(got, want) || (err == nil) != (want != nil) {
+			t.Errorf("%q: %v, %v", text, got, err)
+		}
+	}
+}
+
+// The jam itself, at a size that CI has time for: many servers that each take few calls. After a jump the program without
+// its modules beside control does not come back; with them most of what such servers can do is served. The files have what
+// is said of them.
+func TestTheJam(t *testing.T) {
+	dir := t.TempDir()
+	played := func(plain bool) (served, after float64) {
+		c := jamCmd{Controllers: 24, Servers: 24, Planned: 66, Load: 0.93, Times: 1.8, For: 9300 * time.Millisecond, Seeds: "1-4", Redials: 2, Line: "setups-first",
+			Plain: plain, JSON: filepath.Join(dir, "jam.json")}
+		if err := c.Run(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		text, err := os.ReadFile(c.JSON)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var all []*model.Result
+		if err := json.Unmarshal(text, &all); err != nil || len(all) != 4 || len(all[0].BySecond) < 80 {
+			t.Fatal(all, err)
+		}
+		if info, err := os.Stat(filepath.Join(dir, "jam.svg")); err != nil || info.Size() < 1000 {
+			t.Error("no plot", err)
+		}
+		for _, r := range all {
+			served, after = served+r.Served/4, after+share(r, 45, 80)/4
+		}
+		return served, after
+	}
+	plain, plainAfter := played(true)
+	run, runAfter := played(false)
+	if plainAfter > 0.45 {
+		t.Errorf("without it there is no jam: %.3f", plainAfter)
+	}
+	if run < plain+0.2 || runAfter < plainAfter+0.2 {
+		t.Errorf("%.3f served, %.3f at the end; without %.3f and %.3f", run, runAfter, plain, plainAfter)
+	}
+}
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/control"
+	"masthill/control/goodput"
 	"masthill/control/join"
 	"masthill/control/levels"
 	"masthill/control/recovery"
@@ -163,6 +164,13 @@
 	if own.Shares.Enabled {
 		options.Join = append(options.Join, join.Module(shares.New(p.Settings, p.Shares, p.Planned, p.Seed, in.started.UnixNano())))
 	}
+	if own.Goodput.Enabled {
+		part := log.With(logs.Part, "goodput")
+		options.Join = append(options.Join, join.Module(goodput.New(goodput.Settings{Control: p.Settings}, p.Seed, in.started.UnixNano(), func(c goodput.Change) {
+			part.Warn("set-ups out", "state", c.State, "reason", c.Reason, "limit", math.Round(c.Limit*10)/10, "out", math.Round(c.Out*10)/10,
+				"in_vain", math.Round(c.Vain*100)/100)
+		})))
+	}
 	var records *store.Store
 	if own.Store.Driver != "" {
 		records, err = store.Open(store.Options{Driver: own.Store.Driver, DSN: own.Store.DSN, Instance: p.Name, Log: log.With(logs.Part, "store")})
--- a/control/goodput/goodput.go
+++ b/control/goodput/goodput.go
@@ -16,48 +16,75 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 
 	"masthill/control"
 	"masthill/control/join"
 )
 
-// The states, the codes of caps, and what is told operators.
+// The states, and their reasons.
 const (
-	Open    = "open"      // the bound is beyond what is out
-	Bounded = "bounded"   // the bound has kept set-ups back of late
-	Jam     = "no-answer" // too many set-ups came to nothing in time
-	InTime  = "in-time"   // set-ups come back in time
+	Open    = "open"    // nothing has been kept back of late
+	Bounded = "bounded" // calls have met the bound of late
+	InTime  = "in-time" // set-ups come back in time
+	InVain  = "in-vain" // too many set-ups come to nothing in time
+	Redial  = "redial"  // ruling: a caller's retry, while first tries meet the bound
 )
 
 const (
 	second = int64(1e9)
-	// outMost bounds the set-ups followed at once; beyond it the module stands aside.
-	outMost = 65536
-	// standstill is how late news comes when this instance itself stood still: control has a beat every tenth of a second
+	// outMost bounds the set-ups that are followed at once, far beyond what one instance can have out; beyond it the
+	// module stands aside.
+	outMost = 1 << 16
+	// standstill is how late news comes when the instance itself stood still: control has a beat every tenth of a second
 	// while a set-up is out, and no server is at fault for a silence in between.
 	standstill = second / 5
+	// prior is how many set-ups in time are taken for seen before any are: so that one late set-up of a new or idle
+	// instance is no jam, and two are a hint.
+	prior = 2.0
+	// slack times the least delay of late is in time whatever the aim says, up to inTimeMost of the aim: servers that are
+	// slow by themselves, with a call or two a second each, are in no jam. leastSpan is how slowly the least delay is
+	// forgotten.
+	slack, inTimeMost = 4.0, 0.9
+	leastSpan         = 60 * float64(second)
+	// leaveAfter is how long nothing may have met the bound for the state to be open again: longer than a round of redials.
+	leaveAfter = 10 * second
 )
 
 // Settings are the module's figures. Zero ones have the defaults.
 type Settings struct {
 	Control control.Settings
-	// InTime is the part of the shortest aim within which a set-up has to come back.
-	InTime float64
-	// Span is the time over which the readings fade, in nanoseconds.
-	Span float64
-	// Least is what may be out whatever was seen: with none nothing would ever be learnt again.
-	Least float64
-	// Ease is how soon the bound gives way as set-ups come back.
-	Ease float64
-	// Delay is the delay wanted, in parts of the shortest aim.
-	Delay float64
+	InTime  float64 // part of the shortest aim within which a set-up has to come back
+	Span    float64 // time over which the readings fade, in nanoseconds
+	Least   float64 // set-ups that may be out whatever was seen: with none nothing would ever be learnt again
+	Ease    float64 // how far the bound gives way where most set-ups come back in time
+	Delay   float64 // the wanted delay, as a part of the shortest aim
+	Redials float64 // seconds for which redials stand back after a first try has met the bound
 }
 
+// defaults were chosen on the model, 300 controllers and 24 servers: docs/design/goodput.md has the figures.
+func (s *Settings) defaults() {
+	for _, d := range []struct {
+		at    *float64
+		value float64
+	}{{&s.InTime, 0.42}, {&s.Span, 5 * float64(second)}, {&s.Least, 1}, {&s.Ease, 2}, {&s.Delay, 0.5}, {&s.Redials, 10}} {
+		if *d.at <= 0 {
+			*d.at = d.value
+		}
+	}
+}
+
+// Change is one change of state, for the log.
+type Change struct {
+	State, Reason    string
+	Limit, Out, Vain float64
+}
+
+// attempt is a set-up without an answer.
 type attempt struct {
-	call string
 	at   int64
-	late bool
-	gone bool
+	late bool // counted as one that came to nothing
+	over bool
 }
 
 // fading is a count that is forgotten over a span.
@@ -66,44 +93,45 @@
 	at int64
 }
 
-func (f *fading) now(t int64, span float64) float64 {
-	if t > f.at {
-		f.n *= math.Exp(-float64(t-f.at) / span)
-		f.at = t
-	}
-	return f.n
+// read is what is left of the count; it changes nothing.
+func (f *fading) read(now int64, span float64) float64 {
+	return f.n * math.Exp(-float64(max(now-f.at, 0))/span)
+}
+
+func (f *fading) add(now int64, span, n float64) {
+	f.n, f.at = f.read(now, span)+n, max(now, f.at)
 }
 
 // Goodput is the state of the module.
 type Goodput struct {
-	set       Settings
-	aim       float64
-	out       map[string]*attempt
-	line      []*attempt // in order of time, with gone ones
-	late      int        // of out
-	good, bad fading
-	heardAt   int64
-	cappedAt  int64
-	capped    int64
-	state     string
-	since     int64
-}
-
-// New makes the module at a time, in Unix nanoseconds.
-func New(s Settings, now int64) *Goodput {
-	for _, d := range []struct {
-		at    *float64
-		value float64
-	}{{&s.InTime, 0.75}, {&s.Span, 5e9}, {&s.Least, 1}, {&s.Ease, 2}, {&s.Delay, 0.5}} {
-		if *d.at == 0 {
-			*d.at = d.value
-		}
+	set        Settings
+	rng        *rand.Rand
+	aim        float64
+	out        map[string]*attempt
+	line       []*attempt // the same by time, up to the late ones
+	late       int        // of those out
+	good, vain fading
+	heardAt    int64
+	least      float64 // delay of a set-up that stood, of late
+	leastAt    int64
+	state      string
+	since      int64
+	metAt      int64 // when a call last met the bound
+	met        int64 // how many did
+	turned     int64 // redials refused
+	onChange   func(Change)
+}
+
+// New makes the module at a time, in Unix nanoseconds. onChange, if any, hears of each change of state at once.
+func New(s Settings, seed uint64, now int64, onChange func(Change)) *Goodput {
+	s.defaults()
+	if onChange == nil {
+		onChange = func(Change) {}
 	}
-	g := &Goodput{set: s, aim: math.Inf(1), out: map[string]*attempt{}, heardAt: now, state: Open, since: now}
+	g := &Goodput{set: s, rng: rand.New(rand.NewPCG(seed, 0x676f6f64)), aim: math.Inf(1), out: map[string]*attempt{}, heardAt: now, least: math.Inf(1), leastAt: now, state: Open, since: now, onChange: onChange}
 	for _, c := range s.Control.Classes {
 		g.aim = min(g.aim, float64(c.Aim))
 	}
-	g.good.at, g.bad.at = now, now
 	return g
 }
 
@@ -115,101 +143,148 @@
 	g.look(now)
 	switch ev.Kind {
 	case control.Stands:
-		if a := g.take(ev.Call); a != nil && !a.late {
-			g.good.n = g.good.now(now, g.set.Span) + 1
+		if a := g.take(ev.Call); a != nil {
+			if !a.late {
+				g.good.add(now, g.set.Span, 1)
+			}
+			g.least = min(float64(now-a.at), g.least*(1+float64(now-g.leastAt)/leastSpan))
+			g.leastAt = now
 		}
 	case control.Returned:
-		if a := g.take(ev.Call); a != nil && !a.late {
-			switch ev.Outcome {
-			case control.Overdue, control.Recalled: // given up before it was late: it tells half a thing
-				g.bad.n = g.bad.now(now, g.set.Span) + 0.5
-			}
+		// An answer of another kind tells that a server answers, not that set-ups get through; one that was called off
+		// before it was late tells neither.
+		g.take(ev.Call)
+	case control.Arrival:
+		if ok, _ := g.Room(now, 0); !ok {
+			g.met++
+			g.metAt = now
+			g.turn(now, Bounded, InVain)
 		}
 	}
+	if g.state == Bounded && now-g.metAt >= leaveAfter {
+		g.turn(now, Open, InTime)
+	}
 }
 
 // Did implements join.Module.
 func (g *Goodput) Did(now int64, a control.Action) {
-	if a.Kind != control.Send || len(g.line) >= outMost {
+	if a.Kind != control.Send || len(g.out) >= outMost {
 		return
 	}
 	g.look(now)
 	g.take(a.Call)
-	one := &attempt{call: a.Call, at: now}
+	one := &attempt{at: now}
 	g.out[a.Call] = one
 	g.line = append(g.line, one)
 }
 
+// take takes a call's set-up off those that are out.
 func (g *Goodput) take(call string) *attempt {
 	a := g.out[call]
 	if a == nil {
 		return nil
 	}
 	delete(g.out, call)
-	if a.gone = true; a.late {
+	if a.over = true; a.late {
 		g.late--
 	}
 	return a
 }
 
-// look ages what is out.
+// inTime is the delay within which a set-up has to come back.
+func (g *Goodput) inTime() float64 {
+	t := g.set.InTime * g.aim
+	if !math.IsInf(g.least, 1) {
+		t = min(max(t, slack*g.least), max(t, inTimeMost*g.aim))
+	}
+	return t
+}
+
+// look finds the set-ups that have become late.
 func (g *Goodput) look(now int64) {
-	if gap := now - g.heardAt; gap > standstill && len(g.out) > 0 {
+	if gap := now - g.heardAt; gap > standstill {
 		for _, a := range g.line {
 			a.at += gap
 		}
 	}
 	g.heardAt = max(now, g.heardAt)
-	limit := int64(g.set.InTime * g.aim)
-	for k, a := range g.line {
-		if a.gone || a.late {
-			continue
+	inTime := g.inTime()
+	for len(g.line) > 0 {
+		a := g.line[0]
+		if !a.over && float64(now-a.at) < inTime {
+			return
 		}
-		if now-a.at < limit {
-			g.line = g.line[min(k, len(g.line)):]
-			break
+		if !a.over {
+			a.late = true
+			g.late++
+			g.vain.add(now, g.set.Span, 1)
 		}
-		a.late = true
-		g.late++
-		g.bad.n = g.bad.now(now, g.set.Span) + 1
-	}
-	for len(g.line) > 0 && (g.line[0].gone || g.line[0].late) {
 		g.line = g.line[1:]
 	}
+	g.line = nil // its memory
 }
 
-// limit is what may be out now, and the share that came to nothing.
-func (g *Goodput) limit(now int64) (limit, lost float64) {
-	good := g.good.n * math.Exp(-float64(max(now-g.good.at, 0))/g.set.Span)
-	bad := g.bad.n * math.Exp(-float64(max(now-g.bad.at, 0))/g.set.Span)
-	lost = bad / max(good+bad, 1e-9)
-	limit = g.set.Least + good/g.set.Span*g.set.Delay*g.aim
-	if good+bad < 2 { // too little to go by
-		return math.Inf(1), lost
+// limit is what may be out now, and the share of set-ups that came to nothing.
+func (g *Goodput) limit(now int64) (limit, vain float64) {
+	good, lost := g.good.read(now, g.set.Span), g.vain.read(now, g.set.Span)
+	vain = lost / (good + lost + prior)
+	limit = g.set.Least + good/g.set.Span*g.set.Delay*g.aim // Little's law
+	if vain < 0.5 {
+		limit += g.set.Ease * (1 - 2*vain) / max(vain, 1e-3) // nothing at a half, and far beyond what is out at a tenth
 	}
-	return limit + g.set.Ease*max((1-lost)/max(lost, 1e-9)-1, 0), lost
+	return limit, vain
 }
 
-// used is what counts as out.
-func (g *Goodput) used(lost float64) float64 {
-	return float64(len(g.out)-g.late) + float64(g.late)*lost
+// used is what counts as out. Late set-ups are on their way or at a server that says nothing: they count by the share in
+// vain, so that a few silent servers do not take the well ones' calls, and in a jam they count in full.
+func (g *Goodput) used(vain float64) float64 {
+	return float64(len(g.out)-g.late) + float64(g.late)*min(vain/0.5, 1)
 }
 
-// Admit implements join.Module: what becomes of a call without room is control's decision.
-func (g *Goodput) Admit(int64, join.Call) join.Ruling { return join.Ruling{} }
+// Admit implements join.Module. What becomes of a first try without room is control's decision. A redial is late already
+// or nearly so, and earns a part at most; while first tries meet the bound it has a part of it only, and is asked back
+// after a wait that is drawn, so that those refused together do not return together.
+func (g *Goodput) Admit(now int64, c join.Call) join.Ruling {
+	if g.state != Bounded || !c.Retry {
+		return join.Ruling{}
+	}
+	g.look(now)
+	if float64(now-g.metAt) >= g.set.Redials*float64(second) {
+		return join.Ruling{}
+	}
+	g.turned++
+	r := join.Ruling{Verdict: join.Refuse, Reason: Redial}
+	if most := g.set.Control.MaxRetryAfter; most > 0 {
+		r.Wait = most/2 + g.rng.Int64N(most/2+1)
+	}
+	return r
+}
 
 // Room implements join.Module.
 func (g *Goodput) Room(now int64, _ uint64) (bool, string) {
-	limit, lost := g.limit(now)
-	if g.used(lost)+1 > limit {
-		return false, Jam
+	limit, vain := g.limit(now)
+	if g.used(vain)+1 > limit {
+		return false, InVain
 	}
 	return true, ""
 }
 
-// Status implements join.Module.
+func (g *Goodput) turn(now int64, state, reason string) {
+	if g.state == state {
+		return
+	}
+	g.state, g.since = state, now
+	limit, vain := g.limit(now)
+	g.onChange(Change{State: state, Reason: reason, Limit: limit, Out: g.used(vain), Vain: vain})
+}
+
+// Status implements join.Module. Held counts the calls that met the bound; control decided on them.
 func (g *Goodput) Status(now int64) join.Status {
-	limit, lost := g.limit(now)
-	return join.Status{Module: g.Name(), State: g.state, Reason: InTime, Since: g.since,
-		Out: fmt.Sprintf("%.1f of %.1f out, %.2f in vain", g.used(lost), limit, lost)}
+	limit, vain := g.limit(now)
+	s := join.Status{Module: g.Name(), State: g.state, Reason: InTime, Since: g.since, Held: g.met, Turned: g.turned}
+	if g.state == Bounded {
+		s.Reason = InVain
+		s.Out = fmt.Sprintf("no call at the bound for %d s; now %.1f of %.1f out, %.0f in a hundred in vain", leaveAfter/second, g.used(vain), limit, 100*vain)
+	}
+	return s
 }
--- a/internal/config/project.go
+++ b/internal/config/project.go
@@ -51,6 +51,9 @@
 	Shares struct {
 		Enabled bool `toml:"enabled"`
 	} `toml:"shares"`
+	Goodput struct {
+		Enabled bool `toml:"enabled"`
+	} `toml:"goodput"`
 	State struct {
 		Dir     string        `toml:"dir"` // empty: off
 		Every   time.Duration `toml:"every"`
