--- a/cmd/masthill-lab/jam.go
+++ b/cmd/masthill-lab/jam.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -19,8 +20,10 @@
 
 	"masthill/control"
 	"masthill/control/join"
+	"masthill/internal/config"
 	"masthill/lab/model"
 	"masthill/lab/processor"
+	"masthill/lab/wave"
 )
 
 // jamCmd plays a jump of the load that may tip a fleet into a jam, over seeds on a simulated clock.
@@ -36,6 +39,8 @@
 	Line        string        `enum:"setups-first,in-turn,answers-first" default:"setups-first" help:"The order of work at the servers: ${enum}."`
 	DropAnswers bool          `help:"A call that is given up takes its pending answer with it."`
 	Plain       bool          `help:"The program without the modules that run has beside control."`
+	Sockets     bool          `help:"Play it with real processes on loopback, one seed after the other, 24 controllers at most."`
+	Program     string        `default:"bin/masthill" help:"The program to run, with --sockets." placeholder:"PATH"`
 	JSON        string        `name:"json" help:"Write an array with a result for each seed there." placeholder:"FILE"`
 	Plot        string        `help:"Draw the served share by second there, as SVG or PNG; else beside the JSON file." placeholder:"FILE"`
 }
@@ -65,20 +70,23 @@
 
 func (c jamCmd) scenario(seed uint64, with func(control.Settings, float64, uint64, int64) join.Chain) model.Scenario {
 	return model.Scenario{Seed: seed, Controllers: c.Controllers, Servers: c.Servers, Planned: c.Planned, Load: c.Load, For: jamLength, Redials: c.Redials, Join: with,
-		Line: processor.Lines[c.Line], DropAnswers: c.DropAnswers, Rate: func(at time.Duration) float64 {
-			if at >= jamFrom && at < jamFrom+c.For {
-				return c.Times
-			}
-			return 1
-		}}
+		Line: processor.Lines[c.Line], DropAnswers: c.DropAnswers, Rate: c.jump}
+}
+
+// jump is the rate over time.
+func (c jamCmd) jump(at time.Duration) float64 {
+	if at >= jamFrom && at < jamFrom+c.For {
+		return c.Times
+	}
+	return 1
 }
 
 // share is the part of the calls first offered from a second on, up to another, that was served.
-func share(r *model.Result, from, to int) float64 {
+func share(bySecond []float64, offeredByS []int, from, to int) float64 {
 	var served, offered float64
-	for k := from; k < min(to, len(r.BySecond)); k++ {
-		served += r.BySecond[k] * float64(r.OfferedByS[k])
-		offered += float64(r.OfferedByS[k])
+	for k := from; k < min(to, len(bySecond)); k++ {
+		served += bySecond[k] * float64(offeredByS[k])
+		offered += float64(offeredByS[k])
 	}
 	return served / max(offered, 1)
 }
@@ -91,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Sockets {
+		return c.sockets(ctx, numbers)
+	}
 	with := asRun
 	if c.Plain {
 		with = nil
@@ -113,7 +124,7 @@
 	var served, after []float64
 	broken := 0
 	for _, r := range all {
-		served, after = append(served, r.Served), append(after, share(r, back, int(jamLength/time.Second)))
+		served, after = append(served, r.Served), append(after, share(r.BySecond, r.OfferedByS, back, int(jamLength/time.Second)))
 		if r.Any() || r.FellOver {
 			broken++
 			fmt.Println(" ", r.Seed, r.Texts)
@@ -146,6 +157,60 @@
 	return nil
 }
 
+// sockets plays the jump with real processes.
+func (c jamCmd) sockets(ctx context.Context, numbers []uint64) error {
+	if c.Controllers > 24 || c.Servers > 24 {
+		return fmt.Errorf("with --sockets 24 controllers and 24 servers at most: each is a process or a listener for every one")
+	}
+	program, err := filepath.Abs(c.Program)
+	if err != nil {
+		return err
+	}
+	if _, err := os.Stat(program); err != nil {
+		return fmt.Errorf("the program to run: %w", err)
+	}
+	settings := ""
+	if !c.Plain {
+		text, err := os.ReadFile(config.ProjectFile)
+		if err != nil {
+			return fmt.Errorf("the settings that run has: %w", err)
+		}
+		settings = string(text)
+	}
+	planned := c.Planned
+	if planned == 0 {
+		planned = 22 * float64(c.Servers)
+	}
+	back := int((jamFrom + c.For + jamBack) / time.Second)
+	var all []*wave.Result
+	for _, seed := range numbers {
+		dir, err := os.MkdirTemp("", "masthill-lab-")
+		if err != nil {
+			return err
+		}
+		r, err := wave.Run(ctx, wave.Options{Program: program, Settings: settings, Instances: c.Controllers, Servers: c.Servers, Seed: seed, Load: c.Load,
+			Planned: planned, Steady: true, Warm: jamFrom, Wave: c.For, After: jamLength - jamFrom - c.For, Rate: c.jump, Dir: dir})
+		os.RemoveAll(dir)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: served %.3f, 15 s after the jump %.3f, %d calls, %d tries, missing %d, twice %d, overlapping %d, rig late %.0f ms\n", seed, r.Served,
+			share(r.BySecond, r.OfferedByS, back, len(r.BySecond)), r.Calls, r.Tries, r.Missing, r.Twice, r.Overlaps, r.LateMS)
+		r.Samples = nil
+		if all = append(all, r); r.Any() || len(r.Errors) > 0 {
+			return fmt.Errorf("a rule was broken, or an instance failed: %v %v", r.Texts, r.Errors)
+		}
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(all, "", " ")
+	if err == nil {
+		err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
+	}
+	return err
+}
+
 // plot draws what was served of the calls of each second: each seed thin, the mean over them thick.
 func (c jamCmd) plot(all []*model.Result) error {
 	p := plot.New()
--- a/cmd/masthill-lab/main_test.go
+++ b/cmd/masthill-lab/main_test.go
@@ -70,7 +70,7 @@
 			t.Error("no plot", err)
 		}
 		for _, r := range all {
-			served, after = served+r.Served/4, after+share(r, 45, 80)/4
+			served, after = served+r.Served/4, after+share(r.BySecond, r.OfferedByS, 45, 80)/4
 		}
 		return served, after
 	}
--- a/lab/wave/wave.go
+++ b/lab/wave/wave.go
@@ -27,16 +27,18 @@
 	Instances int
 	Servers   int
 	Seed      uint64
-	Load      float64       // of the planned load: 0.88 to 0.97 on most days; 0: drawn from that
-	Planned   float64       // calls a second, all instances together
-	Share     float64       // of the instances that restart
-	Batch     float64       // of the instances, at a time
-	Warm      time.Duration // before the wave
-	Wave      time.Duration // within which all restarts begin
-	After     time.Duration // after the wave
-	Kill      bool          // SIGKILL in place of SIGTERM
-	Crash     bool          // the cold server is one whose process crashed and started again unseen; else a new one
-	Dir       string        // for the instances' folders
+	Load      float64                        // of the planned load: 0.88 to 0.97 on most days; 0: drawn from that
+	Planned   float64                        // calls a second, all instances together
+	Share     float64                        // of the instances that restart
+	Batch     float64                        // of the instances, at a time
+	Warm      time.Duration                  // before the wave
+	Wave      time.Duration                  // within which all restarts begin
+	After     time.Duration                  // after the wave
+	Kill      bool                           // SIGKILL in place of SIGTERM
+	Crash     bool                           // the cold server is one whose process crashed and started again unseen; else a new one
+	Steady    bool                           // no restarts and no cold server: only what Rate brings, for Warm, Wave and After together
+	Rate      func(at time.Duration) float64 // times the load; nil: 1
+	Dir       string                         // for the instances' folders
 }
 
 func (o *Options) defaults() {
@@ -73,6 +75,8 @@
 	Attempts    int     `json:"attempts"`
 	check.Broken
 	Served     float64            `json:"served_share"`
+	BySecond   []float64          `json:"served_by_second"`
+	OfferedByS []int              `json:"offered_by_second"`
 	Cut        int                `json:"cut"`
 	Restarts   int                `json:"restarts"`
 	Errors     []string           `json:"errors,omitempty"`
@@ -217,7 +221,7 @@
 		}
 		w.servers = append(w.servers, s)
 	}
-	w.crowd = standin.NewCrowd(standin.Demand{Rate: w.Load * w.Planned, Class: "open-log",
+	w.crowd = standin.NewCrowd(standin.Demand{Rate: w.Load * w.Planned, RateAt: w.Rate, Class: "open-log",
 		Tenants: map[string]float64{"slaney-vines": 0.55, "barrow-estate": 0.33, "suir-growers": 0.12}, Aim: 1200 * time.Millisecond,
 		Deadline: 9 * time.Second, Patience: [2]float64{0.3, 0.4}, Redials: 2, Late: 0.25, Cells: w.Servers,
 		RedialGap: [2]time.Duration{300 * time.Millisecond, time.Second}}, w.ledger, w.rng.Uint64())
@@ -251,7 +255,9 @@
 	calm := time.Now()
 	w.began = calm
 	total := w.Warm + w.Wave + w.After
-	w.group.Go(func() error { return w.trouble(calm) })
+	if !w.Steady {
+		w.group.Go(func() error { return w.trouble(calm) })
+	}
 	w.group.Go(func() error { w.sample(calm, total); return nil })
 	return w.crowd.Run(w.ctx, total)
 }
@@ -395,6 +401,9 @@
 		}
 	}
 	r.Served = worth / float64(max(r.Calls, 1))
+	for at := range int((w.Warm+w.Wave+w.After)/time.Second) + 1 {
+		r.BySecond, r.OfferedByS = append(r.BySecond, bySecond[at]/float64(max(of[at], 1))), append(r.OfferedByS, of[at])
+	}
 	for k := range r.Samples {
 		if at := int(r.Samples[k].AtS); of[at] > 0 {
 			r.Samples[k].Served = bySecond[at] / float64(of[at])
