--- /dev/null
+++ b/lab/model/scenes_test.go
@@ -0,0 +1,48 @@
+package model
+
+import (
+	"testing"
+	"time"
+)
+
+// Every scene plays by the rules, and does what it says: service before it is whole, and in it is not.
+func TestScenes(t *testing.T) {
+	harmless := map[string]bool{"calm": true, "busy": true, "swing": true, "jump-short": true, "jump-small": true, "overload": true, "slow": true, "roll": true}
+	for _, s := range Scenes() {
+		r, err := Run(s.Scenario(5, 8, 4))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Any() || r.Calls < 3000 {
+			t.Errorf("%s: %d calls, %+v", s.Name, r.Calls, r.Broken)
+		}
+		before, in := 0.0, 0.0
+		for k := range 5 {
+			before, in = before+r.BySecond[2+k]/5, in+r.BySecond[20+k]/5
+		}
+		if before < 0.9 { // some of these calls stand long enough to be cut in the scene
+			t.Errorf("%s: %.3f served before it begins", s.Name, before)
+		}
+		if !harmless[s.Name] && in > 0.99 {
+			t.Errorf("%s: %.3f served in it", s.Name, in)
+		}
+		if want := map[string]int{"herd": 6, "roll": 8}[s.Name]; r.Restarts != want {
+			t.Errorf("%s: %d restarts", s.Name, r.Restarts)
+		}
+	}
+	if _, err := SceneNamed("none"); err == nil {
+		t.Error("a scene of no name")
+	}
+}
+
+// What is on its way to a cut-off server and from it comes when the cut is over: no call is lost with it for good.
+func TestACutHeals(t *testing.T) {
+	sc := Scenario{Seed: 2, Controllers: 5, Servers: 2, Load: 0.5, For: 40 * time.Second, Redials: 2, Troubles: []Trouble{{Kind: "cut", At: 10 * time.Second, For: 5 * time.Second, Share: 0.5}}}
+	r, err := Run(sc)
+	if err != nil || r.Any() || r.Cut > 0 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	if r.BySecond[11] > 0.95 || r.BySecond[30] < 0.99 {
+		t.Errorf("%.3f served in the cut, %.3f after", r.BySecond[11], r.BySecond[30])
+	}
+}
--- a/lab/processor/processor_test.go
+++ b/lab/processor/processor_test.go
@@ -130,3 +130,51 @@
 		t.Error(a, b)
 	}
 }
+
+// The orders of work: an answer waits behind set-ups that come later, behind those before it, or behind none.
+func TestLines(t *testing.T) {
+	for name, want := range map[string]int{"setups-first": 3, "in-turn": 2, "answers-first": 1} {
+		p := New(Params{SetUp: 100, Answer: 100, Refuse: 1e9, ColdFrom: 1, FallMultiple: 2, FallWindow: 1e9, Line: Lines[name]}, 0)
+		p.Offer(1, "a")
+		p.Offer(1, "b")
+		p.Add(1, Answer, "x")
+		p.Offer(1, "c")
+		at := -1
+		for k, d := range p.Advance(1000) {
+			if d.Step == Answer {
+				at = k
+			}
+		}
+		if at != want {
+			t.Errorf("%s: the answer is number %d, want %d", name, at, want)
+		}
+	}
+}
+
+// A call that is given up takes its set-up along, and its answer only where that is asked for.
+func TestDropAnswers(t *testing.T) {
+	for _, drop := range []bool{false, true} {
+		p := New(Params{SetUp: 100, Answer: 100, Refuse: 1e9, ColdFrom: 1, FallMultiple: 2, FallWindow: 1e9, DropAnswers: drop}, 0)
+		p.Offer(1, "a")
+		p.Offer(1, "b")
+		p.Add(1, Answer, "x")
+		p.Drop(1, "b")
+		p.Drop(1, "x")
+		if n := len(p.Advance(1000)); n != 2 && !drop || n != 1 && drop {
+			t.Errorf("drop answers %v: %d pieces of work", drop, n)
+		}
+	}
+}
+
+// What came to a processor while it was silent has met no cold one.
+func TestASilentOneStartsClean(t *testing.T) {
+	p := New(Params{SetUp: 1e7, Answer: 1e6, Release: 1e6, Refuse: 1e10, ColdFrom: 0.3, ColdSpan: 15e9, FallMultiple: 2, FallWindow: 1e9}, 0)
+	p.Silence(1e9, true)
+	for k := range 200 {
+		p.Offer(int64(1e9)+int64(k)*4e6, "x")
+	}
+	p.Silence(18e8, false)
+	if p.Offer(18e8+1e6, "y"); p.Fallen() {
+		t.Error("it fell over with what came before its start")
+	}
+}
