--- a/cmd/masthill-lab/jam.go
+++ b/cmd/masthill-lab/jam.go
@@ -81,6 +81,14 @@
 	return 1
 }
 
+// bound is what can be served at most: in the jump no more stand in time than the processors can do, if they do nothing in
+// vain, and the rest of the callers stand late at best.
+func (c jamCmd) bound(r *model.Result) float64 {
+	total := c.Load * (jamLength.Seconds() + (c.Times-1)*c.For.Seconds())
+	over := max(c.Load*c.Times-1/r.Use, 0) * c.For.Seconds()
+	return 1 - (1-model.Late)*over/total
+}
+
 // share is the part of the calls first offered from a second on, up to another, that was served.
 func share(bySecond []float64, offeredByS []int, from, to int) float64 {
 	var served, offered float64
@@ -132,7 +140,8 @@
 	}
 	fmt.Printf("served %.4f (worst %.4f), 15 s after the jump %.4f (worst %.4f), %d seeds\n", stat.Mean(served, nil), least(served), stat.Mean(after, nil), least(after), len(all))
 	for k, r := range all {
-		fmt.Printf("  seed %d: %.3f, after %.3f, refused by servers %d, tries %.2f a call\n", r.Seed, r.Served, after[k], r.Refused, float64(r.Tries)/float64(max(r.Calls, 1)))
+		fmt.Printf("  seed %d: %.3f (bound %.3f), after %.3f, refused by servers %d, tries %.2f a call\n", r.Seed, r.Served, c.bound(r), after[k], r.Refused,
+			float64(r.Tries)/float64(max(r.Calls, 1)))
 	}
 	if c.JSON != "" {
 		text, err := json.MarshalIndent(all, "", " ")
--- a/cmd/masthill-lab/scenes.go
+++ b/cmd/masthill-lab/scenes.go
@@ -12,12 +12,14 @@
 	"masthill/lab/model"
 )
 
-// scenesCmd plays scenes with what the deploy file's run has beside control, and without, over paired seeds.
+// scenesCmd plays scenes with some modules beside control and with others, over paired seeds.
 type scenesCmd struct {
 	Scene       []string `default:"all" help:"Scenes by name, or all."`
 	Controllers int      `default:"300" help:"Session controllers, up to 1,000."`
 	Servers     int      `default:"24" help:"Session servers, up to 100."`
 	Seeds       string   `default:"1-8" help:"Seeds, as FIRST-LAST or one."`
+	Before      string   `default:"plain" help:"The modules beside control that are compared with: plain, run, or names with commas between."`
+	With        string   `default:"run" help:"The modules beside control."`
 	JSON        string   `name:"json" help:"Write a line for each run there." placeholder:"FILE"`
 }
 
@@ -29,6 +31,12 @@
 	if err != nil {
 		return err
 	}
+	var columns [2]joining
+	for k, names := range []string{c.Before, c.With} {
+		if columns[k], err = modules(names); err != nil {
+			return err
+		}
+	}
 	list := model.Scenes()
 	if len(c.Scene) != 1 || c.Scene[0] != "all" {
 		list = nil
@@ -49,22 +57,20 @@
 		defer f.Close()
 		lines = json.NewEncoder(f)
 	}
-	fmt.Printf("%-11s %8s %8s %10s %22s %8s %8s %8s\n", "scene", "plain", "run", "run-plain", "95% interval", "worst", "worst", "late")
+	fmt.Printf("%-11s %8s %8s %10s %22s %8s %8s %8s\n", "scene", "before", "with", "change", "95% interval", "worst", "worst", "late")
 	broken := 0
 	for _, s := range list {
 		off, on := make([]*model.Result, len(numbers)), make([]*model.Result, len(numbers))
 		g, ctx := errgroup.WithContext(ctx)
 		g.SetLimit(parallel)
 		for k, seed := range numbers {
-			for _, with := range []bool{false, true} {
+			for column, into := range [][]*model.Result{off, on} {
 				g.Go(func() (err error) {
 					if ctx.Err() != nil {
 						return ctx.Err()
 					}
-					sc, into := s.Scenario(seed, c.Controllers, c.Servers), off
-					if with {
-						sc.Join, into = asRun, on
-					}
+					sc := s.Scenario(seed, c.Controllers, c.Servers)
+					sc.Join = columns[column]
 					into[k], err = model.Run(sc)
 					return err
 				})
@@ -76,7 +82,7 @@
 		var a, b, late []float64
 		for k := range numbers {
 			a, b, late = append(a, off[k].Served), append(b, on[k].Served), append(late, on[k].Late)
-			for column, r := range map[string]*model.Result{"plain": off[k], "run": on[k]} {
+			for column, r := range map[string]*model.Result{c.Before: off[k], c.With: on[k]} {
 				if r.Any() {
 					broken++
 					fmt.Println(" ", s.Name, column, r.Seed, len(r.Texts), r.Texts[0])
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -68,6 +68,7 @@
 	FellOver    bool    `json:"fell_over"`
 	ColdWait    float64 `json:"cold_wait_max_ms"` // at a server that started during the run
 	Refusal     float64 `json:"refusal_point_ms"`
+	Use         float64 `json:"use_at_plan"` // part of the processors' time that the planned load takes
 	Refused     int     `json:"refused_by_servers"`
 	Restarts    int     `json:"restarts"`
 	check.Broken
@@ -81,9 +82,12 @@
 	OfferedByS []int              `json:"offered_by_second"`
 }
 
+// Late is the worth of a call that stands after its aim.
+const Late = 0.25
+
 const (
 	aim, deadline = int64(1200e6), int64(9e9)
-	late          = 0.25
+	late          = Late
 	hold          = int64(9e9)
 	reportEvery   = int64(300e6)
 	circuits      = 1000
@@ -116,6 +120,7 @@
 	all         []*caller
 	restarts    int
 	cutUntil    []int64 // by cell: nothing passes to and from it before
+	use         float64 // part of the processors' time that the planned load takes
 	lossy       float64 // part of the answers that get lost now
 	discard     *slog.Logger
 }
@@ -143,6 +148,7 @@
 		params: processor.Params{SetUp: int64(setup), Answer: int64(setup * follow / 2), Release: int64(setup * follow / 2), Reject: int64(setup * 0.2), Refuse: refuse,
 			ColdFrom: 0.31, ColdSpan: 15e9, FallMultiple: 2, FallWindow: 1e9,
 			Line: sc.Line, DropAnswers: sc.DropAnswers}}
+	m.use = use
 	m.cutUntil = make([]int64, sc.Servers)
 	for cell := range sc.Servers {
 		s := m.newServer(cell, 0)
@@ -337,7 +343,7 @@
 
 func (m *model) result(real time.Duration) *Result {
 	r := &Result{Seed: m.Seed, Controllers: m.Controllers, Servers: m.Servers, Calls: len(m.all), Events: m.events, RealS: real.Seconds(),
-		EventsS: float64(m.events) / real.Seconds(), Refusal: float64(m.params.Refuse) / 1e6, Restarts: m.restarts, ByTenant: map[string]float64{}}
+		EventsS: float64(m.events) / real.Seconds(), Refusal: float64(m.params.Refuse) / 1e6, Use: m.use, Restarts: m.restarts, ByTenant: map[string]float64{}}
 	r.Broken, _, _ = m.ledger.Result()
 	seconds := int(m.For/time.Second) + 1
 	r.BySecond, r.OfferedByS = make([]float64, seconds), make([]int, seconds)
