--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -22,6 +22,7 @@
 	Model       modelCmd  `cmd:"" help:"Play the wave on a simulated clock at any size, with and without recovery, over paired seeds."`
 	Flood       floodCmd  `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
 	Jam         jamCmd    `cmd:"" help:"Play a jump of the load that may tip a fleet into a jam, on a simulated clock."`
+	Border      borderCmd `cmd:"" help:"Show at which sizes and jumps a fleet does not come back, as a table and a picture."`
 	Scenes      scenesCmd `cmd:"" help:"Play scenes on a simulated clock, with what run has beside control and without, over paired seeds."`
 	Levels      levelsCmd `cmd:"" help:"Play a swing, a jump, a slowdown into a restart wave, or an overload on a simulated clock, with and without levels."`
 	RestartWave waveCmd   `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
