Lab: a program that is missing is an error, no panic of the rig

masthill-lab restart-wave from another folder panicked: an instance whose process never started was stopped all the same (lab/wave/instance.go).

--- a/lab/wave/instance.go
+++ b/lab/wave/instance.go
@@ -46,11 +46,14 @@
 	cmd.Stderr = i
 	ready, ended := make(chan string, 1), make(chan struct{})
 	i.mu.Lock()
-	i.cmd, i.ready, i.ended = cmd, ready, ended
+	i.ready = ready // its log comes with the start
 	i.mu.Unlock()
 	if err := cmd.Start(); err != nil {
-		return "", err
+		return "", fmt.Errorf("%s does not start: %w", i.name, err)
 	}
+	i.mu.Lock()
+	i.cmd, i.ended = cmd, ended // only a process that is there can be stopped
+	i.mu.Unlock()
 	go func() { cmd.Wait(); close(ended) }()
 	select {
 	case addr = <-ready:
--- a/lab/wave/wave_test.go
+++ b/lab/wave/wave_test.go
@@ -71,3 +71,32 @@
 		t.Errorf("%v\n%s", err, out.String())
 	}
 }
+
+// A program that is not there is an error that says so, as is one that can't be started; neither is a panic at the end.
+func TestAProgramThatIsMissing(t *testing.T) {
+	plain := filepath.Join(t.TempDir(), "plain")
+	os.WriteFile(plain, []byte("no program"), 0o600)
+	for _, program := range []string{filepath.Join(t.TempDir(), "none"), plain} {
+		if _, err := Run(t.Context(), Options{Program: program, Instances: 2, Servers: 1, Dir: t.TempDir()}); err == nil || !strings.Contains(err.Error(), "n0 does not start") {
+			t.Error(err)
+		}
+	}
+}
+
+// A steady run has no restart and no cold server; the jump of its rate shows in what is offered.
+func TestASteadyRun(t *testing.T) {
+	r, err := Run(t.Context(), Options{Program: program, Instances: 3, Servers: 2, Seed: 1, Steady: true, Warm: 2 * time.Second, Wave: 2 * time.Second, After: time.Second,
+		Rate: func(at time.Duration) float64 {
+			if at >= 2*time.Second {
+				return 2
+			}
+			return 0.4
+		}, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Any() || len(r.Errors) > 0 || r.Restarts != 0 || len(r.BySecond) != 6 || r.OfferedByS[3] < 2*r.OfferedByS[1] || r.Served < 0.5 {
+		r.Samples = nil
+		t.Errorf("%+v", r)
+	}
+}
