--- a/cmd/masthill-lab/border.go
+++ b/cmd/masthill-lab/border.go
@@ -157,7 +157,7 @@
 		colours.SetMin(0)
 		colours.SetMax(1)
 		heat := plotter.NewHeatMap(g, colours.Palette(64))
-		heat.Min, heat.Max = 0, 1
+		heat.Min, heat.Max = -0.4, 1 // so that the texts of empty cells can be read
 		p := plot.New()
 		p.Title.Text = fmt.Sprintf("%s: served from 15 s after the jump on", names)
 		p.X.Label.Text, p.Y.Label.Text = "height of the jump", "controllers/servers"
