--- a/cmd/masthill-lab/scenes.go
+++ b/cmd/masthill-lab/scenes.go
@@ -17,6 +17,7 @@
 	Scene       []string `default:"all" help:"Scenes by name, or all."`
 	Controllers int      `default:"300" help:"Session controllers, up to 1,000."`
 	Servers     int      `default:"24" help:"Session servers, up to 100."`
+	Planned     float64  `help:"Calls a second that the servers are planned for; else 22 for each server."`
 	Seeds       string   `default:"1-8" help:"Seeds, as FIRST-LAST or one."`
 	Before      string   `default:"plain" help:"The modules beside control that are compared with: plain, run, or names with commas between."`
 	With        string   `default:"run" help:"The modules beside control."`
@@ -70,7 +71,7 @@
 						return ctx.Err()
 					}
 					sc := s.Scenario(seed, c.Controllers, c.Servers)
-					sc.Join = columns[column]
+					sc.Join, sc.Planned = columns[column], c.Planned
 					into[k], err = model.Run(sc)
 					return err
 				})
