--- a/cmd/masthill-lab/border.go
+++ b/cmd/masthill-lab/border.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -107,11 +106,7 @@
 		fmt.Println()
 	}
 	if c.JSON != "" {
-		text, err := json.MarshalIndent(cells, "", " ")
-		if err == nil {
-			err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
-		}
-		if err != nil {
+		if err := writeJSON(c.JSON, cells); err != nil {
 			return err
 		}
 	}
--- a/cmd/masthill-lab/jam.go
+++ b/cmd/masthill-lab/jam.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math"
 	"os"
@@ -144,11 +143,7 @@
 			float64(r.Tries)/float64(max(r.Calls, 1)))
 	}
 	if c.JSON != "" {
-		text, err := json.MarshalIndent(all, "", " ")
-		if err == nil {
-			err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
-		}
-		if err != nil {
+		if err := writeJSON(c.JSON, all); err != nil {
 			return err
 		}
 		if c.Plot == "" {
@@ -213,11 +208,7 @@
 	if c.JSON == "" {
 		return nil
 	}
-	text, err := json.MarshalIndent(all, "", " ")
-	if err == nil {
-		err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
-	}
-	return err
+	return writeJSON(c.JSON, all)
 }
 
 // plot draws what was served of the calls of each second: each seed thin, the mean over them thick.
--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -91,11 +91,7 @@
 		return err
 	}
 	if c.JSON != "" {
-		text, err := json.MarshalIndent(r, "", " ")
-		if err == nil {
-			err = os.WriteFile(c.JSON, append(text, '\n'), 0o644)
-		}
-		if err != nil {
+		if err := writeJSON(c.JSON, r); err != nil {
 			return err
 		}
 	}
@@ -115,6 +111,15 @@
 	return nil
 }
 
+// writeJSON writes a result for people and programs to read.
+func writeJSON(file string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(text, '\n'), 0o644)
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
