--- a/control/goodput/goodput_test.go
+++ b/control/goodput/goodput_test.go
@@ -230,3 +230,29 @@
 		}
 	})
 }
+
+// Servers that are slow by themselves are in no jam: what is late is told by the least delay of late too.
+func TestServersThatAreSlowByThemselves(t *testing.T) {
+	f := newFleet(settings())
+	f.play(30*second, 500*ms, 700*ms)
+	if f.kept > 0 {
+		t.Errorf("%d kept back of %d", f.kept, f.n)
+	}
+}
+
+// Late set-ups count as out by the share in vain: a fifth of their number at a tenth, in full from a half on.
+func TestWhatIsLateCountsByTheShareInVain(t *testing.T) {
+	g := New(settings(), 1, 0, nil)
+	for k := range 10 {
+		g.Did(0, control.Action{Kind: control.Send, Call: fmt.Sprint(k)})
+	}
+	for now := int64(0); now <= 600*ms; now += 100 * ms {
+		g.See(now, control.Event{Kind: control.Ring})
+	}
+	g.Did(600*ms, control.Action{Kind: control.Send, Call: "young"})
+	for vain, want := range map[float64]float64{0: 1, 0.1: 3, 0.5: 11, 0.9: 11} {
+		if got := g.used(vain); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%.1f in vain: %.2f of 11 count, want %.2f", vain, got, want)
+		}
+	}
+}
