Budgets of the whole fleet as leases: parts that end, one allocator by a majority's promises

Instances are to share budgets (set-ups to a cold office, members' shares, retries) without ever spending more than the whole, whoever is cut off, frozen or restarted. control/shared/lease is the pure half: promises of a majority of fixed keepers choose the one that hands parts out; every answer counts from its asking by the asker's clock, so that no common clock is needed; an instance that hears nothing has its floor.

--- /dev/null
+++ b/control/shared/lease/lease_test.go
@@ -0,0 +1,327 @@
+package lease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// world plays nodes with clocks of their own over a network that loses, delays, doubles and cuts.
+type world struct {
+	rng     *rand.Rand
+	now     int64 // true time
+	cfg     Config
+	nodes   []*one
+	plan    plan
+	seq     uint64
+	loss    float64
+	delay   int64
+	cut     func(from, to int) bool
+	size    int64
+	wanting func(k int) int64
+	most    int64 // that was ever in use
+	used    map[int][]int64
+	broken  string
+}
+
+// one is one instance: its clock has an offset and a rate; while it is frozen its mail waits.
+type one struct {
+	n      *Node
+	name   string
+	offset int64
+	rate   float64
+	frozen bool
+	mail   []Message
+	epoch  uint64
+	uses   int64
+}
+
+type todo struct {
+	at  int64
+	seq uint64
+	do  func()
+}
+type plan []todo
+
+func (p plan) Len() int { return len(p) }
+func (p plan) Less(i, j int) bool {
+	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].seq < p[j].seq
+}
+func (p plan) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
+func (p *plan) Push(v any)   { *p = append(*p, v.(todo)) }
+func (p *plan) Pop() any     { old := *p; last := old[len(old)-1]; *p = old[:len(old)-1]; return last }
+
+const budget = "cold/1"
+
+func (w *world) after(d int64, f func()) { w.seq++; heap.Push(&w.plan, todo{w.now + d, w.seq, f}) }
+func (w *world) clock(o *one) int64      { return o.offset + int64(float64(w.now)*o.rate) }
+
+func newWorld(seed uint64, members, keepers int, c Config) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cfg: c, size: 100_000, delay: 20e6, cut: func(int, int) bool { return false }}
+	w.wanting = func(int) int64 { return w.size }
+	for k := range keepers {
+		w.cfg.Keepers = append(w.cfg.Keepers, fmt.Sprint("n", k))
+	}
+	w.cfg.Most = members
+	drift := w.cfg
+	drift.defaults()
+	for k := range members {
+		o := &one{name: fmt.Sprint("n", k), offset: w.rng.Int64N(1e15), rate: 1 + (w.rng.Float64()*2-1)*drift.Drift}
+		w.nodes = append(w.nodes, o)
+		w.start(k)
+		w.after(w.rng.Int64N(50e6), func() { w.tick(k) })
+	}
+	return w
+}
+
+// start begins a process: all that the one before knew is gone.
+func (w *world) start(k int) {
+	o := w.nodes[k]
+	o.epoch = w.rng.Uint64()
+	o.mail, o.frozen = nil, false
+	o.n = New(w.cfg, ID{o.name, o.epoch}, w.rng.Uint64(), w.clock(o), nil)
+}
+
+func (w *world) tick(k int) {
+	o := w.nodes[k]
+	if !o.frozen {
+		now := w.clock(o)
+		for _, m := range o.mail {
+			w.send(k, o.n.Hear(now, m))
+		}
+		o.mail = nil
+		o.n.Want(now, budget, w.size, w.wanting(k))
+		w.send(k, o.n.Tick(now))
+		for w.wanting(k) > 0 && o.n.Use(now, budget) {
+			o.uses++
+		}
+	}
+	w.check()
+	w.after(50e6, func() { w.tick(k) })
+}
+
+func (w *world) send(from int, out []Out) {
+	for _, m := range out {
+		to := slices.IndexFunc(w.nodes, func(o *one) bool { return o.name == m.To })
+		for range 1 + w.rng.IntN(20)/19 { // one in twenty twice
+			if to < 0 || w.cut(from, to) || w.rng.Float64() < w.loss {
+				continue
+			}
+			w.after(1e6+w.rng.Int64N(w.delay), func() {
+				o := w.nodes[to]
+				if o.frozen {
+					o.mail = append(o.mail, m.Message)
+					return
+				}
+				w.send(to, o.n.Hear(w.clock(o), m.Message))
+				w.check()
+			})
+		}
+	}
+}
+
+// check adds up what may be used at this moment. What a frozen one has counts: it does not know that it is frozen.
+func (w *world) check() {
+	sum := int64(0)
+	for _, o := range w.nodes {
+		sum += o.n.Rate(w.clock(o), budget)
+	}
+	if w.most = max(w.most, sum); sum > w.size && w.broken == "" {
+		w.broken = fmt.Sprintf("%d of %d in use at %d ms", sum, w.size, w.now/1e6)
+	}
+}
+
+func (w *world) run(d int64) {
+	until := w.now + d
+	for len(w.plan) > 0 && w.plan[0].at <= until {
+		t := heap.Pop(&w.plan).(todo)
+		w.now = t.at
+		t.do()
+	}
+	w.now = until
+}
+
+func (w *world) uses() (n int64) {
+	for _, o := range w.nodes {
+		n += o.uses
+	}
+	return n
+}
+
+// settled lets the parts settle, and fails where the pool is not in use by then.
+func settled(t *testing.T, w *world) {
+	t.Helper()
+	w.run(12e9)
+	sum := int64(0)
+	for _, o := range w.nodes {
+		sum += o.n.Rate(w.clock(o), budget)
+	}
+	if sum < w.size*8/10 {
+		t.Fatalf("%d of %d in use", sum, w.size)
+	}
+	if w.broken != "" {
+		t.Fatal(w.broken)
+	}
+}
+
+func TestTheWholeBudgetIsUsedAndMovesToWhoAsks(t *testing.T) {
+	w := newWorld(1, 7, 3, Config{})
+	settled(t, w)
+	w.wanting = func(k int) int64 {
+		if k == 5 {
+			return w.size
+		}
+		return 0
+	}
+	w.run(4e9)
+	if got := w.nodes[5].n.Rate(w.clock(w.nodes[5]), budget); got < w.size*8/10 {
+		t.Fatalf("the only one that asks has %d of %d", got, w.size)
+	}
+}
+
+func TestACutOffInstanceFallsBackToItsFloor(t *testing.T) {
+	w := newWorld(2, 7, 3, Config{})
+	settled(t, w)
+	w.cut = func(from, to int) bool { return from == 6 || to == 6 }
+	w.run(5e9)
+	o := w.nodes[6]
+	floor := w.size / 5 / 7
+	if got := o.n.Rate(w.clock(o), budget); got != floor {
+		t.Fatalf("%d, and the floor is %d", got, floor)
+	}
+	before := o.uses
+	w.run(10e9)
+	if o.uses-before < floor*10/1000*8/10 {
+		t.Fatalf("only %d uses in 10 s at the floor", o.uses-before)
+	}
+	settled(t, w) // the others have what it gave up
+}
+
+func TestHalfOfTheFleetWithoutAMajorityFallsBack(t *testing.T) {
+	w := newWorld(3, 10, 5, Config{})
+	settled(t, w)
+	side := func(k int) bool { return k < 2 || k > 5 } // keepers 0 and 1 of 0 to 4
+	w.cut = func(from, to int) bool { return side(from) != side(to) }
+	w.run(8e9)
+	for k, o := range w.nodes {
+		if floor := w.size / 5 / 10; side(k) && o.n.Rate(w.clock(o), budget) != floor {
+			t.Errorf("n%d has %d", k, o.n.Rate(w.clock(o), budget))
+		}
+	}
+	settled(t, w)
+	w.cut = func(int, int) bool { return false }
+	settled(t, w)
+}
+
+func TestAFrozenHolderWakesWithNothing(t *testing.T) {
+	w := newWorld(4, 5, 3, Config{})
+	settled(t, w)
+	o := w.nodes[4]
+	o.frozen = true
+	w.run(20e9)
+	now, used := w.clock(o), o.uses
+	if got := o.n.Rate(now, budget); got != w.size/5/5 {
+		t.Fatalf("it wakes with %d", got)
+	}
+	for o.n.Use(now, budget) {
+		o.uses++
+	}
+	if o.uses-used > 2 { // its floor's token and what it had saved up beside
+		t.Fatalf("%d uses on waking", o.uses-used)
+	}
+	o.frozen = false
+	settled(t, w)
+}
+
+func TestAllocatorFrozenAndGone(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		w := newWorld(5, 6, 3, Config{})
+		settled(t, w)
+		k := slices.IndexFunc(w.nodes, func(o *one) bool { return o.n.Reigns(w.clock(o)) })
+		if k < 0 {
+			t.Fatal("nobody reigns")
+		}
+		w.nodes[k].frozen = true
+		settled(t, w)
+		if gone {
+			w.start(k)
+		} else {
+			w.nodes[k].frozen = false
+		}
+		settled(t, w)
+	}
+}
+
+// history plays random faults for a while and gives what broke.
+func history(seed uint64, c Config, length int64) *world {
+	w := newWorld(seed, 3+int(seed%7), 3, c)
+	rng := rand.New(rand.NewPCG(seed, 2))
+	w.run(3e9 + rng.Int64N(5e9))
+	for w.now < length && w.broken == "" {
+		switch rng.IntN(10) {
+		case 0:
+			at := rng.IntN(len(w.nodes)) // one is cut off
+			w.cut = func(from, to int) bool { return from == at || to == at }
+		case 1:
+			at := rng.IntN(len(w.nodes)) // hears nothing, and is heard
+			w.cut = func(_, to int) bool { return to == at }
+		case 2:
+			mask := rng.Uint64()
+			w.cut = func(from, to int) bool { return mask>>from&1 != mask>>to&1 }
+		case 3:
+			w.cut = func(int, int) bool { return false }
+		case 4:
+			w.loss, w.delay = rng.Float64()*0.4, 1e6+rng.Int64N(3e9)
+		case 5:
+			w.loss, w.delay = 0, 20e6
+		case 6:
+			w.nodes[rng.IntN(len(w.nodes))].frozen = true
+		case 7:
+			for _, o := range w.nodes {
+				o.frozen = false
+			}
+		case 8:
+			w.start(rng.IntN(len(w.nodes)))
+		case 9:
+			mask := rng.Uint64()
+			w.wanting = func(k int) int64 { return int64(mask >> (k * 4) & 15 * uint64(w.size) / 15) }
+		}
+		w.run(1e6 + rng.Int64N(3e9))
+	}
+	return w
+}
+
+func TestRandomHistoriesOverspendNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := history(seed, Config{}, 60e9)
+		if w.broken != "" {
+			t.Fatal(w.broken)
+		}
+		c := w.cfg
+		c.defaults()
+		if most := w.size*w.now/1e12 + int64(c.Most) + int64(c.Burst*float64(w.size))/1000; w.uses() > most {
+			t.Fatalf("%d uses, and %d in %d ms are the most", w.uses(), most, w.now/1e6)
+		}
+	})
+}
+
+// Without its guards the scheme breaks, and this test's world sees it.
+func TestEachGuardIsNeeded(t *testing.T) {
+	for _, guard := range []string{Mute, Anchor, Open, Book} {
+		broken := 0
+		for seed := range uint64(150) {
+			if history(seed, Config{Without: guard}, 60e9).broken != "" {
+				broken++
+			}
+		}
+		t.Logf("without %s: %d of 150 histories overspend", guard, broken)
+		if broken == 0 {
+			t.Errorf("nothing breaks without %s", guard)
+		}
+	}
+}
