Counts and judgements of the whole fleet: bounds that hold, and witnesses who must agree

What instances tell each other beside budgets: counts as grow-only counters by process, read over a window with a least and a most that hold whatever was lost, and the newest that each has seen of each server, decided by the youngest reports of a few different machines. Neither needs a common clock or a disk.

Random histories (delays, doubles, old messages, restarts; random talk with liars) keep the bounds and the witness rules.

--- /dev/null
+++ b/control/shared/count/count.go
@@ -0,0 +1,279 @@
+// Package count keeps counts of a whole fleet: how much was offered, admitted and refused, by member and by number, over a
+// window. Each instance counts for itself and tells the others its counts since its start; whoever hears them keeps the
+// largest (a grow-only counter, as in Shapiro and others, "A comprehensive study of convergent and commutative replicated
+// data types", 2011). Messages may come late, twice or in another order: no count goes back, and none counts twice. A
+// process that starts anew counts from nothing under an epoch of its own, drawn at random, so that a restarted or copied
+// instance, or one with an old folder, never goes on with another's counts.
+//
+// A reader gets a value and two bounds that hold whatever was lost, as long as messages take Config.Delay at most: what
+// has surely been counted in the window, and what can have been counted at most, if no instance counts more than
+// Config.Rate. Instances that the reader has never heard of are not in it: it says how many it has heard of.
+//
+// The package is pure: it is told the time, by the reader's own clock alone.
+package count
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Config bounds what is kept, and names what the bounds assume.
+type Config struct {
+	Window int64   // the longest that is asked for, in nanoseconds
+	Every  int64   // between two samples of an instance that are kept apart
+	Delay  int64   // that a message takes at most
+	Rate   float64 // that one instance counts of one key at most, a second
+}
+
+const (
+	second = int64(1e9)
+	// keysMost bounds the keys of one instance, KeyLong a key's length, sourcesMost the instances (with those that have been
+	// replaced within a window).
+	keysMost, sourcesMost = 64, 2048
+	KeyLong               = 48
+	// futureMost bounds how far one message may move a count, in seconds of the greatest rate: a message that is wrong, and
+	// not just late, must not count for a whole season.
+	futureMost = 3600.0
+	upMost     = int64(10 * 366 * 24 * 3600 * 1000) // ten years in milliseconds
+)
+
+func (c *Config) defaults() {
+	if c.Window <= 0 {
+		c.Window = 10 * second
+	}
+	if c.Every <= 0 {
+		c.Every = second / 4
+	}
+	if c.Delay <= 0 {
+		c.Delay = 2 * second
+	}
+	if c.Rate <= 0 {
+		c.Rate = 2000
+	}
+}
+
+// Source is one process of an instance.
+type Source struct {
+	Name  string `msgpack:"n"`
+	Epoch uint64 `msgpack:"e"`
+}
+
+// Message is what a process has counted since its start, and how long ago that was: a reader that hears of a process for
+// the first time learns from it what can be in its window at all.
+type Message struct {
+	From   Source           `msgpack:"f"`
+	Up     int64            `msgpack:"u"` // milliseconds since its start
+	Counts map[string]int64 `msgpack:"c"`
+}
+
+// sample is what was known of a source at a time of the reader's clock.
+type sample struct {
+	at     int64
+	counts map[string]int64
+}
+
+// heard is what a reader knows of a source.
+type heard struct {
+	began   int64 // of its process, by the reader's clock, at the latest
+	up      int64 // of the newest message
+	samples []sample
+}
+
+// Set is one instance's own counts, and what it has heard of the others'.
+type Set struct {
+	cfg     Config
+	own     Source
+	began   int64
+	counts  map[string]int64
+	sources map[Source]*heard // this process among them
+	dropped int64
+}
+
+// New makes a set for a process that starts at a time.
+func New(c Config, own Source, now int64) *Set {
+	c.defaults()
+	s := &Set{cfg: c, own: own, began: now, counts: map[string]int64{}, sources: map[Source]*heard{}}
+	s.sources[own] = &heard{began: now, samples: []sample{{now, map[string]int64{}}}}
+	return s
+}
+
+// Add counts. A key beyond what is kept is counted as dropped.
+func (s *Set) Add(key string, n int64) {
+	if n <= 0 || len(key) > KeyLong {
+		return
+	}
+	if _, ok := s.counts[key]; !ok && len(s.counts) >= keysMost {
+		s.dropped++
+		return
+	}
+	s.counts[key] += n
+}
+
+// Tell is what the others are to hear now. It wants to be called regularly also where nobody hears it: the process's own
+// counts over a window rest on it.
+func (s *Set) Tell(now int64) Message {
+	m := Message{From: s.own, Up: (now - s.began) / 1e6, Counts: maps.Clone(s.counts)}
+	s.take(now, s.sources[s.own], m.Counts)
+	return m
+}
+
+// Hear takes what another process tells; what is unfit is left out.
+func (s *Set) Hear(now int64, m Message) {
+	if m.From == s.own || m.From.Name == "" || len(m.Counts) > keysMost || m.Up < 0 || m.Up > upMost {
+		return
+	}
+	h := s.sources[m.From]
+	if h == nil {
+		s.forget(now)
+		if len(s.sources) >= sourcesMost {
+			s.dropped++
+			return
+		}
+		h = &heard{began: now - m.Up*1e6, up: -1}
+		s.sources[m.From] = h
+	}
+	if m.Up <= h.up { // older than what is known, or the same once more: nothing in it is news, and it says nothing of now
+		return
+	}
+	h.up = m.Up
+	h.began = min(h.began, now-m.Up*1e6)
+	s.take(now, h, m.Counts)
+}
+
+// take merges counts by the larger and keeps a sample.
+func (s *Set) take(now int64, h *heard, counts map[string]int64) {
+	n := len(h.samples)
+	last := map[string]int64{}
+	if n > 0 {
+		last = h.samples[n-1].counts
+	}
+	merged := maps.Clone(last)
+	for k, v := range counts {
+		if len(k) > KeyLong || v < 0 || float64(v-last[k]) > futureMost*s.cfg.Rate {
+			continue
+		}
+		if _, ok := merged[k]; ok || len(merged) < keysMost {
+			merged[k] = max(v, last[k])
+		}
+	}
+	if n > 1 && h.samples[n-1].at-h.samples[n-2].at < s.cfg.Every {
+		h.samples[n-1] = sample{now, merged}
+		return
+	}
+	h.samples = append(h.samples, sample{now, merged})
+	for len(h.samples) > 2 && h.samples[1].at <= now-s.cfg.Window-s.cfg.Delay { // one from before the window is enough
+		h.samples = h.samples[1:]
+	}
+}
+
+// forget lets go of processes that have said nothing for so long that nothing of theirs can be in a window.
+func (s *Set) forget(now int64) {
+	for id, h := range s.sources {
+		if id != s.own && now-h.samples[len(h.samples)-1].at > s.silence() {
+			delete(s.sources, id)
+		}
+	}
+}
+
+// silence is how long a process may say nothing before it is no longer counted with.
+func (s *Set) silence() int64 { return s.cfg.Window + 2*s.cfg.Delay }
+
+// Reading is a count of the fleet over a window.
+type Reading struct {
+	Value float64 `json:"value"`  // the likeliest
+	Least int64   `json:"least"`  // surely counted in the window by the processes heard of
+	Most  int64   `json:"most"`   // by them, at most
+	AgeMS int64   `json:"age_ms"` // of what was heard last from the one that has been quiet for longest
+	Of    int     `json:"of"`     // processes that it is about, this one among them
+}
+
+// Read reads a key over a window that ends now.
+func (s *Set) Read(now int64, key string, window int64) (r Reading) {
+	window = min(window, s.cfg.Window)
+	from := now - window
+	for id, h := range s.sources {
+		delay, last := s.cfg.Delay, h.samples[len(h.samples)-1]
+		total := last.counts[key]
+		if id == s.own {
+			delay, total, last.at = 0, s.counts[key], now
+		}
+		age := now - last.at
+		if age > s.silence() {
+			continue
+		}
+		r.Of++
+		r.AgeMS = max(r.AgeMS, age/1e6)
+		// A sample shows its process as it was when it was sent: not later than it came, and not more than the delay before.
+		// So what it had counted when the window began is before at least and after at most, and likely guess.
+		before, after, guess := int64(0), total, 0.0
+		if h.began-delay-1e6 >= from {
+			after = 0
+		}
+		was := sample{at: h.began}
+		for _, one := range h.samples {
+			if one.at <= from {
+				before = one.counts[key]
+			}
+			if was.at <= from && one.at > from {
+				guess = float64(was.counts[key]) + float64(one.counts[key]-was.counts[key])*float64(from-was.at)/float64(one.at-was.at)
+			}
+			if one.at-delay >= from {
+				after = min(after, one.counts[key])
+			}
+			was = one
+		}
+		if was.at <= from {
+			guess = float64(total)
+		}
+		if id == s.own && was.at <= from { // counted since the last sample
+			guess = float64(was.counts[key])
+		}
+		r.Value += float64(total) - guess
+		r.Least += total - min(after, total)
+		r.Most += total - before
+		if id != s.own {
+			r.Most += int64(math.Ceil(s.cfg.Rate * float64(min(age+delay, window)) / 1e9))
+		}
+	}
+	return r
+}
+
+// Known is what a process is known to have counted since its start.
+type Known struct {
+	Source
+	Counts map[string]int64 `json:"counts"`
+	AgeMS  int64            `json:"age_ms"` // of the news
+}
+
+// All tells what is known of each process, the newest news only, in the order of names.
+func (s *Set) All(now int64) (all []Known) {
+	for id, h := range s.sources {
+		last := h.samples[len(h.samples)-1]
+		if id == s.own {
+			last = sample{now, s.counts}
+		}
+		all = append(all, Known{id, maps.Clone(last.counts), (now - last.at) / 1e6})
+	}
+	slices.SortFunc(all, func(a, b Known) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Epoch, b.Epoch))
+	})
+	return all
+}
+
+// Keys lists the keys with a prefix that any process known has counted.
+func (s *Set) Keys(prefix string) []string {
+	seen := map[string]bool{}
+	for _, h := range s.sources {
+		for k := range h.samples[len(h.samples)-1].counts {
+			seen[k] = seen[k] || strings.HasPrefix(k, prefix)
+		}
+	}
+	for k := range s.counts {
+		seen[k] = seen[k] || strings.HasPrefix(k, prefix)
+	}
+	maps.DeleteFunc(seen, func(_ string, is bool) bool { return !is })
+	return slices.Sorted(maps.Keys(seen))
+}
--- /dev/null
+++ b/control/shared/count/count_test.go
@@ -0,0 +1,154 @@
+package count
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const key = "offered/slaney-vines"
+
+// truth is what a process really counted, by time.
+type truth struct {
+	at []int64
+}
+
+func (t *truth) in(from, to int64) (n int64) {
+	for _, at := range t.at {
+		if at > from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBoundsHoldAndNothingCountsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Config{Window: 10e9, Delay: 2e9, Rate: 100}
+		type process struct {
+			set *Set
+			truth
+			silent bool
+		}
+		type letter struct {
+			at int64
+			m  Message
+		}
+		now := int64(1e12)
+		reader := New(c, Source{"reader", 1}, now)
+		own := truth{}
+		var all, live []*process
+		epoch := uint64(10)
+		begin := func(name string) *process {
+			epoch++
+			p := &process{set: New(c, Source{name, epoch}, now)}
+			all, live = append(all, p), append(live, p)
+			return p
+		}
+		begin("a")
+		begin("b")
+		begin("c")
+		var mail []letter
+		var came []Message
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now += rapid.Int64Range(10e6, 300e6).Draw(t, "gap")
+			for k := 0; k < len(mail); k++ {
+				if mail[k].at <= now {
+					reader.Hear(mail[k].at, mail[k].m) // the events of one step are all before the next
+					came = append(came, mail[k].m)
+					mail = append(mail[:k], mail[k+1:]...)
+					k--
+				}
+			}
+			k := rapid.IntRange(0, len(live)-1).Draw(t, "who")
+			p := live[k]
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2, 3:
+				p.set.Add(key, 1)
+				p.at = append(p.at, now)
+			case 4:
+				reader.Add(key, 1)
+				own.at = append(own.at, now)
+			case 5, 6, 7:
+				m := p.set.Tell(now)
+				mail = append(mail, letter{now + rapid.Int64Range(0, 2e9-400e6).Draw(t, "delay"), m})
+				reader.Tell(now)
+			case 8: // it starts anew, with nothing or an old folder: there is nothing in it
+				live = append(live[:k], live[k+1:]...)
+				begin(p.set.own.Name)
+			case 9:
+				if len(came) > 0 { // an old message comes again, however late
+					reader.Hear(now, came[rapid.IntRange(0, len(came)-1).Draw(t, "old")])
+				}
+			}
+			window := rapid.Int64Range(1e9, 10e9).Draw(t, "window")
+			r := reader.Read(now, key, window)
+			real := own.in(now-window, now)
+			for _, p := range all {
+				if reader.sources[p.set.own] != nil && now-last(reader, p.set.own) <= reader.silence() {
+					real += p.in(now-window, now)
+				}
+			}
+			if r.Least > real || real > r.Most {
+				t.Fatalf("%d in the window, read %+v", real, r)
+			}
+		}
+	})
+}
+
+func last(s *Set, of Source) int64 {
+	h := s.sources[of]
+	return h.samples[len(h.samples)-1].at
+}
+
+func TestAFleetIsReadWithinItsAge(t *testing.T) {
+	c := Config{Window: 10e9, Delay: 1e9, Rate: 50}
+	now := int64(0)
+	var all []*Set
+	for k := range 20 {
+		all = append(all, New(c, Source{string(rune('a' + k)), uint64(k)}, now))
+	}
+	for now < 30e9 {
+		now += 100e6
+		for k, s := range all {
+			s.Add(key, 1) // 200 a second, all together
+			if now/100e6%5 == int64(k)%5 {
+				m := s.Tell(now)
+				for _, other := range all {
+					other.Hear(now+20e6, m)
+				}
+			}
+		}
+	}
+	r := all[3].Read(now, key, 5e9)
+	if r.Of != 20 || r.AgeMS > 500 || r.Value < 920 || r.Value > 1010 {
+		t.Errorf("%+v, and 1,000 were counted", r)
+	}
+	if r = all[3].Read(now+14.5e9, key, 5e9); r.Of != 1 {
+		t.Errorf("long gone, and still read: %+v", r)
+	}
+	if keys := all[3].Keys("offered/"); len(keys) != 1 || len(all[3].Keys("refused/")) != 0 {
+		t.Errorf("keys %v", keys)
+	}
+}
+
+func TestUnfitMessagesChangeNothing(t *testing.T) {
+	s := New(Config{}, Source{"a", 1}, 0)
+	s.Hear(1e9, Message{From: Source{"a", 1}, Counts: map[string]int64{key: 9}}) // its own name and epoch
+	s.Hear(1e9, Message{From: Source{"b", 2}, Up: -5, Counts: map[string]int64{key: 9}})
+	s.Hear(1e9, Message{From: Source{"b", 3}, Up: 10, Counts: map[string]int64{key: 1 << 60, "x": -4}})
+	if r := s.Read(1e9, key, 1e9); r.Value != 0 || r.Least != 0 {
+		t.Errorf("%+v", r)
+	}
+	s.Hear(1e9, Message{From: Source{"c", 1}, Up: 100, Counts: map[string]int64{key: 7}})
+	s.Hear(2e9, Message{From: Source{"c", 1}, Up: 200, Counts: map[string]int64{key: 3}}) // no process goes back
+	if got := s.All(2e9); got[len(got)-1].Counts[key] != 7 {
+		t.Errorf("a count went back: %+v", got)
+	}
+	for k := range 3000 {
+		s.Hear(2e9, Message{From: Source{"many", uint64(k)}, Up: 1})
+	}
+	if len(s.sources) > sourcesMost {
+		t.Errorf("%d sources kept", len(s.sources))
+	}
+}
--- /dev/null
+++ b/control/shared/judge/judge_test.go
@@ -0,0 +1,218 @@
+package judge
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// fleet is a few boards on machines of their own that hear each other.
+func fleet(n int, servers ...uint64) (all []*Board) {
+	for k := range n {
+		b := New(Config{}, fmt.Sprint("n", k), fmt.Sprint("m", k), uint64(k), nil)
+		b.Listed(servers)
+		all = append(all, b)
+	}
+	return all
+}
+
+func gossip(now int64, all []*Board) {
+	for _, b := range all {
+		m := b.Tell(now)
+		for _, o := range all {
+			o.Hear(now+10e6, m)
+		}
+	}
+}
+
+func avoiding(now int64, all []*Board, server uint64) (n int) {
+	for _, b := range all {
+		if is, _ := b.Avoid(now, server); is {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAServerThatGoesSilentIsAvoidedByAll(t *testing.T) {
+	all := fleet(12, 1, 2, 3, 4)
+	now := int64(100e9)
+	for k, b := range all { // well to all, a moment ago
+		b.Saw(now-int64(k)*100e6, 1, Well)
+	}
+	gossip(now, all)
+	now += 3e9 // own evidence is no longer fresh
+	for _, b := range all[:4] {
+		b.Saw(now, 1, Silent)
+		now += 50e6
+	}
+	gossip(now, all)
+	if n := avoiding(now+20e6, all, 1); n != 0 {
+		t.Fatalf("%d avoid it with 4 of 6 against it", n)
+	}
+	all[4].Saw(now, 1, Silent)
+	gossip(now+100e6, all)
+	if n := avoiding(now+200e6, all, 1); n != 12 {
+		t.Fatalf("%d of 12 avoid it", n)
+	}
+	if n := avoiding(now+200e6, all, 2); n != 0 {
+		t.Fatalf("%d avoid another", n)
+	}
+}
+
+func TestOneWitnessDecidesNothingHoweverLoud(t *testing.T) {
+	all := fleet(8, 1, 2, 3, 4)
+	now := int64(100e9)
+	for range 100 {
+		now += 100e6
+		all[0].Saw(now, 1, Dead)
+		m := all[0].Tell(now)
+		for k := range 5 { // from five instances on its machine
+			m.From = fmt.Sprint("liar", k)
+			for _, b := range all {
+				b.Hear(now, m)
+			}
+		}
+	}
+	if n := avoiding(now, all, 1); n != 0 {
+		t.Fatalf("%d avoid it on one machine's word", n)
+	}
+	if v := all[3].Verdicts(now); len(v) != 1 || v[0].Reason != Few || len(v[0].Witnesses) != 1 {
+		t.Errorf("%+v", v)
+	}
+}
+
+func TestOwnEvidenceComesFirst(t *testing.T) {
+	all := fleet(7, 1, 2, 3, 4)
+	now := int64(100e9)
+	for _, b := range all[:6] {
+		b.Saw(now, 1, Silent)
+	}
+	all[6].Saw(now-500e6, 1, Well)
+	gossip(now, all)
+	if is, _ := all[6].Avoid(now+20e6, 1); is {
+		t.Error("avoided by the one whose call has just stood there")
+	}
+	if is, _ := all[5].Avoid(now+20e6, 1); !is {
+		t.Error("not avoided by the others")
+	}
+}
+
+func TestNoMoreThanAPartIsLeftOut(t *testing.T) {
+	all := fleet(8, 1, 2, 3, 4, 5, 6, 7, 8)
+	now := int64(100e9)
+	for _, b := range all {
+		for id := uint64(1); id <= 8; id++ {
+			b.Saw(now, id, Dead)
+		}
+	}
+	gossip(now, all)
+	out := 0
+	for id := uint64(1); id <= 8; id++ {
+		if is, _ := all[0].Avoid(now+20e6, id); is {
+			out++
+		}
+	}
+	if out != 2 {
+		t.Errorf("%d of 8 left out", out)
+	}
+}
+
+func TestAVerdictFadesAtDifferentTimes(t *testing.T) {
+	all := fleet(20, 1, 2, 3, 4)
+	now := int64(100e9)
+	for _, b := range all {
+		b.Saw(now, 1, Silent)
+	}
+	gossip(now, all)
+	var when []int64
+	left := 20
+	for range 200 {
+		now += 100e6
+		if n := avoiding(now, all, 1); n < left {
+			left = n
+			when = append(when, now)
+		}
+	}
+	if left != 0 {
+		t.Fatalf("%d still avoid it after 20 s", left)
+	}
+	if len(when) < 8 || when[len(when)-1]-when[0] < 3e9 {
+		t.Errorf("they come back at %d different times within %d ms", len(when), (when[len(when)-1]-when[0])/1e6)
+	}
+}
+
+func TestItComesBackWhenSomeoneSeesItWell(t *testing.T) {
+	all := fleet(8, 1, 2, 3, 4)
+	now := int64(100e9)
+	for _, b := range all {
+		b.Saw(now, 1, Dead)
+	}
+	gossip(now, all)
+	if avoiding(now+20e6, all, 1) != 8 {
+		t.Fatal("not avoided")
+	}
+	now += 1e9
+	all[0].Saw(now, 1, Well)
+	all[1].Saw(now, 1, Well)
+	gossip(now, all)
+	if n := avoiding(now+20e6, all, 1); n != 0 {
+		t.Errorf("%d still avoid it", n)
+	}
+	if !all[5].Cold(now+20e6, 1, 15e9) || all[5].Cold(now+20e6, 2, 15e9) {
+		t.Error("its new process is not taken for cold, or another's is")
+	}
+}
+
+// Whatever is said: never avoided on fewer than two machines' word, nor more than a part of the servers, and a verdict
+// names those whom it rests on.
+func TestRandomTalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+		b := New(Config{}, "me", "here", 1, nil)
+		b.Listed(ids)
+		now := int64(100e9)
+		bad := map[uint64]map[string]int64{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 400e6).Draw(t, "gap")
+			id := rapid.SampledFrom(ids).Draw(t, "server")
+			k := Kind(rapid.IntRange(0, 6).Draw(t, "kind"))
+			if rapid.IntRange(0, 4).Draw(t, "own") == 0 {
+				k = min(k, Cold)
+				b.Saw(now, id, k)
+				note(bad, id, "here", k, now)
+				continue
+			}
+			machine := fmt.Sprint("m", rapid.IntRange(0, 5).Draw(t, "machine"))
+			age := rapid.Int64Range(-10, 8000).Draw(t, "age")
+			b.Hear(now, Message{From: machine + rapid.SampledFrom([]string{"a", "b"}).Draw(t, "instance"), Machine: machine, Reports: []Report{{id, k, age, 1}, {99, Dead, 0, 1}}})
+			if age >= 0 && age <= 6000 {
+				note(bad, id, machine, k, now-age*1e6)
+			}
+		}
+		out := 0
+		for _, v := range b.Verdicts(now) {
+			if !v.Avoided {
+				continue
+			}
+			out++
+			if w := slices.Compact(slices.Sorted(slices.Values(v.Witnesses))); len(w) < 2 || len(bad[v.Server]) < 2 {
+				t.Fatalf("avoided on %v: %v", w, bad[v.Server])
+			}
+		}
+		if out > 2 {
+			t.Fatalf("%d of 8 avoided", out)
+		}
+	})
+}
+
+func note(bad map[uint64]map[string]int64, id uint64, machine string, k Kind, at int64) {
+	if k == Silent || k == Dead {
+		if bad[id] == nil {
+			bad[id] = map[string]int64{}
+		}
+		bad[id][machine] = at
+	}
+}
