An instance is a list of parts with one life cycle; shares go by the whole fleet's counts

serve.go wired each subsystem by hand and grew an 'if' for each. It makes them from one list now, in the order in which they take part; each may run, drain and tell its status.

control/shared joins leases, counts and judgements as one decision module. control/shares takes the fleet's totals where there are any: an instance that sees two calls a second can't tell from these who floods. lab/model has controllers that talk.

--- a/cmd/masthill-lab/asrun.go
+++ b/cmd/masthill-lab/asrun.go
@@ -9,6 +9,8 @@
 	"masthill/control/join"
 	"masthill/control/levels"
 	"masthill/control/recovery"
+	"masthill/control/shared"
+	"masthill/control/shared/lease"
 	"masthill/control/shares"
 	"masthill/lab/model"
 )
@@ -35,12 +37,13 @@
 	names := strings.Split(list, ",")
 	for _, name := range names {
 		switch name {
-		case "recovery", "levels", "shares", "goodput":
+		case "recovery", "levels", "shares", "goodput", "shared":
 		default:
-			return nil, fmt.Errorf("no module %q: there are recovery, levels, shares and goodput, or plain, or run", name)
+			return nil, fmt.Errorf("no module %q: there are recovery, levels, shares, goodput and shared, or plain, or run", name)
 		}
 	}
 	return func(s control.Settings, planned float64, seed uint64, now int64) (chain join.Chain) {
+		var fleet *shared.Shared
 		for _, name := range names {
 			switch name {
 			case "recovery":
@@ -48,7 +51,14 @@
 			case "levels":
 				chain = append(chain, levels.New(s, seed, now, nil, nil))
 			case "shares":
-				chain = append(chain, shares.New(s, model.Tenants(), planned, seed, now))
+				own := shares.New(s, model.Tenants(), planned, seed, now)
+				if fleet != nil { // named before
+					own.Of(fleet)
+				}
+				chain = append(chain, own)
+			case "shared":
+				fleet = shared.New(talking(s, planned, seed), seed, now, shared.Events{})
+				chain = append(chain, fleet)
 			case "goodput":
 				chain = append(chain, goodput.New(goodput.Settings{Control: s}, seed, now, nil))
 			}
@@ -56,3 +66,13 @@
 		return chain
 	}, nil
 }
+
+// talking is a controller's part in a fleet whose instances know of each other: three of them are keepers.
+func talking(s control.Settings, planned float64, seed uint64) shared.Config {
+	c := shared.Config{Epoch: seed, Control: s, Planned: planned, Name: fmt.Sprint("n", s.Ordinal), Machine: fmt.Sprint("m", s.Ordinal), Budgets: true, Judgements: true,
+		Lease: lease.Config{Keepers: []string{"n0", "n1", "n2"}, Most: s.GroupSize}}
+	for _, t := range model.Tenants() {
+		c.Tenants = append(c.Tenants, t.Name)
+	}
+	return c
+}
--- a/cmd/masthill-lab/model.go
+++ b/cmd/masthill-lab/model.go
@@ -15,7 +15,6 @@
 	"masthill/control"
 	"masthill/control/join"
 	"masthill/control/recovery"
-	"masthill/control/shares"
 	"masthill/lab/model"
 )
 
@@ -115,11 +114,20 @@
 	Seeds       int     `default:"6" help:"Seeds, from 1."`
 	Load        float64 `default:"0.8" help:"Part of the planned load, beside the flood."`
 	Flood       float64 `default:"1.5" help:"The flood, as a part of the planned load of all."`
+	Shared      bool    `help:"Play it with instances that know each other's counts, too."`
 }
 
 func (c floodCmd) Run(ctx context.Context) error {
 	const from, to = 20, 60 // seconds of the flood
-	for _, on := range []bool{false, true} {
+	columns := []string{"plain", "shares"}
+	if c.Shared {
+		columns = append(columns, "shared,shares")
+	}
+	for _, column := range columns {
+		joined, err := modules(column)
+		if err != nil {
+			return err
+		}
 		all := make([]*model.Result, c.Seeds)
 		g, ctx := errgroup.WithContext(ctx)
 		g.SetLimit(8)
@@ -127,11 +135,7 @@
 			g.Go(func() (err error) {
 				sc := model.Scenario{Seed: uint64(k + 1), Controllers: min(c.Controllers, 1000), Servers: min(c.Servers, 100), Load: c.Load, For: to * time.Second,
 					Redials: 2, Flood: &model.Flood{Tenant: "barrow-estate", At: from * time.Second, For: (to - from) * time.Second, Load: c.Flood}}
-				if on {
-					sc.Join = func(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
-						return join.Chain{shares.New(s, model.Tenants(), planned, seed, now)}
-					}
-				}
+				sc.Join = joined
 				if err = ctx.Err(); err == nil {
 					all[k], err = model.Run(sc)
 				}
@@ -153,7 +157,7 @@
 				return fmt.Errorf("seed %d: a rule was broken: %v", r.Seed, r.Texts)
 			}
 		}
-		fmt.Printf("shares %-5v slaney-vines %.3f, suir-growers %.3f, barrow-estate (the flood) %.3f; placed %.2f of the plan\n", on, by["slaney-vines"],
+		fmt.Printf("%-13s slaney-vines %.3f, suir-growers %.3f, barrow-estate (the flood) %.3f; placed %.2f of the plan\n", column, by["slaney-vines"],
 			by["suir-growers"], by["barrow-estate"], good)
 	}
 	return nil
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -16,23 +16,17 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"masthill/control"
-	"masthill/control/goodput"
-	"masthill/control/join"
 	"masthill/control/levels"
 	"masthill/control/recovery"
-	"masthill/control/shares"
+	"masthill/control/shared"
 	"masthill/internal/caller"
-	"masthill/internal/callws"
 	"masthill/internal/config"
 	"masthill/internal/ctl"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
 	"masthill/internal/logs"
 	"masthill/internal/notify"
-	"masthill/internal/office"
 	"masthill/internal/state"
-	"masthill/internal/store"
 )
 
 const (
@@ -103,14 +97,20 @@
 	p         *config.Platform
 	own       *config.Project
 	log       *slog.Logger
+	options   exchange.Options // of the core, until it is made
+	known     *state.Snapshot  // of the process before; nil: none
+	passed    map[string]net.Listener
 	manager   *notify.Manager
 	core      *exchange.Exchange
 	feed      *journal.Client
+	calls     *caller.Server
 	fronts    map[front]net.Listener
 	listeners map[string]net.Listener // the same by name, for a supervisor that takes them over
 	keeper    *state.Keeper           // nil: nothing is kept
-	recovery  *recovery.Recovery
-	levels    *levels.Levels // nil: off
+	recovery  *recovery.Recovery      // nil: off
+	levels    *levels.Levels          // nil: off
+	shared    *shared.Shared          // nil: off
+	parts     []part
 	started   time.Time
 	reason    string // of the start
 	snapshot  string // taken up, or why not
@@ -127,164 +127,38 @@
 		log.Warn("settings under an old name", "file", own.File, "why", oldName)
 	}
 	in := &instance{p: p, own: own, log: log, started: time.Now(), fronts: map[front]net.Listener{}, listeners: map[string]net.Listener{}}
-	passed, err := notify.Listeners(os.Getenv)
-	if err != nil {
+	var err error
+	if in.passed, err = notify.Listeners(os.Getenv); err != nil {
 		return err
 	}
 	if in.manager, err = notify.Open(os.Getenv); err != nil {
 		log.Warn("service manager not told", "err", err)
 	}
-	known := in.load()
-	options := exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log.With(logs.Part, "core"), Memory: p.MemoryMB << 20}
-	if own.Recovery.Enabled {
-		var brought []recovery.Evidence
-		if known != nil {
-			brought = known.Evidence()
-		}
-		in.recovery = recovery.New(recovery.Settings{Control: p.Settings, Planned: p.Planned}, p.Seed, in.started.UnixNano(), brought)
-		options.Join = append(options.Join, join.Module(in.recovery))
-	}
-	if own.Levels.Enabled {
-		var recovering func(int64) bool
-		if in.recovery != nil {
-			recovering = in.recovery.Recovering
-		}
-		part := log.With(logs.Part, "levels")
-		in.levels = levels.New(p.Settings, p.Seed, in.started.UnixNano(), recovering, func(c levels.Change) {
-			part.Warn("level of service", "from", c.From, "to", c.To, "reason", c.Reason, "score", math.Round(c.Score*100)/100, "until", c.Out)
-		})
-		if known != nil {
-			in.levels.Restore(in.started.UnixNano(), known.Levels)
-		}
-		if in.keeper != nil {
-			in.keeper.Levels = in.history
-		}
-		options.Join = append(options.Join, join.Module(in.levels))
-	}
-	if own.Shares.Enabled {
-		options.Join = append(options.Join, join.Module(shares.New(p.Settings, p.Shares, p.Planned, p.Seed, in.started.UnixNano())))
-	}
-	if own.Goodput.Enabled {
-		part := log.With(logs.Part, "goodput")
-		options.Join = append(options.Join, join.Module(goodput.New(goodput.Settings{Control: p.Settings}, p.Seed, in.started.UnixNano(), func(c goodput.Change) {
-			part.Warn("set-ups out", "state", c.State, "reason", c.Reason, "limit", math.Round(c.Limit*10)/10, "out", math.Round(c.Out*10)/10,
-				"in_vain", math.Round(c.Vain*100)/100)
-		})))
-	}
-	var records *store.Store
-	if own.Store.Driver != "" {
-		records, err = store.Open(store.Options{Driver: own.Store.Driver, DSN: own.Store.DSN, Instance: p.Name, Log: log.With(logs.Part, "store")})
+	in.options = exchange.Options{Settings: p.Settings, Seed: p.Seed, Now: time.Now, Log: log.With(logs.Part, "core"), Memory: p.MemoryMB << 20}
+	for _, make := range subsystems {
+		one, err := make(in)
 		if err != nil {
 			return err
 		}
-		options.Record = records.Put
-	}
-	var calls *caller.Server
-	options.Stray = func(id string, cut bool) { calls.Release(id, cut) }
-	if in.core, err = exchange.New(options); err != nil {
-		return err
-	}
-	part := callersPart
-	if own.CallWS.Listen == "" {
-		part = alonePart
-	}
-	calls = caller.New(caller.Options{Core: in.core, Log: log.With(logs.Part, "callers"), Names: p.Names,
-		MaxOpen: min(p.Sockets*part/100, p.MemoryMB<<20/connPart/connEach)})
-	offices := office.NewPool(office.Options{Core: in.core, Log: log.With(logs.Part, "offices"), ConnectWait: p.ConnectWait,
-		Dials: map[string]office.Dial{"": office.SIP(p.Name, p.Settings.Fields), "ws": callws.Dial(p.Settings.Fields)}})
-	in.core.Connect(offices)
-	in.feed = &journal.Client{Addr: p.Journal, Log: log.With(logs.Part, "list"), Tell: in.core.Members}
-	in.feed.Start(p.Known)
-	if known != nil {
-		in.core.Restore(known.Learnt)
-	}
-
-	l, err := listen(passed, "callers", p.Listen)
-	if err != nil {
-		return err
-	}
-	in.fronts[calls], in.listeners["callers"], in.listen = l, l, l.Addr().String()
-	if own.CallWS.Listen != "" {
-		if l, err = listen(passed, "callws", own.CallWS.Listen); err != nil {
-			return fmt.Errorf("callws.listen: %w", err)
-		}
-		in.listeners["callws"] = l
-		in.fronts[callws.New(callws.Options{Core: in.core, Log: log.With(logs.Part, "callws"), Names: p.Names, Callers: own.CallWS.Callers,
-			MaxOpen: p.Sockets * socketsPart / 100})] = l
-		log.Info("serving call control", "listen", l.Addr().String())
+		in.parts = append(in.parts, one)
 	}
-	for name, l := range passed {
+	for name, l := range in.passed {
 		log.Warn("passed socket not used", "name", name, "addr", l.Addr().String())
 		l.Close()
 	}
-	return in.run(signals, offices, records)
-}
-
-// listen takes a passed socket over, or opens one.
-func listen(passed map[string]net.Listener, name, addr string) (net.Listener, error) {
-	if l := passed[name]; l != nil {
-		delete(passed, name)
-		return l, nil
-	}
-	return net.Listen("tcp", addr)
-}
-
-// load takes up the snapshot of the process before, where the settings name a directory, and finds the reason of this
-// start: what a supervisor says, or else what the snapshot tells.
-func (in *instance) load() *state.Snapshot {
-	in.reason, in.snapshot = "first", "off"
-	var known *state.Snapshot
-	if dir := in.own.State.Dir; dir != "" {
-		in.keeper = &state.Keeper{Dir: dir, Instance: in.p.Name, Every: in.own.State.Every, Log: in.log.With(logs.Part, "state"),
-			Learnt: func() (l control.Learnt) { return in.core.Learnt() }}
-		s, err := state.Load(dir, in.p.Name, time.Now(), in.own.State.MostAge)
-		switch {
-		case errors.Is(err, state.ErrNone):
-			in.snapshot = "none"
-		case err != nil:
-			in.reason, in.snapshot = "unknown", err.Error()
-			in.log.Warn("snapshot left out", "why", err)
-		default:
-			known, in.snapshot = s, fmt.Sprintf("taken up, %v old", time.Since(s.At).Round(time.Millisecond))
-			in.reason = "crash"
-			if s.Ended != "" {
-				in.reason = "restart"
-			}
-		}
-	}
-	if told := os.Getenv("MASTHILL_START"); told != "" {
-		in.reason = told
-	}
-	return known
+	return in.run(signals)
 }
 
 // run starts all parts and waits for the end.
-func (in *instance) run(signals signals, offices *office.Pool, records *store.Store) error {
+func (in *instance) run(signals signals) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return in.core.Run(ctx) })
-	g.Go(func() error { return offices.Run(ctx) })
-	g.Go(func() error { return in.feed.Run(ctx) })
-	if records != nil {
-		g.Go(func() error { return records.Run(ctx) })
-	}
-	if in.keeper != nil {
-		g.Go(func() error { return in.keeper.Run(ctx) })
-	}
-	if path := in.own.Socket.Path; path != "" {
-		l, err := ctl.Listen(path)
-		if err != nil { // calls do not depend on it
-			in.log.Error("control socket not opened", "err", err)
-		} else {
-			g.Go(func() error {
-				return ctl.Serve(ctx, l, path, in.log.With(logs.Part, "socket"), in.status, in.listeners)
-			})
+	for _, one := range in.parts {
+		if one.run != nil {
+			g.Go(func() error { return one.run(ctx) })
 		}
 	}
-	for f, l := range in.fronts {
-		g.Go(func() error { return f.Serve(ctx, l) })
-	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -293,6 +167,11 @@
 		}
 		in.draining.Store(true)
 		in.manager.Stopping("answers what it has taken")
+		for _, one := range in.parts {
+			if one.drain != nil {
+				one.drain()
+			}
+		}
 		end(in.core, in.fronts, in.log)
 		stop()
 		return nil
@@ -309,9 +188,6 @@
 			}
 		}
 	})
-	if in.own.Levels.Enabled {
-		g.Go(func() error { in.gauge(ctx); return nil })
-	}
 	g.Go(func() error { return in.manager.Watch(ctx, func() { in.core.Open() }) })
 	pos, _ := in.feed.Position()
 	in.log.Info("serving", "listen", in.listen, "pos", pos, "start", in.reason, "snapshot", in.snapshot)
@@ -323,39 +199,6 @@
 	return nil
 }
 
-// gaugeEvery is how often the instance's own readings are taken for the levels: a few reads of /proc.
-const gaugeEvery = time.Second
-
-// gauge brings the levels what no event tells.
-func (in *instance) gauge(ctx context.Context) {
-	tick := time.NewTicker(gaugeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		memory, descriptors := ctl.Usage()
-		in.core.Gauge(levels.Memory, memory/float64(in.p.MemoryMB))
-		in.core.Gauge(levels.Descriptors, float64(descriptors)/float64(in.p.Sockets))
-		in.core.Gauge(levels.Inbox, in.core.InboxUsed())
-		if _, heard := in.feed.Position(); !heard.IsZero() {
-			in.core.Gauge(levels.List, time.Since(heard).Seconds()/10)
-		}
-	}
-}
-
-// history are the last changes of the level of service, also after the core's end.
-func (in *instance) history() (all []levels.Change) {
-	looked := false
-	in.core.Look(func() { all, looked = in.levels.History(), true })
-	if !looked {
-		all = in.levels.History() // nothing changes it any more
-	}
-	return all
-}
-
 // status is what the control socket tells.
 func (in *instance) status() ctl.Status {
 	core := in.core.Status()
@@ -365,8 +208,10 @@
 	if !heard.IsZero() {
 		s.ListAgeMS = time.Since(heard).Milliseconds()
 	}
-	if in.levels != nil {
-		s.Levels = in.history()
+	for _, one := range in.parts {
+		if one.status != nil {
+			one.status(&s)
+		}
 	}
 	s.MemoryMB, s.Descriptors = ctl.Usage()
 	s.ConfigWarning, _ = in.atWarning.Load().(string)
--- /dev/null
+++ b/cmd/masthill/talking.go
@@ -0,0 +1,4 @@
+package main
+
+// talking makes the instance a member of its fleet.
+func talking(*instance) (part, error) { return part{}, nil }
--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -17,6 +17,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sort"
 	"strings"
 )
 
@@ -208,28 +209,26 @@
 		r.AgeMS = max(r.AgeMS, age/1e6)
 		// A sample shows its process as it was when it was sent: not later than it came, and not more than the delay before.
 		// So what it had counted when the window began is before at least and after at most, and likely guess.
-		before, after, guess := int64(0), total, 0.0
-		if h.began-delay-1e6 >= from {
-			after = 0
-		}
-		was := sample{at: h.began}
-		for _, one := range h.samples {
-			if one.at <= from {
-				before = one.counts[key]
-			}
-			if was.at <= from && one.at > from {
-				guess = float64(was.counts[key]) + float64(one.counts[key]-was.counts[key])*float64(from-was.at)/float64(one.at-was.at)
-			}
-			if one.at-delay >= from {
-				after = min(after, one.counts[key])
-			}
-			was = one
+		all := h.samples
+		next := sort.Search(len(all), func(k int) bool { return all[k].at > from })
+		was, before := sample{at: h.began}, int64(0)
+		if next > 0 {
+			was = all[next-1]
+			before = was.counts[key]
 		}
-		if was.at <= from {
+		guess := float64(before)
+		switch {
+		case next < len(all) && was.at <= from:
+			guess += float64(all[next].counts[key]-before) * float64(from-was.at) / float64(all[next].at-was.at)
+		case next == len(all) && id != s.own: // nothing was heard since
 			guess = float64(total)
 		}
-		if id == s.own && was.at <= from { // counted since the last sample
-			guess = float64(was.counts[key])
+		after := total
+		if sure := sort.Search(len(all), func(k int) bool { return all[k].at-delay >= from }); sure < len(all) {
+			after = min(after, all[sure].counts[key])
+		}
+		if h.began-delay-1e6 >= from {
+			after = 0 // its process had not begun
 		}
 		r.Value += float64(total) - guess
 		r.Least += total - min(after, total)
--- a/control/shares/shares.go
+++ b/control/shares/shares.go
@@ -11,8 +11,10 @@
 package shares
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"masthill/control"
 	"masthill/control/join"
@@ -55,6 +57,15 @@
 	Fraction float64
 }
 
+// Totals is what a whole fleet was offered, placed and lost of late, by member, in calls a second; members that are not
+// named count under "".
+type Totals struct{ Offered, Placed, Lost map[string]float64 }
+
+// Fleet tells totals, where instances hear of each other; not ok while they do not.
+type Fleet interface {
+	Totals(now int64) (Totals, bool)
+}
+
 // count is a count that fades over span.
 type count struct {
 	n  float64
@@ -108,6 +119,20 @@
 	pool     float64 // what members left of their parts
 	filledAt int64
 	refused  int64
+	fleet    Fleet
+	admit    map[string]float64 // by member, the part of its calls that has room, where the fleet's totals are known
+	totals   Totals
+	part     float64 // of the plan, that the room is at least
+	totalsAt int64
+}
+
+// totalsEvery is how often the fleet's totals are asked for: they are news of a second or so.
+const totalsEvery = second / 4
+
+// Of makes the module go by the whole fleet's counts while there are any, and by its own else.
+func (m *Shares) Of(f Fleet) *Shares {
+	m.fleet = f
+	return m
 }
 
 // waitingMost bounds the calls followed; beyond it calls are admitted unseen.
@@ -184,7 +209,7 @@
 		m.offered.add(now)
 	}
 	m.look(now)
-	if m.limiting && !m.take(now, one) {
+	if m.limiting && !m.has(now, c.Tenant, one) {
 		one.refused++
 		m.refused++
 		return join.Ruling{Verdict: join.Refuse, Wait: m.spread(), Reason: Beyond}
@@ -196,6 +221,63 @@
 	return join.Ruling{}
 }
 
+// has tells whether a call has room. By the fleet's totals a part of the member's calls has, the same at every instance:
+// an instance that sees two calls a second can't tell from these who floods.
+func (m *Shares) has(now int64, tenant string, one *member) bool {
+	if m.admit == nil {
+		return m.take(now, one)
+	}
+	if m.members[tenant] == nil {
+		tenant = others
+	}
+	return m.rng.Float64() < m.admit[tenant]
+}
+
+// byTotals shares the room out over the fleet: a member has its part of it, or what it offers if that is less; what is left
+// goes to those who want more, by their parts (max-min fairness with weights).
+func (m *Shares) byTotals(t Totals) {
+	m.admit = map[string]float64{}
+	left, want := m.room, map[string]float64{}
+	for _, name := range m.names {
+		want[name] = t.Offered[name]
+	}
+	for len(want) > 0 {
+		weights, done := 0.0, false
+		for _, name := range m.names {
+			if _, ok := want[name]; ok {
+				weights += max(m.members[name].fraction, leastWeight)
+			}
+		}
+		for _, name := range m.names { // those who want less than their part have it all
+			offered, ok := want[name]
+			part := left * max(m.members[name].fraction, leastWeight) / weights
+			if ok && offered <= part {
+				m.admit[name] = 1
+				weights -= max(m.members[name].fraction, leastWeight)
+				left -= offered
+				delete(want, name)
+				done = true
+			}
+		}
+		if done {
+			continue
+		}
+		for name, offered := range want {
+			m.admit[name] = max(left, 0) * max(m.members[name].fraction, leastWeight) / weights / offered
+		}
+		return
+	}
+}
+
+// By the fleet's totals limiting begins as soon as fleetBegin of the plan is offered, more than servers can bear that are
+// planned for 72 to 87% of their time, without waiting for losses; and the room does not fall under fleetLeast of the plan,
+// but by fleetGive a step while more than fleetLoss is lost there: losses are told seconds late, and the room would swing.
+// Nor does it run ahead of what is placed by more than fleetMost, once it is over the plan.
+const fleetBegin, fleetLeast, fleetMost, fleetGive, fleetLoss = 1.3, 0.85, 1.05, 0.01, 0.25
+
+// leastWeight is the weight of members that the settings do not name: what the others leave.
+const leastWeight = 1e-6
+
 // take uses a token of the member's own, or one that others have left.
 func (m *Shares) take(now int64, one *member) bool {
 	m.fill(now)
@@ -227,15 +309,61 @@
 	m.pool = min(m.pool, max(m.room*poolOf, 1))
 }
 
+// sums adds a total up over the members.
+func sums(by map[string]float64) (sum float64) {
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		sum += by[name]
+	}
+	return sum
+}
+
+// readings are what look goes by: the fleet's where they are known, else this instance's own.
+type readings struct {
+	offered, placed, planned float64 // calls a second
+	seen, stood, lost        float64 // the same and those lost, as calls over span
+	loss                     float64 // part of the admitted calls that was lost of late
+}
+
+func (m *Shares) read(now int64) readings {
+	if m.fleet != nil && (now-m.totalsAt >= totalsEvery || m.totalsAt == 0) {
+		m.totalsAt = now
+		var known bool
+		if m.totals, known = m.fleet.Totals(now); !known {
+			m.admit = nil
+		} else if m.admit == nil {
+			m.admit = map[string]float64{}
+			m.limiting = false // what was found by this instance alone is no longer of use
+		}
+	}
+	if m.admit == nil {
+		return readings{offered: m.offered.rate(now, m.began), placed: m.placed.rate(now, m.began), planned: m.planned,
+			seen: m.offered.now(now), stood: m.placed.now(now), lost: m.lost.now(now),
+			loss: m.nowLost.over(now, lossSpan) / max(m.nowAll.over(now, lossSpan), 1)}
+	}
+	t := m.totals
+	lost, placed := sums(t.Lost), sums(t.Placed)
+	offered, calls := sums(t.Offered), span/1e9
+	return readings{offered: offered, placed: placed, planned: m.planned * float64(max(m.set.GroupSize, 1)),
+		seen: offered * calls, stood: placed * calls, lost: lost * calls, loss: lost / max(lost+placed, 1)}
+}
+
 // look begins and ends limiting, and follows the room meanwhile.
 func (m *Shares) look(now int64) {
-	offered := m.offered.rate(now, m.began)
+	r := m.read(now)
+	if m.follow(now, r); m.admit != nil && m.limiting {
+		m.byTotals(m.totals)
+	}
+}
+
+func (m *Shares) follow(now int64, r readings) {
 	if !m.limiting {
-		lost := m.lost.now(now)
-		if lost >= shortLeast && lost > shortFrom*m.offered.now(now) {
+		fleet := m.admit != nil && r.planned > 0
+		if r.lost >= shortLeast && r.lost > shortFrom*r.seen || fleet && r.offered > fleetBegin*r.planned {
 			m.limiting, m.since, m.calmAt = true, now, 0
-			placed := m.placed.now(now)
-			m.room = max(offered*placed/max(placed+lost, 1), min(m.planned, offered), roomLeast) // what the outcomes so far make of it
+			m.room = max(r.offered*r.stood/max(r.stood+r.lost, 1), min(r.planned, r.offered), roomLeast) // what the outcomes so far make of it
+			if fleet {
+				m.room, m.part = min(r.planned, r.offered), fleetLeast
+			}
 			m.pool, m.filledAt, m.steppedA = 0, now, now
 			for _, name := range m.names {
 				m.members[name].tokens = 1
@@ -244,15 +372,22 @@
 		return
 	}
 	for n := 0; now-m.steppedA >= stepEvery && n < stepsMost; n++ {
-		loss := m.nowLost.over(now, lossSpan) / max(m.nowAll.over(now, lossSpan), 1)
-		m.room *= 1 + min(max(gain*(lossAim-loss), -shrinkMost), growMost)
+		m.room *= 1 + min(max(gain*(lossAim-r.loss), -shrinkMost), growMost)
 		m.steppedA += stepEvery
+		if r.loss > fleetLoss && m.room <= m.part*r.planned {
+			m.part -= fleetGive
+		} else if r.loss < lossAim {
+			m.part = min(m.part+fleetGive, fleetLeast)
+		}
+		if m.admit != nil {
+			m.room = min(max(m.room, m.part*r.planned), max(r.planned, fleetMost*r.placed))
+		}
 	}
 	if now-m.steppedA >= stepEvery {
 		m.steppedA = now
 	}
-	m.room = max(min(max(m.room, m.placed.rate(now, m.began)), offered), roomLeast)
-	if offered > m.room*(1+shortTo) {
+	m.room = max(min(max(m.room, r.placed), r.offered), roomLeast)
+	if r.offered > m.room*(1+shortTo) {
 		m.calmAt = 0
 	} else if m.calmAt == 0 {
 		m.calmAt = now
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -34,6 +34,10 @@
 	DropAnswers bool           // a call that is given up takes its pending answer with it
 	// Join makes the decision modules of a controller that starts at a time; nil: none.
 	Join func(s control.Settings, planned float64, seed uint64, now int64) join.Chain
+	// PeerCut tells whether what one controller says to another gets lost; nil: it never does. PeerBytes has what is said
+	// measured, which takes time.
+	PeerCut   func(at time.Duration, from, to int) bool
+	PeerBytes bool
 	// Look, if any, is called once a simulated second with what the controllers tell.
 	Look func(at time.Duration, all []exchange.Status)
 }
@@ -71,6 +75,8 @@
 	Use         float64 `json:"use_at_plan"` // part of the processors' time that the planned load takes
 	Refused     int     `json:"refused_by_servers"`
 	Restarts    int     `json:"restarts"`
+	PeerSent    int64   `json:"peer_messages,omitempty"` // between controllers, counted at each receiver
+	PeerBytes   int64   `json:"peer_bytes,omitempty"`    // of what was said, each message once
 	check.Broken
 	Events     uint64             `json:"events"`
 	EventsS    float64            `json:"events_per_s"`  // of real time
@@ -123,6 +129,8 @@
 	use         float64 // part of the processors' time that the planned load takes
 	lossy       float64 // part of the answers that get lost now
 	discard     *slog.Logger
+	peerSent    int64 // messages between controllers, by receiver
+	peerBytes   int64 // in each message once
 }
 
 // Run plays a scenario.
@@ -343,7 +351,7 @@
 
 func (m *model) result(real time.Duration) *Result {
 	r := &Result{Seed: m.Seed, Controllers: m.Controllers, Servers: m.Servers, Calls: len(m.all), Events: m.events, RealS: real.Seconds(),
-		EventsS: float64(m.events) / real.Seconds(), Refusal: float64(m.params.Refuse) / 1e6, Use: m.use, Restarts: m.restarts, ByTenant: map[string]float64{}}
+		EventsS: float64(m.events) / real.Seconds(), Refusal: float64(m.params.Refuse) / 1e6, Use: m.use, Restarts: m.restarts, PeerSent: m.peerSent, PeerBytes: m.peerBytes, ByTenant: map[string]float64{}}
 	r.Broken, _, _ = m.ledger.Result()
 	seconds := int(m.For/time.Second) + 1
 	r.BySecond, r.OfferedByS = make([]float64, seconds), make([]int, seconds)
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masthill/control"
+	"masthill/control/shared"
 	"masthill/internal/exchange"
 	"masthill/lab/processor"
 )
@@ -197,6 +198,7 @@
 	woke    int64
 	heardAt int64
 	list    map[uint64]exchange.Office // as last told: what a restart begins with
+	peer    *shared.Shared             // nil: it talks with nobody
 }
 
 func (c *controller) name() string { return fmt.Sprint("n", c.n) }
@@ -231,6 +233,7 @@
 	c.x, c.open = x, true
 	x.Members(first, true)
 	c.drive()
+	c.talk(o.Join)
 	return nil
 }
 
--- /dev/null
+++ b/lab/model/peers.go
@@ -0,0 +1,76 @@
+package model
+
+import (
+	"math"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"masthill/control/join"
+	"masthill/control/shared"
+)
+
+const (
+	// peerTick is how often an instance's shell has it do what is due; directFor is up to how many members tell each other
+	// everything directly, gossipEvery how often news goes on by gossip in larger fleets, to gossipTo others each time.
+	// They are internal/peers' figures.
+	peerTick    = int64(100e6)
+	directFor   = 64
+	gossipEvery = 200e6
+	gossipTo    = 3
+)
+
+// peerCut tells whether what one controller says does not reach another now.
+func (m *model) peerCut(from, to int) bool {
+	return m.PeerCut != nil && m.PeerCut(time.Duration(m.now-start), from, to)
+}
+
+// talk finds the module that talks with the others, and has it tick.
+func (c *controller) talk(chain join.Chain) {
+	c.peer = nil
+	for _, one := range chain {
+		if s, ok := one.(*shared.Shared); ok {
+			c.peer = s
+		}
+	}
+	if c.peer == nil {
+		return
+	}
+	gen := c.gen
+	var tick func()
+	tick = func() {
+		if c.gen != gen || c.x == nil {
+			return
+		}
+		c.say(c.peer.Tick(c.m.now, len(c.m.controllers)))
+		c.m.after(peerTick, tick)
+	}
+	c.m.after(c.rng.Int64N(peerTick), tick)
+}
+
+// say sends messages on their way.
+func (c *controller) say(out []shared.Out) {
+	n := len(c.m.controllers)
+	for _, o := range out {
+		if c.m.PeerBytes {
+			b, _ := msgpack.Marshal(o.Message)
+			c.m.peerBytes += int64(len(b))
+		}
+		for k, to := range c.m.controllers {
+			if to == c || o.To != "" && o.To != to.name() || c.m.peerCut(c.n, k) {
+				continue
+			}
+			c.m.peerSent++
+			wait := int64(9.7e6 + c.rng.Float64()*15.3e6)
+			if o.To == "" && n > directFor { // an epidemic: most have it after as many rounds as a logarithm says
+				wait += int64(gossipEvery * c.rng.Float64() * 2 * math.Log(float64(n)) / math.Log(1+gossipTo))
+			}
+			c.m.after(wait, func() {
+				if to.x != nil && to.peer != nil {
+					to.say(to.peer.Hear(c.m.now, o.Message))
+					to.drive()
+				}
+			})
+		}
+	}
+}
