Instances know of each other: membership by gossip, sealed streams, masthill peers

internal/peers makes an instance a member of its fleet, over memberlist (SWIM with Lifeguard) for membership and datagrams and yamux for ordered streams, both sealed by keys from [peers] that are rotated on SIGHUP. What the others say reaches control/shared on the core's goroutine through a bounded queue that is never waited for; what this instance claims can be written to an audit file. 'masthill peers' shows members, budgets, counts and judgements.

Tests with several members: leaving, returning, a seed that is gone, two processes of one name, keys rotated half-way, garbage at the port, streams in order and a slow peer let go.

--- /dev/null
+++ b/cmd/masthill/broken.go
@@ -0,0 +1,8 @@
+//go:build broken
+
+package main
+
+import "os"
+
+// without names a guard that is left out, to show that the lab's checkers notice.
+var without = os.Getenv("MASTHILL_WITHOUT")
--- a/cmd/masthill/inspect.go
+++ b/cmd/masthill/inspect.go
@@ -56,29 +56,59 @@
 }
 
 func (c statusCmd) Run(out stdout) error {
+	s, err := c.ask()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return indented(out, s)
+	}
+	s.Text(out)
+	return nil
+}
+
+// ask asks the instance that the command line or the settings name.
+func (c statusCmd) ask() (*ctl.Status, error) {
 	path := c.Socket
 	if path == "" {
 		own, err := config.LoadProject(os.Getenv)
 		if err != nil {
-			return coded{exitUsage, err}
+			return nil, coded{exitUsage, err}
 		}
 		if path = own.Socket.Path; path == "" {
-			return coded{exitUsage, errors.New("no socket: set socket.path in the settings, or give --socket")}
+			return nil, coded{exitUsage, errors.New("no socket: set socket.path in the settings, or give --socket")}
 		}
 	}
 	s, err := ctl.Ask(context.Background(), path)
 	if errors.Is(err, ctl.ErrNobody) {
-		return coded{exitNobody, err}
+		return nil, coded{exitNobody, err}
 	}
+	return s, err
+}
+
+func indented(out stdout, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// peersCmd tells what an instance knows of the others.
+type peersCmd struct {
+	statusCmd
+}
+
+func (c peersCmd) Run(out stdout) error {
+	s, err := c.ask()
 	if err != nil {
 		return err
 	}
+	if s.Peers == nil {
+		return coded{exitFailed, fmt.Errorf("%s knows of no others: peers.listen is not set", s.Name)}
+	}
 	if c.JSON {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		return e.Encode(s)
+		return indented(out, s.Peers)
 	}
-	s.Text(out)
+	s.Peers.Text(out)
 	return nil
 }
 
--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -37,6 +37,7 @@
 	Check   checkCmd   `cmd:"" help:"Check every file that the program reads, and name each fault with file, line and key."`
 	Status  statusCmd  `cmd:"" help:"Tell what an instance does, over its control socket."`
 	Levels  levelsCmd  `cmd:"" help:"Print the last changes of the level of service, of one instance or of a fleet side by side."`
+	Peers   peersCmd   `cmd:"" help:"Tell what an instance knows of the others: members, budgets held, counts, judgements."`
 	Fleet   fleetCmd   `cmd:"" help:"Run and change many instances on this machine."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Help    helpCmd    `cmd:"" help:"Print this."`
--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -17,6 +17,7 @@
 	"masthill/control/shares"
 	"masthill/internal/caller"
 	"masthill/internal/callws"
+	"masthill/internal/config"
 	"masthill/internal/ctl"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
@@ -31,8 +32,9 @@
 // part that the settings leave off is empty.
 type part struct {
 	run    func(ctx context.Context) error
-	drain  func()            // new calls still come for a moment
-	status func(*ctl.Status) // from any goroutine
+	drain  func()                // new calls still come for a moment
+	status func(*ctl.Status)     // from any goroutine
+	reload func(*config.Project) // new settings: what can change under a running program does
 }
 
 // subsystems makes the parts, in this order: what takes part in decisions comes before the core, in the order in which it
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	"masthill/internal/journal"
 	"masthill/internal/logs"
 	"masthill/internal/notify"
+	"masthill/internal/peers"
 	"masthill/internal/state"
 )
 
@@ -110,6 +112,7 @@
 	recovery  *recovery.Recovery      // nil: off
 	levels    *levels.Levels          // nil: off
 	shared    *shared.Shared          // nil: off
+	peers     *peers.Peers            // nil: off
 	parts     []part
 	started   time.Time
 	reason    string // of the start
@@ -250,6 +253,20 @@
 		feed.Move(p.Journal)
 	}
 	old.Journal = p.Journal // read nowhere else
+	if !slices.ContainsFunc(in.parts, func(one part) bool { return one.reload != nil }) {
+		return // the settings' schema costs memory, and nobody would use them
+	}
+	own, err := config.LoadProject(os.Getenv)
+	if err != nil {
+		log.Error("settings kept", "err", err)
+		in.atWarning.Store("the last reload found faults: " + err.Error())
+		return
+	}
+	for _, one := range in.parts {
+		if one.reload != nil {
+			one.reload(own)
+		}
+	}
 }
 
 // end is the planned end: new calls are taken as long as they may come, and all that was taken is answered.
--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -58,16 +58,16 @@
 
 // Source is one process of an instance.
 type Source struct {
-	Name  string `msgpack:"n"`
-	Epoch uint64 `msgpack:"e"`
+	Name  string `codec:"n"`
+	Epoch uint64 `codec:"e"`
 }
 
 // Message is what a process has counted since its start, and how long ago that was: a reader that hears of a process for
 // the first time learns from it what can be in its window at all.
 type Message struct {
-	From   Source           `msgpack:"f"`
-	Up     int64            `msgpack:"u"` // milliseconds since its start
-	Counts map[string]int64 `msgpack:"c"`
+	From   Source           `codec:"f"`
+	Up     int64            `codec:"u"` // milliseconds since its start
+	Counts map[string]int64 `codec:"c"`
 }
 
 // sample is what was known of a source at a time of the reader's clock.
--- a/control/shared/judge/judge.go
+++ b/control/shared/judge/judge.go
@@ -40,17 +40,17 @@
 
 // Report is the newest thing that one instance saw of one server.
 type Report struct {
-	Server uint64 `msgpack:"s"`
-	Kind   Kind   `msgpack:"k"`
-	AgeMS  int64  `msgpack:"a"`
-	Run    int    `msgpack:"r,omitempty"` // of the same kind, without another between
+	Server uint64 `codec:"s"`
+	Kind   Kind   `codec:"k"`
+	AgeMS  int64  `codec:"a"`
+	Run    int    `codec:"r,omitempty"` // of the same kind, without another between
 }
 
 // Message is what an instance tells of all servers of which it has seen something of late.
 type Message struct {
-	From    string   `msgpack:"f"`
-	Machine string   `msgpack:"m"` // instances on one machine are one witness: they share its network
-	Reports []Report `msgpack:"r"`
+	From    string   `codec:"f"`
+	Machine string   `codec:"m"` // instances on one machine are one witness: they share its network
+	Reports []Report `codec:"r"`
 }
 
 // Config are the figures; zero ones have the defaults.
--- a/control/shared/lease/lease.go
+++ b/control/shared/lease/lease.go
@@ -25,8 +25,8 @@
 
 // ID names one process of an instance. Epochs are drawn at random at each start: two processes never have the same.
 type ID struct {
-	Name  string `msgpack:"n"`
-	Epoch uint64 `msgpack:"e"`
+	Name  string `codec:"n"`
+	Epoch uint64 `codec:"e"`
 }
 
 // Kind tells messages apart.
@@ -44,19 +44,19 @@
 
 // Message is what instances say to each other. Round numbers the sender's bids, or its asks.
 type Message struct {
-	Kind  Kind   `msgpack:"k"`
-	From  ID     `msgpack:"f"`
-	Round uint64 `msgpack:"r"`
-	Parts []Part `msgpack:"p,omitempty"`
-	Name  string `msgpack:"a,omitempty"` // Elsewhere: of the allocator, empty where none is known
+	Kind  Kind   `codec:"k"`
+	From  ID     `codec:"f"`
+	Round uint64 `codec:"r"`
+	Parts []Part `codec:"p,omitempty"`
+	Name  string `codec:"a,omitempty"` // Elsewhere: of the allocator, empty where none is known
 }
 
 // Part is one budget in a message. Rates are in thousandths a second.
 type Part struct {
-	Budget string `msgpack:"b"`
-	Size   int64  `msgpack:"s,omitempty"` // of the whole budget, as the asker knows it
-	Hold   int64  `msgpack:"h,omitempty"` // Ask: what the asker uses, at most, until it has a newer grant
-	Rate   int64  `msgpack:"w"`           // Ask: what it wants; Grant: what it has
+	Budget string `codec:"b"`
+	Size   int64  `codec:"s,omitempty"` // of the whole budget, as the asker knows it
+	Hold   int64  `codec:"h,omitempty"` // Ask: what the asker uses, at most, until it has a newer grant
+	Rate   int64  `codec:"w"`           // Ask: what it wants; Grant: what it has
 }
 
 // Out is a message and who is to get it.
--- a/control/shared/shared.go
+++ b/control/shared/shared.go
@@ -70,9 +70,9 @@
 
 // Message is one message between instances; one of its parts is set.
 type Message struct {
-	Lease *lease.Message `msgpack:"l,omitempty"`
-	Count *count.Message `msgpack:"c,omitempty"`
-	Judge *judge.Message `msgpack:"j,omitempty"`
+	Lease *lease.Message `codec:"l,omitempty"`
+	Count *count.Message `codec:"c,omitempty"`
+	Judge *judge.Message `codec:"j,omitempty"`
 }
 
 // Out is a message to a member, or to all where To is empty.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -137,3 +137,27 @@
 		t.Errorf("%+v, %v", p, err)
 	}
 }
+
+func TestPeers(t *testing.T) {
+	none := func(string) string { return "" }
+	good := "[peers]\nlisten = \"127.0.0.1:0\"\nkeys = [\"MDEyMzQ1Njc4OWFiY2RlZg==\"]\nkeepers = [\"a\", \"b\", \"c\"]\nbudgets = true\nseeds = [\"127.0.0.1:1\", \"a/127.0.0.1:2\"]\n"
+	p, err := ParseProject("x", good, none)
+	if err != nil || len(p.Peers.Secrets) != 1 || p.Peers.Machine == "" || p.Peers.Term != 2*time.Second {
+		t.Fatalf("%+v: %v", p, err)
+	}
+	for change, want := range map[[2]string]string{
+		{`"a", "b", "c"`, `"a", "b"`}:            "x:4: peers.keepers",
+		{`"a", "b", "c"`, ``}:                    "x:5: peers.budgets",
+		{`MDEyMzQ1Njc4OWFiY2RlZg==`, `MDEy`}:     "x:3: peers.keys: key 1: 3 bytes",
+		{`MDEyMzQ1Njc4OWFiY2RlZg==`, `env:NONE`}: "x:3: peers.keys: key 1: NONE is not set",
+		{`a/127.0.0.1:2`, `a/127`}:               "x:6: peers.seeds",
+		{`budgets = true`, `term = "1ms"`}:       "x:5: peers.term",
+		{`budgets = true`, `audit = "here"`}:     "x:5: peers.audit",
+		{`127.0.0.1:0`, `here`}:                  "x:2: peers.listen",
+	} {
+		_, err := ParseProject("x", strings.Replace(good, change[0], change[1], 1), none)
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: wanted %q, got %v", change, want, err)
+		}
+	}
+}
--- a/internal/config/project.go
+++ b/internal/config/project.go
@@ -54,6 +54,7 @@
 	Goodput struct {
 		Enabled bool `toml:"enabled"`
 	} `toml:"goodput"`
+	Peers Peers `toml:"peers"`
 	State struct {
 		Dir     string        `toml:"dir"` // empty: off
 		Every   time.Duration `toml:"every"`
@@ -122,13 +123,14 @@
 	p.defaults()
 	p.checkStore(getenv, fault)
 	p.checkCallWS(getenv, fault)
+	p.checkPeers(getenv, fault)
 	if p.State.Every < 100*time.Millisecond {
 		fault("state.every", "%v is under 100ms: a snapshot is written that often", p.State.Every)
 	}
 	if p.State.MostAge < p.State.Every {
 		fault("state.most_age", "%v is under state.every: every snapshot would be too old", p.State.MostAge)
 	}
-	for key, path := range map[string]string{"state.dir": p.State.Dir, "socket.path": p.Socket.Path} {
+	for key, path := range map[string]string{"state.dir": p.State.Dir, "socket.path": p.Socket.Path, "peers.audit": p.Peers.Audit} {
 		if path != "" && !filepath.IsAbs(path) {
 			fault(key, "%q is no absolute path", path)
 		}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -59,6 +59,7 @@
 	Core          exchange.Status `json:"core"`
 	ConfigWarning string          `json:"config_warning,omitempty"`
 	Levels        []levels.Change `json:"levels,omitempty"` // the last changes, the oldest first
+	Peers         *Peers          `json:"peers,omitempty"`  // nil: it knows of no others
 }
 
 // Listen opens the socket. A socket that nobody listens on any more, left by a process that died, makes room; one that
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -333,6 +333,18 @@
 	x.post(false, func() { x.core.chain.Gauge(x.core.now, name, used) })
 }
 
+// Offer has the core run something of a module's when it comes to it, and does not wait. It is for what other instances
+// say: while the inbox is half full or more, the core has callers and offices to hear, and it is not taken.
+func (x *Exchange) Offer(f func(now int64)) bool {
+	x.mu.Lock()
+	room := len(x.inbox) < x.most/2 && !x.over
+	x.mu.Unlock()
+	if room {
+		x.post(false, func() { f(x.core.now) })
+	}
+	return room
+}
+
 // Look runs f where the core's state may be looked at, and waits for it; it runs nothing after the core's end.
 func (x *Exchange) Look(f func()) { x.ask(f) }
 
--- a/lab/model/peers.go
+++ b/lab/model/peers.go
@@ -4,10 +4,9 @@
 	"math"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"masthill/control/join"
 	"masthill/control/shared"
+	"masthill/internal/peers"
 )
 
 const (
@@ -53,7 +52,7 @@
 	n := len(c.m.controllers)
 	for _, o := range out {
 		if c.m.PeerBytes {
-			b, _ := msgpack.Marshal(o.Message)
+			b, _ := peers.Encode(o.Message)
 			c.m.peerBytes += int64(len(b))
 		}
 		for k, to := range c.m.controllers {
