Lab: real processes and their platform file in a package of their own

The rig needs what the restart wave has: instances of the program, the platform's file, drawn processors. They move to lab/host, lab/processor and lab/standin; nothing changes.

--- a/lab/processor/processor.go
+++ b/lab/processor/processor.go
@@ -6,7 +6,9 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
+	"time"
 )
 
 // Params are a processor's figures. Works are times on a warm processor.
@@ -290,3 +292,16 @@
 	}
 	return p.now + max(min(int64(math.Ceil(p.cur.left/speed)), step), 1)
 }
+
+// Draw draws a processor's figures as the brief gives their ranges, for one of so many that are planned for so many calls a
+// second together.
+func Draw(planned float64, servers int, rng *rand.Rand) Params {
+	use := 0.72 + rng.Float64()*0.15
+	work := use * float64(servers) / planned * 1e9 // of a whole call, so that the planned load uses so much
+	follow := 0.25 + rng.Float64()*0.25
+	setup := work / (1 + follow)
+	refuse := time.Duration(2100+rng.IntN(1500)) * time.Millisecond
+	return Params{SetUp: int64(setup), Answer: int64(setup * follow / 2), Release: int64(setup * follow / 2),
+		Reject: int64(setup * (0.1 + rng.Float64()*0.2)), Refuse: int64(refuse), ColdFrom: 0.31, ColdSpan: int64(15 * time.Second),
+		FallMultiple: 2, FallWindow: int64(time.Second)}
+}
--- a/lab/standin/list.go
+++ b/lab/standin/list.go
@@ -145,3 +145,12 @@
 		later.Stop()
 	}
 }
+
+// EntryOf is a server's entry in an instance's list.
+func EntryOf(s *Server, instance, state string, started time.Time) Entry {
+	e := Entry{ID: s.ID, Addr: s.Addr(instance), Cell: s.Cell, State: state, Weight: 1}
+	if !started.IsZero() {
+		e.Started = started.UnixMilli()
+	}
+	return e
+}
--- a/lab/wave/demo.go
+++ b/lab/wave/demo.go
@@ -17,6 +17,8 @@
 
 	"masthill/internal/fleet"
 	"masthill/lab/check"
+	"masthill/lab/host"
+	"masthill/lab/processor"
 	"masthill/lab/standin"
 )
 
@@ -27,7 +29,7 @@
 	o := Options{Instances: instances, Servers: servers, Planned: 30}
 	o.defaults()
 	rng := rand.New(rand.NewPCG(1, 2))
-	p, _ := params(o, rng)
+	p := processor.Draw(o.Planned, o.Servers, rng)
 	ledger := check.New(check.Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second, Slack: 50 * time.Millisecond})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -39,14 +41,14 @@
 			return err
 		}
 		g.Go(func() error { return s.Run(ctx) })
-		first = append(first, entry(s, everyone, "SERVING", time.Time{}))
+		first = append(first, standin.EntryOf(s, everyone, "SERVING", time.Time{}))
 	}
 	list, err := standin.NewList(first, nil)
 	if err != nil {
 		return err
 	}
 	g.Go(func() error { return list.Run(ctx) })
-	platform := configuration(o, "%NAME%", 0, list.Addr(), rng)
+	platform := host.Platform("%NAME%", 0, host.Site{Instances: instances, Servers: servers, Planned: o.Planned}, list.Addr(), rng.Uint64())
 	platform["listen"], platform["seed"], platform["known"] = "%LISTEN%", "%SEED%", list.Known()
 	text, err := json.Marshal(platform)
 	if err != nil {
--- a/lab/wave/wave.go
+++ b/lab/wave/wave.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/lab/check"
+	"masthill/lab/host"
 	"masthill/lab/processor"
 	"masthill/lab/standin"
 )
@@ -96,47 +97,6 @@
 	Serving int       `json:"serving"` // instances in the rotation
 }
 
-// params draws a processor's figures as the brief gives their ranges.
-func params(o Options, rng *rand.Rand) (processor.Params, time.Duration) {
-	use := 0.72 + rng.Float64()*0.15
-	work := use * float64(o.Servers) / o.Planned * 1e9 // of a whole call, so that the planned load uses so much
-	follow := 0.25 + rng.Float64()*0.25
-	setup := work / (1 + follow)
-	refuse := time.Duration(2100+rng.IntN(1500)) * time.Millisecond
-	return processor.Params{SetUp: int64(setup), Answer: int64(setup * follow / 2), Release: int64(setup * follow / 2),
-		Reject: int64(setup * (0.1 + rng.Float64()*0.2)), Refuse: int64(refuse), ColdFrom: 0.31, ColdSpan: int64(15 * time.Second),
-		FallMultiple: 2, FallWindow: int64(time.Second)}, refuse
-}
-
-// configuration is the platform's part for an instance, but for its list.
-func configuration(o Options, name string, k int, journal string, rng *rand.Rand) map[string]any {
-	ns := func(d time.Duration) int64 { return int64(d) }
-	cells := make([]int, o.Servers)
-	for c := range cells {
-		cells[c] = c
-	}
-	tenants := []any{}
-	for _, t := range []struct {
-		name     string
-		fraction float64
-	}{{"slaney-vines", 0.55}, {"barrow-estate", 0.33}, {"suir-growers", 0.12}} {
-		tenants = append(tenants, map[string]any{"name": t.name, "fraction": t.fraction, "quota_per_s": o.Planned * t.fraction})
-	}
-	return map[string]any{"name": name, "listen": "127.0.0.1:0", "seed": fmt.Sprintf("%016x", rng.Uint64()), "journal": journal,
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"settings": map[string]any{"group_size": o.Instances, "ordinal": k, "discovery": "pushed",
-			"extra": map[string]any{"class_cells": [][]int{cells}, "clear_wait_ns": ns(300 * time.Millisecond), "this_node": -1,
-				"topology": "groups", "says_wait": true, "peer_load": "answers"},
-			"grades": []any{map[string]any{"name": "open-log", "aim_ns": ns(1200 * time.Millisecond), "deadline_ns": ns(9 * time.Second),
-				"effect": "free", "late_value": 0.25, "worth": 1.0, "stream": true}},
-			"limits": map[string]any{"max_attempts": 4, "may_cancel": true, "retry_after": true, "max_retry_after_ns": ns(2 * time.Second),
-				"connect_timeout_ns": ns(500 * time.Millisecond)},
-			"tenants": tenants, "feedback": map[string]any{"fields": []string{"spare", "total", "cpu", "waiting"}, "source": "answers"},
-			"resolution_ns": ns(5 * time.Millisecond),
-			"rules": map[string]any{"cold_from": 0.31, "cold_ns": ns(15 * time.Second), "drain_grace_ns": ns(time.Second),
-				"fall_multiple": 2.0, "fall_ns": ns(time.Second)}}}
-}
-
 // Run plays one wave. An error is a fault of the rig or of an instance's start; what the program did wrong is in the
 // result.
 func Run(ctx context.Context, o Options) (*Result, error) {
@@ -145,10 +105,10 @@
 	if o.Load == 0 {
 		o.Load = 0.88 + rng.Float64()*0.09
 	}
-	p, refuse := params(o, rng)
+	p := processor.Draw(o.Planned, o.Servers, rng)
 	ledger := check.New(check.Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second, Slack: 50 * time.Millisecond})
 	began := time.Now()
-	r := &Result{Seed: o.Seed, Instances: o.Instances, Servers: o.Servers, Load: o.Load, Refusal: float64(refuse.Milliseconds())}
+	r := &Result{Seed: o.Seed, Instances: o.Instances, Servers: o.Servers, Load: o.Load, Refusal: float64(p.Refuse / 1e6)}
 	w := &run{Options: o, ctx: ctx, r: r, ledger: ledger, rng: rng, params: p, began: began, lists: map[string]*standin.List{}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -156,7 +116,7 @@
 	w.ctx, w.group = ctx, g
 	err := w.play()
 	for _, i := range w.instances {
-		i.stop(true)
+		i.Stop(true)
 	}
 	cancel()
 	if waited := g.Wait(); err == nil {
@@ -181,7 +141,7 @@
 	params    processor.Params
 	began     time.Time
 	names     []string
-	instances []*instance
+	instances []*host.Instance
 	lists     map[string]*standin.List
 	servers   []*standin.Server // the cold one last, once it is there
 	crowd     *standin.Crowd
@@ -202,14 +162,6 @@
 	return s, nil
 }
 
-func entry(s *standin.Server, instance, state string, started time.Time) standin.Entry {
-	e := standin.Entry{ID: s.ID, Addr: s.Addr(instance), Cell: s.Cell, State: state, Weight: 1}
-	if !started.IsZero() {
-		e.Started = started.UnixMilli()
-	}
-	return e
-}
-
 func (w *run) play() error {
 	for k := range w.Instances {
 		w.names = append(w.names, fmt.Sprintf("n%d", k))
@@ -229,7 +181,7 @@
 	for k, name := range w.names {
 		var first []standin.Entry
 		for _, s := range w.servers {
-			first = append(first, entry(s, name, "SERVING", time.Time{}))
+			first = append(first, standin.EntryOf(s, name, "SERVING", time.Time{}))
 		}
 		list, err := standin.NewList(first, func(e standin.Entry, at time.Time) {
 			if e.State != "SERVING" {
@@ -245,8 +197,8 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return err
 		}
-		i := &instance{name: name, dir: dir, program: w.Program, settings: strings.ReplaceAll(w.Settings, "%DIR%", dir),
-			config: configuration(w.Options, name, k, list.Addr(), w.rng)}
+		i := &host.Instance{Name: name, Dir: dir, Program: w.Program, Settings: strings.ReplaceAll(w.Settings, "%DIR%", dir),
+			Config: host.Platform(name, k, host.Site{Instances: w.Instances, Servers: w.Servers, Planned: w.Planned}, list.Addr(), w.rng.Uint64())}
 		w.instances = append(w.instances, i)
 		if err := w.up(i); err != nil {
 			return err
@@ -262,12 +214,12 @@
 	return w.crowd.Run(w.ctx, total)
 }
 
-func (w *run) up(i *instance) error {
-	addr, err := i.start(w.ctx, w.lists[i.name].Known())
+func (w *run) up(i *host.Instance) error {
+	addr, err := i.Start(w.ctx, w.lists[i.Name].Known())
 	if err != nil {
 		return err
 	}
-	if err := w.crowd.Enter(w.ctx, i.name, addr); err != nil {
+	if err := w.crowd.Enter(w.ctx, i.Name, addr); err != nil {
 		return err
 	}
 	w.mu.Lock()
@@ -287,7 +239,7 @@
 		w.until(calm.Add(w.Warm - 300*time.Millisecond)) // while the first batch is being restarted
 		started := old.Crash()
 		for _, name := range w.names { // the list tells of it late: who starts meanwhile takes it for warm
-			w.lists[name].Change(entry(old, name, "SERVING", started), 4*time.Second+time.Duration(rng.Int64N(int64(3*time.Second))))
+			w.lists[name].Change(standin.EntryOf(old, name, "SERVING", started), 4*time.Second+time.Duration(rng.Int64N(int64(3*time.Second))))
 		}
 		w.wave(calm, rng)
 		return nil
@@ -303,9 +255,9 @@
 	w.mu.Unlock()
 	for _, name := range w.names { // the list is seconds late, for each instance in its own way
 		late := 500*time.Millisecond + time.Duration(rng.Int64N(int64(2500*time.Millisecond)))
-		w.lists[name].Change(entry(old, name, "DRAINING", time.Time{}), late)
-		w.lists[name].Change(entry(cold, name, "SERVING", started), late)
-		w.lists[name].Change(entry(old, name, "DELETED", time.Time{}), 12*time.Second)
+		w.lists[name].Change(standin.EntryOf(old, name, "DRAINING", time.Time{}), late)
+		w.lists[name].Change(standin.EntryOf(cold, name, "SERVING", started), late)
+		w.lists[name].Change(standin.EntryOf(old, name, "DELETED", time.Time{}), 12*time.Second)
 	}
 	w.group.Go(func() error {
 		if w.until(started.Add(11 * time.Second)) {
@@ -342,18 +294,18 @@
 	}
 }
 
-func (w *run) restart(i *instance, down time.Duration) {
+func (w *run) restart(i *host.Instance, down time.Duration) {
 	w.mu.Lock()
 	w.r.Restarts++
 	w.serving--
 	w.r.Restarted = append(w.r.Restarted, time.Since(w.began).Seconds())
 	w.mu.Unlock()
 	if w.Kill {
-		w.crowd.Killed(i.name)
+		w.crowd.Killed(i.Name)
 	} else { // the front notices that the test fails
-		time.AfterFunc(200*time.Millisecond, func() { w.crowd.Leave(i.name) })
+		time.AfterFunc(200*time.Millisecond, func() { w.crowd.Leave(i.Name) })
 	}
-	err := i.stop(w.Kill)
+	err := i.Stop(w.Kill)
 	if err == nil {
 		w.until(time.Now().Add(down))
 		err = w.up(i)
