Lab: a rig of real processes with links that break, and a checker of what each claims

Faults between instances are to be caused, recorded and judged. lab/rig starts N processes with callers, servers and lists, puts a link of its own between any two for datagrams and streams (cut, one way, half-open, loss, doubles, delay, slow), freezes, kills, restarts and wipes them, by a file or a seed. Every process writes down what it claims; the checker adds up budgets at every moment, holds counts against the counters' own, and verdicts against their witnesses.

--- /dev/null
+++ b/cmd/masthill-lab/rig.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"masthill/lab/rig"
+)
+
+// rigCmd runs a fleet of real processes and breaks things.
+type rigCmd struct {
+	File    string `arg:"" help:"What is played."`
+	Seed    uint64 `default:"1" help:"Seed of all draws."`
+	Program string `default:"bin/masthill" help:"The program to run." placeholder:"PATH"`
+	Plain   bool   `help:"Instances that know nothing of each other, under the same load and faults."`
+	Without string `help:"Of a build with -tags broken: the guard that is left out: mute, anchor, open, book, merge or witnesses."`
+	Keep    string `help:"Keep the instances' folders, claims and logs there." placeholder:"DIR"`
+	JSON    string `name:"json" help:"Write the result there." placeholder:"FILE"`
+	Plot    string `help:"Draw the served share by second there, as SVG or PNG." placeholder:"FILE"`
+}
+
+func (c rigCmd) Run(ctx context.Context) error {
+	program, err := filepath.Abs(c.Program)
+	if err != nil {
+		return err
+	}
+	plan, err := rig.Load(c.File)
+	if err != nil {
+		return err
+	}
+	dir := c.Keep
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "rig"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	} else if dir, err = filepath.Abs(dir); err != nil {
+		return err
+	}
+	o := rig.Options{Plan: plan, Seed: c.Seed, Program: program, Dir: dir, Plain: c.Plain}
+	if c.Without != "" {
+		o.Env = []string{"MASTHILL_WITHOUT=" + c.Without}
+	}
+	r, err := rig.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := writeJSON(c.JSON, r); err != nil {
+			return err
+		}
+	}
+	if c.Plot != "" {
+		if err := rig.Plot(r, c.Plot); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("seed %d: %d instances, %d processes, %d faults; %d calls, served %.4f; answers missing %d, twice %d, attempts overlapping %d, too soon %d\n", r.Seed,
+		r.Instances, r.Processes, len(r.Faults), r.Calls, r.Served, r.Missing, r.Twice, r.Overlaps, r.TooSoon)
+	fmt.Printf("  budgets: %d claims, overspent %d (most in use %.3f of a pool), overused %d of %d units; counts: %d checked, out of bounds %d; verdicts %d, unfounded %d\n",
+		r.Claims, r.Overspent, r.MostInUse, r.Overused, r.Used, r.Counts, r.OutOfBound, r.Verdicts, r.Unfounded)
+	fmt.Printf("  all knew of all %.1f s after the last fault; %.0f bytes and %.1f datagrams a second from each; cold wait %.0f of %.0f ms, fell over %v; late %.0f ms\n",
+		r.Converged, r.BytesS, r.DatagramsS, r.ColdWait, r.Refusal, r.FellOver, r.LateMS)
+	for _, text := range append(append(r.Broken.Texts, r.Findings.Texts...), r.Errors...) {
+		fmt.Println(" ", text)
+	}
+	if r.Bad() {
+		return fmt.Errorf("something did not hold")
+	}
+	return nil
+}
--- a/cmd/masthill/talking.go
+++ b/cmd/masthill/talking.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/control/shared"
+	"masthill/control/shared/count"
 	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
 	"masthill/internal/config"
@@ -46,7 +47,7 @@
 	record := &audit{path: s.Audit, lines: make(chan any, auditMost)}
 	record.put("start", began, map[string]any{"name": name, "epoch": epoch, "pid": os.Getpid()})
 	settings := shared.Config{Control: in.p.Settings, Planned: in.p.Planned, Name: name, Machine: s.Machine, Epoch: epoch, Numbers: s.Numbers,
-		Budgets: s.Budgets, Judgements: s.Judgements,
+		Budgets: s.Budgets, Judgements: s.Judgements, Count: count.Config{Without: without}, Judge: judge.Config{Without: without},
 		Lease: lease.Config{Keepers: s.Keepers, Most: cmp.Or(s.Most, in.p.Settings.GroupSize), Floor: s.Floor, Term: int64(s.Term), Without: without}}
 	for _, t := range in.p.Shares {
 		settings.Tenants = append(settings.Tenants, t.Name)
@@ -125,6 +126,10 @@
 	At    int64  `json:"at"`
 	Kind  string `json:"kind"` // start, claim, verdict, look
 	Claim any    `json:"claim"`
+	// A look also tells how many members are taken to be there, and the bytes and datagrams sent so far.
+	Alive     int   `json:"alive,omitempty"`
+	Bytes     int64 `json:"bytes,omitempty"`
+	Datagrams int64 `json:"datagrams,omitempty"`
 }
 
 func (a *audit) put(kind string, at time.Time, claim any) {
@@ -132,7 +137,7 @@
 		return
 	}
 	select {
-	case a.lines <- line{at.UnixNano(), kind, claim}:
+	case a.lines <- line{At: at.UnixNano(), Kind: kind, Claim: claim}:
 	default:
 		a.lost.Add(1)
 	}
@@ -170,7 +175,14 @@
 			if at == math.MinInt64 {
 				return nil // the core has ended
 			}
-			l = line{at, "look", look}
+			st := in.peers.Status()
+			one := line{At: at, Kind: "look", Claim: look, Bytes: st.SentByte, Datagrams: st.SentN}
+			for _, m := range st.Members {
+				if m.State == peers.Alive || m.State == peers.Suspect {
+					one.Alive++
+				}
+			}
+			l = one
 		}
 		if err := e.Encode(l); err != nil {
 			in.log.Error("claims not written", logs.Part, "peers", "reason", "disk", "err", err)
--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -27,8 +27,13 @@
 	Every  int64   // between two samples of an instance that are kept apart
 	Delay  int64   // that a message takes at most
 	Rate   float64 // that one instance counts of one key at most, a second
+	// Without leaves a guard out, to show that the checkers notice: Merge. Empty in every build but the lab's.
+	Without string
 }
 
+// Merge is the guard that keeps what is heard twice from counting twice.
+const Merge = "merge"
+
 const (
 	second = int64(1e9)
 	// keysMost bounds the keys of one instance, KeyLong a key's length, sourcesMost the instances (with those that have been
@@ -157,7 +162,9 @@
 			continue
 		}
 		if _, ok := merged[k]; ok || len(merged) < keysMost {
-			merged[k] = max(v, last[k])
+			if merged[k] = max(v, last[k]); s.cfg.Without == Merge && h != s.sources[s.own] {
+				merged[k] = v + last[k]
+			}
 		}
 	}
 	if n > 1 && h.samples[n-1].at-h.samples[n-2].at < s.cfg.Every {
--- a/control/shared/judge/judge.go
+++ b/control/shared/judge/judge.go
@@ -61,8 +61,13 @@
 	Least   int     // bad ones at least, whatever the jury
 	LeftOut float64 // part of the listed servers that hearsay may keep calls from, one at least
 	OwnFor  int64   // that good evidence of one's own keeps hearsay off
+	// Without leaves a guard out, to show that the checkers notice: Witnesses. Empty in every build but the lab's.
+	Without string
 }
 
+// Witnesses is the guard that one machine's word decides nothing.
+const Witnesses = "witnesses"
+
 const (
 	second = int64(1e9)
 	// fadeDefault is some way over the patience of a call: a server that comes back is tried again within that.
@@ -295,6 +300,10 @@
 		v.AgeMS = (now - jury[0].at) / 1e6
 	}
 	bad := len(v.Witnesses)
+	if b.cfg.Without == Witnesses {
+		jury, v.Against = jury[:bad], 0
+		b.cfg.Least = 1
+	}
 	guilty := bad >= b.cfg.Least && float64(bad) >= b.cfg.Needed*float64(len(jury))
 	switch {
 	case guilty && s.seen && !s.own.kind.bad() && now-s.own.at < b.cfg.OwnFor:
--- a/lab/standin/callers.go
+++ b/lab/standin/callers.go
@@ -137,6 +137,29 @@
 	}
 }
 
+// Frozen tells that an instance's process stands still: the front sends it nothing, and nothing is owed by it until Thawed.
+func (c *Crowd) Frozen(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.gates[name]; g != nil {
+		g.open = false
+		for id, w := range c.waiting {
+			if w.gate == g {
+				c.Ledger.Left(id)
+			}
+		}
+	}
+}
+
+// Thawed takes it into the rotation again, over the connection that it has.
+func (c *Crowd) Thawed(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.gates[name]; g != nil && !g.gone {
+		g.open = true
+	}
+}
+
 // read takes what one instance says.
 func (c *Crowd) read(g *gate, r *sip.Reader) {
 	defer g.conn.Close()
