Counts are dated by the quickest message; the rig shows each guard's absence

The rig's first plan for the guards found counts out of their bounds: a message composed in a process that was then frozen, or read after it woke, passed for news of now ('n1 says that n10 counted 20 ..., and it had been 21'). A message is dated by the process's own uptime and the quickest message heard of it, so that only the quickest has to be quick; what is old when it would be sent, and what is read just after a standstill, is dropped but for leases, which are anchored anyway.

--- a/cmd/masthill/talking.go
+++ b/cmd/masthill/talking.go
@@ -54,6 +54,7 @@
 	}
 	in.shared = shared.New(settings, in.p.Seed^epoch, in.started.UnixNano(), shared.Events{
 		Claim: func(c lease.Claim) { record.put("claim", in.options.Now(), c) },
+		Reign: func(until int64) { record.put("reign", in.options.Now(), until) },
 		Verdict: func(v judge.Verdict) {
 			record.put("verdict", in.options.Now(), v)
 			state := "ended"
@@ -124,7 +125,7 @@
 // line is one claim. Times are the core's, in Unix nanoseconds.
 type line struct {
 	At    int64  `json:"at"`
-	Kind  string `json:"kind"` // start, claim, verdict, look
+	Kind  string `json:"kind"` // start, claim, reign, verdict, look
 	Claim any    `json:"claim"`
 	// A look also tells how many members are taken to be there, and the bytes and datagrams sent so far.
 	Alive     int   `json:"alive,omitempty"`
--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -5,8 +5,8 @@
 // process that starts anew counts from nothing under an epoch of its own, drawn at random, so that a restarted or copied
 // instance, or one with an old folder, never goes on with another's counts.
 //
-// A reader gets a value and two bounds that hold whatever was lost, as long as messages take Config.Delay at most: what
-// has surely been counted in the window, and what can have been counted at most, if no instance counts more than
+// A reader gets a value and two bounds that hold whatever was lost, as long as the quickest of a process's messages
+// takes Config.Delay at most: what has surely been counted in the window, and what can have been counted at most, if no instance counts more than
 // Config.Rate. Instances that the reader has never heard of are not in it: it says how many it has heard of.
 //
 // The package is pure: it is told the time, by the reader's own clock alone.
@@ -40,6 +40,8 @@
 	// replaced within a window).
 	keysMost, sourcesMost = 64, 2048
 	KeyLong               = 48
+	// drift is by how much a clock may run fast or slow: as in package lease.
+	drift = 0.002
 	// futureMost bounds how far one message may move a count, in seconds of the greatest rate: a message that is wrong, and
 	// not just late, must not count for a whole season.
 	futureMost = 3600.0
@@ -85,6 +87,7 @@
 type heard struct {
 	began   int64 // of its process, by the reader's clock, at the latest
 	up      int64 // of the newest message
+	cameAt  int64
 	samples []sample
 }
 
@@ -138,15 +141,22 @@
 			s.dropped++
 			return
 		}
-		h = &heard{began: now - m.Up*1e6, up: -1}
+		h = &heard{began: now - m.Up*1e6, up: -1, cameAt: now}
 		s.sources[m.From] = h
 	}
 	if m.Up <= h.up { // older than what is known, or the same once more: nothing in it is news, and it says nothing of now
 		return
 	}
 	h.up = m.Up
-	h.began = min(h.began, now-m.Up*1e6)
-	s.take(now, h, m.Counts)
+	// The message that was under way for the shortest time tells best when the process began; all others are dated by that,
+	// so that one that waited in a frozen process, its sender or this one, is no fresher than it is. The clocks may drift.
+	h.began = min(h.began+int64(2*drift*float64(now-h.cameAt)), now-m.Up*1e6)
+	h.cameAt = now
+	at := min(now, h.began+m.Up*1e6)
+	if n := len(h.samples); n > 0 {
+		at = max(at, h.samples[n-1].at)
+	}
+	s.take(at, h, m.Counts)
 }
 
 // take merges counts by the larger and keeps a sample.
--- a/control/shared/lease/lease.go
+++ b/control/shared/lease/lease.go
@@ -188,6 +188,7 @@
 	turn    int
 	parts   map[string]*part
 	onClaim func(Claim)
+	onReign func(until int64)
 }
 
 // Claim is what this instance has of a budget from now on, until it is replaced or has ended; for the checker's record.
@@ -200,6 +201,9 @@
 	Size   int64  `json:"size"`
 }
 
+// OnReign has f told each time this instance becomes the allocator until a time, or longer.
+func (n *Node) OnReign(f func(until int64)) { n.onReign = f }
+
 // New makes a node that starts at a time, in nanoseconds of any steady clock. onClaim, if any, is told each change.
 func New(c Config, id ID, seed uint64, now int64, onClaim func(Claim)) *Node {
 	c.defaults()
@@ -207,7 +211,7 @@
 		onClaim = func(Claim) {}
 	}
 	n := &Node{cfg: c, id: id, rng: rand.New(rand.NewPCG(seed, 0x6c65617365)), keeper: slices.Contains(c.Keepers, id.Name), holders: map[ID]*holder{},
-		parts: map[string]*part{}, muted: now + c.Term, onClaim: onClaim}
+		parts: map[string]*part{}, muted: now + c.Term, onClaim: onClaim, onReign: func(int64) {}}
 	if c.Without == Mute {
 		n.muted = now
 	}
@@ -456,7 +460,10 @@
 			n.opens = now
 		}
 	}
-	n.reign = max(n.reign, until)
+	if until > n.reign {
+		n.reign = until
+		n.onReign(until)
+	}
 }
 
 // asksOf grants what can be granted.
--- a/control/shared/shared.go
+++ b/control/shared/shared.go
@@ -85,6 +85,7 @@
 type Events struct {
 	Claim   func(lease.Claim)
 	Verdict func(judge.Verdict)
+	Reign   func(until int64) // this instance hands budgets out until then
 }
 
 // attempt is a set-up without its answer.
@@ -131,6 +132,9 @@
 		m.aim = min(m.aim, g.Aim)
 	}
 	m.lease = lease.New(c.Lease, lease.ID{Name: c.Name, Epoch: c.Epoch}, seed, now, on.Claim)
+	if on.Reign != nil {
+		m.lease.OnReign(on.Reign)
+	}
 	m.count = count.New(c.Count, count.Source{Name: c.Name, Epoch: c.Epoch}, now)
 	m.board = judge.New(c.Judge, c.Name, c.Machine, seed, on.Verdict)
 	for _, t := range c.Tenants {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -145,7 +145,8 @@
 	taken   string // by whom this one's name is taken; empty: by nobody
 	began   time.Time
 
-	heard, dropped, unread, ticks atomic.Int64
+	heard, dropped, unread atomic.Int64
+	beat, woke             atomic.Int64 // the last tick, and the first one after a standstill, Unix nanoseconds
 }
 
 // handle is the form of messages: MessagePack, as the membership library's own.
@@ -167,8 +168,13 @@
 type byteTo struct {
 	to string
 	b  []byte
+	at time.Time // it was made, or read
 }
 
+// staleAfter is how old a message may be that is still worth sending, or how long this process may have stood still for
+// what it reads then to be news: what waited in a frozen process tells of a time long past as if it were now.
+const staleAfter = time.Second
+
 // New opens the address. Nobody is told anything before Run.
 func New(o Options) (*Peers, error) {
 	if o.Log == nil {
@@ -209,6 +215,7 @@
 		return err
 	}
 	p.list.Store(list)
+	p.beat.Store(time.Now().UnixNano())
 	g.Go(func() error { p.hearing(work); return nil })
 	g.Go(func() error { p.saying(work); return nil })
 	g.Go(func() error { p.ticking(work); return nil })
@@ -276,7 +283,7 @@
 func (d *delegate) NotifyMsg(b []byte) {
 	d.heard.Add(1)
 	select {
-	case d.in <- []byteTo{{b: append([]byte(nil), b...)}}:
+	case d.in <- []byteTo{{b: append([]byte(nil), b...), at: time.Now()}}:
 	default:
 		d.dropped.Add(1)
 	}
@@ -460,6 +467,10 @@
 			if p.silent() {
 				continue
 			}
+			if m.Lease == nil && (time.Since(one[0].at) > staleAfter || p.stoodStill()) {
+				p.dropped.Add(1)
+				continue
+			}
 			if m.Count != nil {
 				p.mu.Lock()
 				if p.members[m.Count.From.Name] != nil {
@@ -474,6 +485,12 @@
 	}
 }
 
+// stoodStill tells whether this process has just begun to run again: what it reads then may have waited for it. Frozen, it
+// has no ticks; what the kernel holds for it is read within a moment.
+func (p *Peers) stoodStill() bool {
+	return time.Since(time.Unix(0, p.beat.Load())) > staleAfter || time.Since(time.Unix(0, p.woke.Load())) < 2*tickEvery
+}
+
 // ticking has the module do what is due.
 func (p *Peers) ticking(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
@@ -484,6 +501,10 @@
 			return
 		case <-tick.C:
 		}
+		if time.Since(time.Unix(0, p.beat.Load())) > staleAfter {
+			p.woke.Store(time.Now().UnixNano())
+		}
+		p.beat.Store(time.Now().UnixNano())
 		if p.silent() {
 			continue
 		}
@@ -501,7 +522,7 @@
 	for _, o := range out {
 		b, err := Encode(o.Message)
 		if err == nil {
-			batch = append(batch, byteTo{o.To, b})
+			batch = append(batch, byteTo{o.To, b, time.Now()})
 		}
 	}
 	select {
@@ -522,6 +543,10 @@
 		}
 		to := p.addresses()
 		for _, m := range batch {
+			if time.Since(m.at) > staleAfter {
+				p.dropped.Add(1)
+				continue
+			}
 			if m.to == "" && len(to) >= directFor && len(m.b) <= datagramMost {
 				p.queue.QueueBroadcast(news(m.b))
 				continue
--- a/lab/rig/claims.go
+++ b/lab/rig/claims.go
@@ -42,6 +42,7 @@
 	epoch    uint64
 	from, to int64 // to: its end as the rig knows it
 	claims   []claim
+	reigns   [][2]int64 // from and until
 	looks    []look
 	verdicts []judge.Verdict
 	avoids   []int // how many it avoided after each verdict
@@ -58,6 +59,7 @@
 	Claims     int      `json:"claims"`
 	Overspent  int      `json:"budgets_overspent"` // moments at which the parts in use added up to more than the pool
 	MostInUse  float64  `json:"most_in_use"`       // of a pool, as a part of it
+	Rivals     int      `json:"two_allocators"`    // moments at which two held themselves to be the one
 	Overused   int      `json:"budgets_overused"`  // windows of 5 s in which more was used than a budget and its allowance
 	Used       int64    `json:"used"`              // units of all budgets
 	Counts     int      `json:"counts_checked"`
@@ -71,7 +73,7 @@
 }
 
 // Any tells whether a claim did not hold.
-func (f *Findings) Any() bool { return f.Overspent+f.Overused+f.OutOfBound+f.Unfounded > 0 }
+func (f *Findings) Any() bool { return f.Overspent+f.Rivals+f.Overused+f.OutOfBound+f.Unfounded > 0 }
 
 const textsMost = 20
 
@@ -111,6 +113,10 @@
 				c := claim{at: l.At}
 				json.Unmarshal(l.Claim, &c.Claim)
 				p.claims = append(p.claims, c)
+			case l.Kind == "reign":
+				until := int64(0)
+				json.Unmarshal(l.Claim, &until)
+				p.reigns = append(p.reigns, [2]int64{l.At, until})
 			case l.Kind == "look":
 				k := look{at: l.At, alive: l.Alive, bytes: l.Bytes, grams: l.Datagrams}
 				json.Unmarshal(l.Claim, &k.Look)
@@ -142,6 +148,7 @@
 	f := &Findings{Processes: len(all), Converged: -1}
 	budgets(f, all, r)
 	counts(f, all, r)
+	rivals(f, all)
 	for _, p := range all {
 		f.Claims += len(p.claims)
 		out := map[uint64]bool{}
@@ -220,6 +227,30 @@
 	}
 }
 
+// rivals finds two processes that both held themselves to be the allocator.
+func rivals(f *Findings, all []*process) {
+	type reign struct {
+		from, until int64
+		who         *process
+	}
+	var reigns []reign
+	for _, p := range all {
+		for _, r := range p.reigns {
+			reigns = append(reigns, reign{r[0], min(r[1], p.to), p})
+		}
+	}
+	sort.Slice(reigns, func(a, b int) bool { return reigns[a].from < reigns[b].from })
+	last := map[*process]int64{}
+	for _, r := range reigns {
+		for who, until := range last {
+			if who != r.who && until > r.from {
+				f.found(&f.Rivals, "%s and %s both hand budgets out at %d", r.who.name, who.name, r.from)
+			}
+		}
+		last[r.who] = max(last[r.who], r.until)
+	}
+}
+
 // used looks at what was used in each window of five seconds.
 func used(f *Findings, all []*process, r rules, name string) {
 	const window = int64(5e9)
--- a/lab/rig/plan.go
+++ b/lab/rig/plan.go
@@ -44,7 +44,7 @@
 	At   time.Duration `toml:"at" json:"at"`
 	For  time.Duration `toml:"for" json:"for"`
 	// Who is struck. A cut parts these from all others, oneway keeps them from hearing the others, flap is a cut for half of
-	// every second. freeze, kill, wipe (with its folder), oldcopy (with an old copy of its folder) and restart strike the
+	// every second, between cuts them from each other alone. freeze, kill, wipe (with its folder), oldcopy (with an old copy of its folder) and restart strike the
 	// processes, silent and slow the servers of these numbers.
 	Who    []int         `toml:"who" json:"who"`
 	Loss   float64       `toml:"loss" json:"loss,omitempty"`
@@ -56,7 +56,7 @@
 }
 
 // Kinds of fault.
-var kinds = []string{"cut", "oneway", "flap", "noise", "halfopen", "freeze", "kill", "wipe", "oldcopy", "restart", "silent", "slow"}
+var kinds = []string{"cut", "oneway", "flap", "noise", "halfopen", "between", "freeze", "kill", "wipe", "oldcopy", "restart", "silent", "slow"}
 
 // Load reads a rig's file; the error names each fault of it with its line.
 func Load(file string) (*Plan, error) {
@@ -147,7 +147,7 @@
 		f.For = min(f.For, p.For-p.Quiet-f.At)
 		f.Kind = kinds[rng.IntN(len(kinds))]
 		switch f.Kind {
-		case "cut", "oneway", "flap":
+		case "cut", "oneway", "flap", "between":
 			f.Who = some(p.Instances, p.Instances/2)
 		case "halfopen":
 			f.Who = some(p.Instances, 3)
