--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -21,6 +21,7 @@
 	Demo        demoCmd   `cmd:"" help:"Run a fleet of three against stand-ins, and restart it."`
 	Model       modelCmd  `cmd:"" help:"Play the wave on a simulated clock at any size, with and without recovery, over paired seeds."`
 	Flood       floodCmd  `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
+	Silent      silentCmd `cmd:"" help:"Play a server that goes silent on a simulated clock, and how long set-ups go there."`
 	Jam         jamCmd    `cmd:"" help:"Play a jump of the load that may tip a fleet into a jam, on a simulated clock."`
 	Border      borderCmd `cmd:"" help:"Show at which sizes and jumps a fleet does not come back, as a table and a picture."`
 	Scenes      scenesCmd `cmd:"" help:"Play scenes on a simulated clock, with what run has beside control and without, over paired seeds."`
--- a/cmd/masthill-lab/model.go
+++ b/cmd/masthill-lab/model.go
@@ -12,9 +12,6 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"masthill/control"
-	"masthill/control/join"
-	"masthill/control/recovery"
 	"masthill/lab/model"
 )
 
@@ -26,36 +23,41 @@
 	Load        float64 `default:"0.93" help:"Part of the planned load."`
 	Cold        string  `enum:"replace,crash" default:"replace" help:"How a server comes to be cold: ${enum}. The list tells of either late."`
 	ListLate    float64 `default:"3" help:"Seconds by which the list is late, at most."`
+	Before      string  `default:"plain" help:"The modules beside control that are compared with, as scenes has them."`
+	With        string  `default:"recovery" help:"The modules beside control."`
 	JSON        string  `name:"json" help:"Write a line for each run there." placeholder:"FILE"`
 }
 
-func (c modelCmd) scenario(seed uint64, paced bool) model.Scenario {
+func (c modelCmd) scenario(seed uint64, join joining) model.Scenario {
 	late := time.Duration(c.ListLate * float64(time.Second))
 	sc := model.Scenario{Seed: seed, Controllers: min(c.Controllers, 1000), Servers: min(c.Servers, 100), Load: c.Load, For: 52 * time.Second, Redials: 2,
 		ListLate: [2]time.Duration{late / 6, late}, Troubles: []model.Trouble{
 			{Kind: c.Cold, At: 9700 * time.Millisecond}, {Kind: "restarts", At: 8 * time.Second, For: 28 * time.Second, Share: 0.93, Batch: 0.28}}}
-	if paced {
-		sc.Join = func(s control.Settings, planned float64, seed uint64, now int64) join.Chain {
-			return join.Chain{recovery.New(recovery.Settings{Control: s, Planned: planned}, seed, now, nil)}
-		}
-	}
+	sc.Join = join
 	return sc
 }
 
 func (c modelCmd) Run(ctx context.Context) error {
+	var columns [2]joining
+	for k, names := range []string{c.Before, c.With} {
+		var err error
+		if columns[k], err = modules(names); err != nil {
+			return err
+		}
+	}
 	plain, paced := make([]*model.Result, c.Seeds), make([]*model.Result, c.Seeds)
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(8)
 	for k := range c.Seeds {
 		for _, to := range []struct {
-			into  []*model.Result
-			paced bool
-		}{{plain, false}, {paced, true}} {
+			into []*model.Result
+			join joining
+		}{{plain, columns[0]}, {paced, columns[1]}} {
 			g.Go(func() (err error) {
 				if ctx.Err() != nil {
 					return ctx.Err()
 				}
-				to.into[k], err = model.Run(c.scenario(uint64(k+1), to.paced))
+				to.into[k], err = model.Run(c.scenario(uint64(k+1), to.join))
 				return err
 			})
 		}
@@ -71,7 +73,7 @@
 		defer f.Close()
 		e := json.NewEncoder(f)
 		for k := range plain {
-			for name, r := range map[string]*model.Result{"plain": plain[k], "recovery": paced[k]} {
+			for name, r := range map[string]*model.Result{c.Before: plain[k], c.With: paced[k]} {
 				e.Encode(struct {
 					Column string `json:"column"`
 					*model.Result
@@ -98,9 +100,9 @@
 			name, stat.Mean(served, nil), least(served), stat.Mean(wait, nil), -least(negated(wait)), fell, len(all), rate/float64(len(all)), kb)
 		return served
 	}
-	a, b := column("plain", plain), column("recovery", paced)
+	a, b := column(c.Before, plain), column(c.With, paced)
 	mean, half := paired(a, b)
-	fmt.Printf("recovery - plain: %+.5f, 95%% interval %+.5f to %+.5f\n", mean, mean-half, mean+half)
+	fmt.Printf("with - before: %+.5f, 95%% interval %+.5f to %+.5f\n", mean, mean-half, mean+half)
 	if broken > 0 {
 		return fmt.Errorf("a rule was broken in %d runs", broken)
 	}
--- /dev/null
+++ b/cmd/masthill-lab/silent.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+
+	"masthill/lab/model"
+)
+
+// silentCmd plays one server that goes silent, of which the list says nothing, and shows how long set-ups go there.
+type silentCmd struct {
+	Controllers int     `default:"50" help:"Session controllers."`
+	Servers     int     `default:"21" help:"Session servers."`
+	Seeds       string  `default:"1-8" help:"Seeds, as FIRST-LAST or one."`
+	Load        float64 `default:"0.8" help:"Part of the planned load."`
+	// Columns are lists of modules; see scenes.
+	Columns []string `sep:";" default:"goodput;shared,goodput" help:"The modules beside control, a list for each column with semicolons between."`
+	Liar    bool     `help:"One controller tells the others all the time that every server is dead."`
+}
+
+// silentFrom and silentFor are when the server is silent; the list notices some seconds later, unless it is back.
+const silentFrom, silentFor, silentLength = 15 * time.Second, 4 * time.Second, 40 * time.Second
+
+func (c silentCmd) Run(ctx context.Context) error {
+	numbers, err := seeds(c.Seeds)
+	if err != nil {
+		return err
+	}
+	var first []float64
+	for _, names := range c.Columns {
+		join, err := modules(names)
+		if err != nil {
+			return err
+		}
+		all := make([]*model.Result, len(numbers))
+		g, ctx := errgroup.WithContext(ctx)
+		g.SetLimit(parallel)
+		for k, seed := range numbers {
+			g.Go(func() (err error) {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				sc := model.Scenario{Seed: seed, Controllers: c.Controllers, Servers: c.Servers, Load: c.Load, For: silentLength, Redials: 2, Join: join,
+					Troubles: []model.Trouble{{Kind: "silent", At: silentFrom, For: silentFor, Share: 0.01}}}
+				if c.Liar {
+					sc.Liar = 1
+				}
+				all[k], err = model.Run(sc)
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+		by := make([]float64, int(silentFor/time.Second))
+		var served []float64
+		for _, r := range all {
+			if r.Any() {
+				return fmt.Errorf("seed %d: a rule was broken: %v", r.Seed, r.Texts)
+			}
+			for k, n := range r.SilentSends {
+				by[min(k, len(by)-1)] += float64(n) / float64(len(all))
+			}
+			served = append(served, r.Served)
+		}
+		fmt.Printf("%-22s set-ups to the silent server by second: %.1f; served %.4f", names, by, stat.Mean(served, nil))
+		if first == nil {
+			first = served
+			fmt.Println()
+			continue
+		}
+		mean, half := paired(first, served)
+		fmt.Printf(", %+.4f, 95%% interval %+.4f to %+.4f\n", mean, mean-half, mean+half)
+	}
+	return nil
+}
--- a/lab/host/host.go
+++ b/lab/host/host.go
@@ -25,6 +25,7 @@
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
+	cpu   time.Duration // of the processes that have ended
 	log   bytes.Buffer
 	line  []byte
 	ready chan string // its address
@@ -57,7 +58,13 @@
 	i.mu.Lock()
 	i.cmd, i.ended = cmd, ended // only a process that is there can be stopped
 	i.mu.Unlock()
-	go func() { cmd.Wait(); close(ended) }()
+	go func() {
+		cmd.Wait()
+		i.mu.Lock()
+		i.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		i.mu.Unlock()
+		close(ended)
+	}()
 	select {
 	case addr = <-ready:
 		return addr, nil
@@ -89,6 +96,13 @@
 	return i.cmd.Process.Pid
 }
 
+// CPU is the processor time of the processes that have ended.
+func (i *Instance) CPU() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.cpu
+}
+
 // Log is what the processes have logged, as far as it is kept.
 func (i *Instance) Log() string {
 	i.mu.Lock()
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -38,6 +38,8 @@
 	// measured, which takes time.
 	PeerCut   func(at time.Duration, from, to int) bool
 	PeerBytes bool
+	// Liar is a controller, counted from 1, that tells the others all the time that every server is dead; 0: none.
+	Liar int
 	// Look, if any, is called once a simulated second with what the controllers tell.
 	Look func(at time.Duration, all []exchange.Status)
 }
@@ -75,8 +77,9 @@
 	Use         float64 `json:"use_at_plan"` // part of the processors' time that the planned load takes
 	Refused     int     `json:"refused_by_servers"`
 	Restarts    int     `json:"restarts"`
-	PeerSent    int64   `json:"peer_messages,omitempty"` // between controllers, counted at each receiver
-	PeerBytes   int64   `json:"peer_bytes,omitempty"`    // of what was said, each message once
+	SilentSends []int   `json:"set_ups_to_silent_servers_by_s,omitempty"` // since they went silent
+	PeerSent    int64   `json:"peer_messages,omitempty"`                  // between controllers, counted at each receiver
+	PeerBytes   int64   `json:"peer_bytes,omitempty"`                     // of what was said, each message once
 	check.Broken
 	Events     uint64             `json:"events"`
 	EventsS    float64            `json:"events_per_s"`  // of real time
@@ -129,6 +132,7 @@
 	use         float64 // part of the processors' time that the planned load takes
 	lossy       float64 // part of the answers that get lost now
 	discard     *slog.Logger
+	silentSends []int // by second since a server went silent: set-ups sent there
 	peerSent    int64 // messages between controllers, by receiver
 	peerBytes   int64 // in each message once
 }
@@ -321,6 +325,9 @@
 				set := func(on bool) {
 					if t.Kind == "silent" {
 						s.done(s.proc.Silence(m.now, on))
+						if s.silentAt = 0; on {
+							s.silentAt = m.now
+						}
 						if s.cold = s.cold || !on; on {
 							m.noticed(s, t, silentNoticed, rng)
 						} else {
@@ -351,7 +358,7 @@
 
 func (m *model) result(real time.Duration) *Result {
 	r := &Result{Seed: m.Seed, Controllers: m.Controllers, Servers: m.Servers, Calls: len(m.all), Events: m.events, RealS: real.Seconds(),
-		EventsS: float64(m.events) / real.Seconds(), Refusal: float64(m.params.Refuse) / 1e6, Use: m.use, Restarts: m.restarts, PeerSent: m.peerSent, PeerBytes: m.peerBytes, ByTenant: map[string]float64{}}
+		EventsS: float64(m.events) / real.Seconds(), Refusal: float64(m.params.Refuse) / 1e6, Use: m.use, Restarts: m.restarts, SilentSends: m.silentSends, PeerSent: m.peerSent, PeerBytes: m.peerBytes, ByTenant: map[string]float64{}}
 	r.Broken, _, _ = m.ledger.Result()
 	seconds := int(m.For/time.Second) + 1
 	r.BySecond, r.OfferedByS = make([]float64, seconds), make([]int, seconds)
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -13,19 +13,20 @@
 
 // server is one session server: a modelled processor and the calls that it has.
 type server struct {
-	m       *model
-	id      uint64
-	cell    int
-	ready   int64 // start, 0: long ago
-	cold    bool  // it started during the run
-	rng     *rand.Rand
-	proc    *processor.Processor
-	calls   map[string]*atServer
-	drains  bool
-	gone    bool
-	due     int64 // a look at the processor is planned for then
-	report  []float64
-	reportA int64
+	m        *model
+	id       uint64
+	cell     int
+	ready    int64 // start, 0: long ago
+	cold     bool  // it started during the run
+	rng      *rand.Rand
+	proc     *processor.Processor
+	calls    map[string]*atServer
+	drains   bool
+	gone     bool
+	silentAt int64 // since when; 0: it is not silent
+	due      int64 // a look at the processor is planned for then
+	report   []float64
+	reportA  int64
 }
 
 type atServer struct {
@@ -80,6 +81,13 @@
 		return
 	}
 	s.m.ledger.Sent(a.ID, c.name(), s.name(), s.m.time())
+	if s.silentAt > 0 {
+		k := int((s.m.now - s.silentAt) / 1e9)
+		for len(s.m.silentSends) <= k {
+			s.m.silentSends = append(s.m.silentSends, 0)
+		}
+		s.m.silentSends[k]++
+	}
 	if s.drains {
 		s.m.ledger.Ended(a.ID, s.name(), false, s.m.time())
 		c.later(gen, s.cell, func() { c.x.Ended(s.id, a.ID, a.N, exchange.Ending{Outcome: control.Superseded}) })
--- a/lab/model/peers.go
+++ b/lab/model/peers.go
@@ -6,6 +6,7 @@
 
 	"masthill/control/join"
 	"masthill/control/shared"
+	"masthill/control/shared/judge"
 	"masthill/internal/peers"
 )
 
@@ -47,9 +48,21 @@
 	c.m.after(c.rng.Int64N(peerTick), tick)
 }
 
+// lie tells that every server is dead.
+func (c *controller) lie() *judge.Message {
+	m := &judge.Message{From: c.name(), Machine: c.name()}
+	for _, s := range c.m.listed {
+		m.Reports = append(m.Reports, judge.Report{Server: s.id, Kind: judge.Dead, Run: 99})
+	}
+	return m
+}
+
 // say sends messages on their way.
 func (c *controller) say(out []shared.Out) {
 	n := len(c.m.controllers)
+	if c.n+1 == c.m.Liar {
+		out = append(out, shared.Out{Message: shared.Message{Judge: c.lie()}})
+	}
 	for _, o := range out {
 		if c.m.PeerBytes {
 			b, _ := peers.Encode(o.Message)
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -46,6 +46,7 @@
 	Served    float64 `json:"served_share"`
 	check.Broken
 	Findings
+	CPUCall  float64   `json:"cpu_us_per_call"` // processor time of all instances, over the callers' calls
 	ColdWait float64   `json:"cold_wait_max_ms"`
 	Refusal  float64   `json:"refusal_point_ms"`
 	FellOver bool      `json:"fell_over"`
@@ -482,6 +483,9 @@
 	for k := range of {
 		r.BySecond[k] /= float64(max(of[k], 1))
 	}
+	for _, i := range w.instances {
+		r.CPUCall += float64(i.CPU().Microseconds()) / float64(max(r.Calls, 1))
+	}
 	for _, s := range w.servers {
 		worst, fallen, _, _ := s.Look()
 		r.FellOver = r.FellOver || fallen
