Tests: real processes know of each other, keys on half of them, a twin; the core's room for callers

Four processes on loopback: membership, counts heard, keys rotated on half and on all by SIGHUP, a second process of one name, a kill and a planned end, 'masthill peers' as text; and that what instances say leaves half of the core's inbox to callers.

--- /dev/null
+++ b/cmd/masthill/peers_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"masthill/internal/ctl"
+	"masthill/internal/peers"
+)
+
+// The keys of a fleet, in base64: each is of 16 bytes.
+const oldKey, newKey = "MDEyMzQ1Njc4OWFiY2RlZg==", "ZmVkY2JhOTg3NjU0MzIxMA=="
+
+// knows asks a process what it knows of the others; nil: it does not say.
+func knows(socket string) *ctl.Peers {
+	var out bytes.Buffer
+	if run([]string{"peers", "--socket", socket, "--json"}, signals{}, &out, &out) != exitOK {
+		return nil
+	}
+	p := &ctl.Peers{}
+	if json.Unmarshal(out.Bytes(), p) != nil {
+		return nil
+	}
+	return p
+}
+
+// together tells whether a process takes so many to be there and has heard of all within a second or so.
+func together(socket string, members int) bool {
+	p := knows(socket)
+	if p == nil {
+		return false
+	}
+	alive := 0
+	for _, m := range p.Members {
+		if m.State == peers.Alive {
+			alive++
+		}
+	}
+	if alive != members || len(p.Shared.Known) < members {
+		return false
+	}
+	heard := 0
+	for _, k := range p.Shared.Known {
+		if k.AgeMS < 1500 {
+			heard++
+		}
+	}
+	return heard >= members
+}
+
+// Four real processes know of each other; keys are changed on half of them and then on all by SIGHUP; one is killed, and one
+// leaves; a second process of a name holds its tongue.
+func TestProcessesKnowOfEachOther(t *testing.T) {
+	feed := newJournal(t)
+	dir := t.TempDir()
+	var seed string
+	settings := func(name, keys string) string {
+		return fmt.Sprintf("[socket]\npath = %q\n[peers]\nlisten = \"127.0.0.1:0\"\nname = %q\nmachine = %q\nsite = \"cork\"\nseeds = [%s]\nkeys = [%s]\nkeepers = [\"a\", \"b\", \"c\"]\nbudgets = true\njudgements = true\nmost = 4\n",
+			filepath.Join(dir, name), name, "m-"+name, seed, keys)
+	}
+	until := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !is(); time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("not in time: " + what)
+			}
+		}
+	}
+	quoted := func(keys ...string) string { return `"` + strings.Join(keys, `", "`) + `"` }
+	names := []string{"a", "b", "c", "d"}
+	all := map[string]*program{}
+	for _, name := range names {
+		all[name] = start(t, feed, nil, settings(name, quoted(oldKey)))
+		if name == "a" {
+			until("a tells its address", func() bool { return knows(filepath.Join(dir, "a")) != nil })
+			seed = fmt.Sprintf("%q", knows(filepath.Join(dir, "a")).Addr)
+		}
+	}
+	everyone := func(n int, of ...string) func() bool {
+		return func() bool {
+			for _, name := range of {
+				if !together(filepath.Join(dir, name), n) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	until("four know of four", everyone(4, names...))
+	rotate := func(keys string, of ...string) {
+		for _, name := range of {
+			p := all[name]
+			file := filepath.Join(filepath.Dir(p.config), "callws.toml")
+			if err := os.WriteFile(file, []byte(settings(name, keys)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			changed := func() int {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return strings.Count(p.log.String(), `msg="keys changed"`)
+			}
+			before := changed()
+			p.Process.Signal(syscall.SIGHUP)
+			until("keys changed", func() bool { return changed() > before })
+		}
+	}
+	rotate(quoted(oldKey, newKey), names...)
+	rotate(quoted(newKey, oldKey), "a", "b") // half of them seal with the new one
+	time.Sleep(1500 * time.Millisecond)      // what was heard before is old by then
+	until("they still hear each other", everyone(4, names...))
+
+	twin := start(t, feed, nil, strings.Replace(settings("d", quoted(newKey, oldKey)), filepath.Join(dir, "d"), filepath.Join(dir, "twin"), 1))
+	until("the second d holds its tongue", func() bool { p := knows(filepath.Join(dir, "twin")); return p != nil && p.Taken != "" })
+	twin.Process.Kill()
+
+	all["d"].Process.Kill()
+	until("d is gone", func() bool {
+		for _, m := range knows(filepath.Join(dir, "a")).Members {
+			if m.Name == "d" {
+				return m.State == peers.Gone
+			}
+		}
+		return false
+	})
+	all["c"].stop()
+	until("c has left", func() bool {
+		for _, m := range knows(filepath.Join(dir, "b")).Members {
+			if m.Name == "c" {
+				return m.State == peers.Left
+			}
+		}
+		return false
+	})
+	var out bytes.Buffer
+	if code := run([]string{"peers", "--socket", filepath.Join(dir, "b")}, signals{}, &out, &out); code != exitOK {
+		t.Errorf("exit code %d", code)
+	}
+	for _, want := range []string{"b (this)  alive", "c         left", "d         gone", "cork", "m-d"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+	plain := start(t, feed, nil, fmt.Sprintf("[socket]\npath = %q\n", filepath.Join(dir, "plain")))
+	out.Reset()
+	if code := run([]string{"peers", "--socket", filepath.Join(dir, "plain")}, signals{}, &out, &out); code != exitFailed || !strings.Contains(out.String(), "knows of no others") {
+		t.Errorf("%d: %s", code, out.String())
+	}
+	plain.stop()
+}
--- a/internal/exchange/join_test.go
+++ b/internal/exchange/join_test.go
@@ -113,3 +113,27 @@
 		t.Error("two modules of one name")
 	}
 }
+
+// What other instances say waits while the core has much to do, and is never waited for: callers and offices come first.
+func TestOffersLeaveRoomForCallers(t *testing.T) {
+	x, err := New(Options{Settings: settings(), Now: time.Now, Log: netcase.Quiet(), Memory: 64 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := 0
+	for x.Offer(func(int64) { taken++ }) { // nobody runs the core
+		if taken++; taken > 1<<20 {
+			t.Fatal("without a bound")
+		}
+	}
+	if most := 64 << 20 / inboxPart / inboxEach; taken < most/2 || taken > most/2+1 || x.InboxUsed() > 0.6 {
+		t.Errorf("%d taken, of a bound of %d", taken, most)
+	}
+	done := make(chan struct{})
+	go func() { x.HangUp("0000000000000001", "c"); close(done) }() // a front still has room, and does not wait
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Error("a front waits behind what instances say")
+	}
+}
