Judgements: a server that takes another's place is told after that has made room

At no moment were two avoided: the new one was told before the old one's end, as the board goes through the servers by their witnesses. Ends are told first. A test fails without it.

--- a/control/shared/judge/judge.go
+++ b/control/shared/judge/judge.go
@@ -261,6 +261,7 @@
 	// The worst first, by how many say so, where not all may be left out.
 	slices.SortStableFunc(found, func(x, y Verdict) int { return cmp.Compare(len(y.Witnesses), len(x.Witnesses)) })
 	most := max(int(b.cfg.LeftOut*float64(b.listed)), 1)
+	var begun []Verdict
 	for _, v := range found {
 		if v.Avoided {
 			if most--; most < 0 {
@@ -269,10 +270,15 @@
 		}
 		s := b.servers[v.Server]
 		was := s.verdict.Avoided
-		if s.verdict = v; v.Avoided != was {
+		if s.verdict = v; v.Avoided && !was {
+			begun = append(begun, v)
+		} else if was && !v.Avoided {
 			b.onChange(v)
 		}
 	}
+	for _, v := range begun { // told after those that made room for them
+		b.onChange(v)
+	}
 }
 
 // judge has the youngest reports decide on a server. This instance is one of the witnesses.
--- a/control/shared/judge/judge_test.go
+++ b/control/shared/judge/judge_test.go
@@ -166,6 +166,37 @@
 	}
 }
 
+// Where one server takes another's place among those left out, it is never told as if both were.
+func TestChangesAreToldInOrder(t *testing.T) {
+	out := map[uint64]bool{}
+	b := New(Config{}, "me", "here", 1, func(v Verdict) {
+		if delete(out, v.Server); v.Avoided {
+			out[v.Server] = true
+		}
+		if len(out) > 1 {
+			t.Errorf("%v are left out", out)
+		}
+	})
+	b.Listed([]uint64{1, 2, 3, 4})
+	now := int64(100e9)
+	tell := func(server uint64, witnesses int) {
+		for k := range witnesses {
+			b.Hear(now, Message{From: fmt.Sprint("n", k), Machine: fmt.Sprint("m", k), Reports: []Report{{Server: server, Kind: Dead, Run: 1}}})
+		}
+		now += 100e6
+		b.Avoid(now, 1)
+	}
+	tell(1, 3)
+	tell(2, 5) // more say so
+	if !out[2] || out[1] {
+		t.Errorf("%v is left out", out)
+	}
+	tell(1, 6)
+	if !out[1] {
+		t.Errorf("%v is left out", out)
+	}
+}
+
 // Whatever is said: never avoided on fewer than two machines' word, nor more than a part of the servers, and a verdict
 // names those whom it rests on.
 func TestRandomTalk(t *testing.T) {
