--- a/cmd/masthill-lab/scenes.go
+++ b/cmd/masthill-lab/scenes.go
@@ -21,6 +21,7 @@
 	Seeds       string   `default:"1-8" help:"Seeds, as FIRST-LAST or one."`
 	Before      string   `default:"plain" help:"The modules beside control that are compared with: plain, run, or names with commas between."`
 	With        string   `default:"run" help:"The modules beside control."`
+	PeerBytes   bool     `help:"Measure what controllers say to each other, for the JSON; it takes time."`
 	JSON        string   `name:"json" help:"Write a line for each run there." placeholder:"FILE"`
 }
 
@@ -71,7 +72,7 @@
 						return ctx.Err()
 					}
 					sc := s.Scenario(seed, c.Controllers, c.Servers)
-					sc.Join, sc.Planned = columns[column], c.Planned
+					sc.Join, sc.Planned, sc.PeerBytes = columns[column], c.Planned, c.PeerBytes
 					into[k], err = model.Run(sc)
 					return err
 				})
