Leases: an answer is for the process that asked; counts of just now are not yet sure

Answers carry the epoch that they are for. A test fails without it.

Two hundred members on one machine found counts out of bounds (7,468 of 2.8 million) at an instance that had been frozen for 12 s: it had forgotten the others, and dated them anew by messages that other frozen members passed on late. A process is in the bounds only once something of it was heard a delay ago; readings and what is told of processes are about the same ones.

--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -88,6 +88,8 @@
 	began   int64 // of its process, by the reader's clock, at the latest
 	up      int64 // of the newest message
 	cameAt  int64
+	firstAt int64
+	settled bool // its messages have been dated by more than one
 	samples []sample
 }
 
@@ -105,7 +107,7 @@
 func New(c Config, own Source, now int64) *Set {
 	c.defaults()
 	s := &Set{cfg: c, own: own, began: now, counts: map[string]int64{}, sources: map[Source]*heard{}}
-	s.sources[own] = &heard{began: now, samples: []sample{{now, map[string]int64{}}}}
+	s.sources[own] = &heard{began: now, settled: true, samples: []sample{{now, map[string]int64{}}}}
 	return s
 }
 
@@ -141,7 +143,7 @@
 			s.dropped++
 			return
 		}
-		h = &heard{began: now - m.Up*1e6, up: -1, cameAt: now}
+		h = &heard{began: now - m.Up*1e6, up: -1, cameAt: now, firstAt: now}
 		s.sources[m.From] = h
 	}
 	if m.Up <= h.up { // older than what is known, or the same once more: nothing in it is news, and it says nothing of now
@@ -152,6 +154,7 @@
 	// so that one that waited in a frozen process, its sender or this one, is no fresher than it is. The clocks may drift.
 	h.began = min(h.began+int64(2*drift*float64(now-h.cameAt)), now-m.Up*1e6)
 	h.cameAt = now
+	h.settled = h.settled || now-h.firstAt >= s.cfg.Delay
 	at := min(now, h.began+m.Up*1e6)
 	if n := len(h.samples); n > 0 {
 		at = max(at, h.samples[n-1].at)
@@ -199,10 +202,11 @@
 // silence is how long a process may say nothing before it is no longer counted with.
 func (s *Set) silence() int64 { return s.cfg.Window + 2*s.cfg.Delay }
 
-// Reading is a count of the fleet over a window.
+// Reading is a count of the fleet over a window. A process of which nothing was heard a Config.Delay ago is in the value
+// alone: its first messages may have waited in another that passed them on, so that nothing is sure of their age.
 type Reading struct {
 	Value float64 `json:"value"`  // the likeliest
-	Least int64   `json:"least"`  // surely counted in the window by the processes heard of
+	Least int64   `json:"least"`  // surely counted in the window by the processes that it is about
 	Most  int64   `json:"most"`   // by them, at most
 	AgeMS int64   `json:"age_ms"` // of what was heard last from the one that has been quiet for longest
 	Of    int     `json:"of"`     // processes that it is about, this one among them
@@ -222,8 +226,10 @@
 		if age > s.silence() {
 			continue
 		}
-		r.Of++
-		r.AgeMS = max(r.AgeMS, age/1e6)
+		if h.settled {
+			r.Of++
+			r.AgeMS = max(r.AgeMS, age/1e6)
+		}
 		// A sample shows its process as it was when it was sent: not later than it came, and not more than the delay before.
 		// So what it had counted when the window began is before at least and after at most, and likely guess.
 		all := h.samples
@@ -247,7 +253,9 @@
 		if h.began-delay-1e6 >= from {
 			after = 0 // its process had not begun
 		}
-		r.Value += float64(total) - guess
+		if r.Value += float64(total) - guess; !h.settled {
+			continue
+		}
 		r.Least += total - min(after, total)
 		r.Most += total - before
 		if id != s.own {
@@ -264,12 +272,14 @@
 	AgeMS  int64            `json:"age_ms"` // of the news
 }
 
-// All tells what is known of each process, the newest news only, in the order of names.
+// All tells what is known of each process that readings are about, the newest news only, in the order of names.
 func (s *Set) All(now int64) (all []Known) {
 	for id, h := range s.sources {
 		last := h.samples[len(h.samples)-1]
 		if id == s.own {
 			last = sample{now, s.counts}
+		} else if !h.settled || now-last.at > s.silence() {
+			continue
 		}
 		all = append(all, Known{id, maps.Clone(last.counts), (now - last.at) / 1e6})
 	}
--- a/control/shared/lease/lease.go
+++ b/control/shared/lease/lease.go
@@ -49,6 +49,9 @@
 	Round uint64 `codec:"r"`
 	Parts []Part `codec:"p,omitempty"`
 	Name  string `codec:"a,omitempty"` // Elsewhere: of the allocator, empty where none is known
+	// For is the epoch of the process that is answered. One that starts anew counts its rounds from the beginning, and an
+	// answer to the process before, late, would pass for its own.
+	For uint64 `codec:"t,omitempty"`
 }
 
 // Part is one budget in a message. Rates are in thousandths a second.
@@ -73,7 +76,7 @@
 	Term    int64    // nanoseconds that a promise or a part lasts
 	Drift   float64  // by which a clock may run fast or slow, at most
 	Burst   float64  // seconds of its rate that a holder may save up
-	// Without leaves a guard out, to show that the checkers notice: Mute, Anchor, Open or Book. Empty in every build but
+	// Without leaves a guard out, to show that the checkers notice: Mute, Anchor, Open, Book or Answered. Empty in every build but
 	// the lab's.
 	Without string
 }
@@ -84,6 +87,8 @@
 	Anchor = "anchor" // an answer counts from the asking, not from its coming
 	Open   = "open"   // a new allocator waits for a term
 	Book   = "book"   // what others may be using is kept back
+	// Answered is the guard that an answer is for the process that asked.
+	Answered = "answered"
 )
 
 const (
@@ -412,6 +417,9 @@
 
 // Hear takes a message and gives what is to be sent.
 func (n *Node) Hear(now int64, m Message) (out []Out) {
+	if (m.Kind == Promise || m.Kind == Grant || m.Kind == Elsewhere) && m.For != n.id.Epoch && n.cfg.Without != Answered {
+		return nil
+	}
 	switch m.Kind {
 	case Bid:
 		if !n.keeper || now < n.muted {
@@ -426,7 +434,7 @@
 			return nil
 		}
 		n.given = promise{m.From, m.Round, now + n.cfg.Term}
-		return n.to(now, m.From.Name, Message{Kind: Promise, Round: m.Round}, nil)
+		return n.to(now, m.From.Name, Message{Kind: Promise, Round: m.Round, For: m.From.Epoch}, nil)
 	case Yield:
 		if n.given.to == m.From && n.given.round == m.Round {
 			n.given.until = min(n.given.until, now)
@@ -478,7 +486,7 @@
 		if n.keeper && now < n.given.until && n.given.to.Name != m.From.Name {
 			name = n.given.to.Name
 		}
-		return n.to(now, m.From.Name, Message{Kind: Elsewhere, Round: m.Round, Name: name}, nil)
+		return n.to(now, m.From.Name, Message{Kind: Elsewhere, Round: m.Round, Name: name, For: m.From.Epoch}, nil)
 	}
 	h := n.holders[m.From]
 	if h == nil {
@@ -499,7 +507,7 @@
 			h.parts[name] = b
 		}
 	}
-	reply := Message{Kind: Grant, Round: m.Round}
+	reply := Message{Kind: Grant, Round: m.Round, For: m.From.Epoch}
 	for _, p := range m.Parts {
 		if p.Size <= 0 || p.Rate < 0 || p.Hold < 0 {
 			continue
--- a/control/shared/lease/lease_test.go
+++ b/control/shared/lease/lease_test.go
@@ -349,6 +349,35 @@
 	}
 }
 
+// Answers to the process before, late, are not for the one that has its name now.
+func TestAnswersAreForTheProcessThatAsked(t *testing.T) {
+	c := Config{Keepers: []string{"a", "b", "c"}, Most: 3, Term: 2 * second}
+	b := New(c, ID{"b", 1}, 1, 0, nil)
+	promised := b.Hear(10*second, Message{Kind: Bid, From: ID{"a", 1}, Round: 1})
+	if len(promised) != 1 || promised[0].Kind != Promise {
+		t.Fatalf("%+v", promised)
+	}
+	a := New(c, ID{"a", 2}, 1, 10*second, nil) // a's new process
+	now := 10 * second
+	for ; a.round == 0; now += second / 20 {
+		a.Tick(now)
+	}
+	if a.Hear(now, promised[0].Message); a.round != 1 || a.Reigns(now) {
+		t.Error("it reigns on a promise to the process before")
+	}
+	h := New(c, ID{"h", 2}, 1, 0, nil)
+	h.Want(0, budget, 30_000, 30_000)
+	h.Tick(0)
+	h.Hear(1, Message{Kind: Grant, From: ID{h.whom, 5}, Round: 1, For: 1, Parts: []Part{{Budget: budget, Rate: 9000}}})
+	if h.parts[budget].rate != 0 {
+		t.Error("it uses what the process before was granted")
+	}
+	h.Hear(1, Message{Kind: Grant, From: ID{h.whom, 5}, Round: 1, For: 2, Parts: []Part{{Budget: budget, Rate: 9000}}})
+	if h.parts[budget].rate != 9000 {
+		t.Error("its own grant is not taken")
+	}
+}
+
 // Without its guards the scheme breaks, and this test's world sees it.
 func TestEachGuardIsNeeded(t *testing.T) {
 	for _, guard := range []string{Mute, Anchor, Open, Book} {
