What is for all members is sent to each, in one datagram, at a rate that does not grow with the fleet

Counts and what was seen of servers go to every member in one datagram now, twice a second up to 64 members and in proportion more rarely beyond: some 130 a second from each, at any size.

--- a/control/shared/shared.go
+++ b/control/shared/shared.go
@@ -30,8 +30,9 @@
 
 const (
 	second = int64(1e9)
-	// tellEvery is how often an instance tells its counts and what it saw, in a fleet of tellFor members at most; larger
-	// ones tell more rarely, so that what each hears stays the same. newsEvery is the least time between two tellings that
+	// tellEvery is how often an instance tells all others its counts and what it saw, in a fleet of tellFor members at most;
+	// larger ones tell more rarely, so that what each says and hears stays the same: some 130 datagrams a second. Passing
+	// news on from member to member would cost more than that at every size up to 1,000, and be later. newsEvery is the least time between two tellings that
 	// bad news asks for.
 	tellEvery = second / 2
 	tellFor   = 64
@@ -69,7 +70,7 @@
 	Judge      judge.Config
 }
 
-// Message is one message between instances; one of its parts is set.
+// Message is one message between instances: a lease's, or what an instance has to tell all.
 type Message struct {
 	Lease *lease.Message `codec:"l,omitempty"`
 	Count *count.Message `codec:"c,omitempty"`
@@ -155,14 +156,15 @@
 func (m *Shared) Hear(now int64, msg Message) (out []Out) {
 	m.heardAt = max(m.heardAt, now)
 	m.turn(now)
-	switch {
-	case msg.Lease != nil:
+	if msg.Lease != nil {
 		for _, o := range m.lease.Hear(now, *msg.Lease) {
 			out = append(out, leased(o))
 		}
-	case msg.Count != nil:
+	}
+	if msg.Count != nil {
 		m.count.Hear(now, *msg.Count)
-	case msg.Judge != nil:
+	}
+	if msg.Judge != nil {
 		m.board.Hear(now, *msg.Judge)
 	}
 	return out
@@ -180,17 +182,20 @@
 		out = append(out, leased(o))
 	}
 	every := tellEvery * int64(max(1, (members+tellFor-1)/tellFor))
+	var msg Message
 	if now-m.countAt >= every {
 		c := m.count.Tell(now)
-		out = append(out, Out{"", Message{Count: &c}})
-		m.countAt = now
+		msg.Count, m.countAt = &c, now
 	}
 	if now-m.judgeAt >= every || m.news && now-m.judgeAt >= newsEvery {
 		if j := m.board.Tell(now); len(j.Reports) > 0 {
-			out = append(out, Out{"", Message{Judge: &j}})
+			msg.Judge = &j
 		}
 		m.judgeAt, m.news = now, false
 	}
+	if msg.Count != nil || msg.Judge != nil {
+		out = append(out, Out{"", msg})
+	}
 	return out
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,12 +34,10 @@
 const (
 	// tickEvery is how often the module does what is due.
 	tickEvery = 100 * time.Millisecond
-	// directFor is up to how many members are told everything directly; in larger fleets news goes on by gossip.
-	directFor = 64
+	// usualFor is up to how many members each tells the others its counts twice a second; larger fleets do it more rarely.
+	usualFor = 64
 	// inMost and outMost bound the messages on their way to the module and from it.
 	inMost, outMost = 512, 2048
-	// datagramMost is what a message may have to fit a datagram with its header and seal.
-	datagramMost = 1200
 	// lostMost bounds the members that are remembered after they are gone, lostFor how long, and rejoinEvery is how often
 	// some of them, and the seeds, are tried: after a cut two halves do not find each other by themselves.
 	lostMost, lostFor = 1024, time.Hour
@@ -132,7 +130,6 @@
 	ring    *memberlist.Keyring
 	t       *transport
 	links   *links
-	queue   *memberlist.TransmitLimitedQueue
 	in, out chan []byteTo
 	group   *errgroup.Group
 	ctx     context.Context
@@ -252,7 +249,6 @@
 	c.DeadNodeReclaimTime = 5 * time.Second // a name may come back at another address
 	c.Delegate, c.Events, c.Conflict, c.Alive = (*delegate)(p), (*delegate)(p), (*delegate)(p), (*delegate)(p)
 	c.Logger = stdlog.New(logWriter{p.log}, "", 0)
-	p.queue = &memberlist.TransmitLimitedQueue{NumNodes: p.count, RetransmitMult: 2}
 	return c
 }
 
@@ -289,11 +285,9 @@
 	}
 }
 
-func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.queue.GetBroadcasts(overhead, limit)
-}
-func (d *delegate) LocalState(bool) []byte        { return nil }
-func (d *delegate) MergeRemoteState([]byte, bool) {}
+func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil } // what is for all is sent to all
+func (d *delegate) LocalState(bool) []byte          { return nil }
+func (d *delegate) MergeRemoteState([]byte, bool)   {}
 
 // NotifyAlive refuses whoever is no instance of this program.
 func (d *delegate) NotifyAlive(n *memberlist.Node) error {
@@ -396,7 +390,7 @@
 func (p *Peers) Members() (all []Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	quiet := suspectAfter * time.Duration(1+len(p.members)/directFor)
+	quiet := suspectAfter * time.Duration(1+len(p.members)/usualFor)
 	for name, m := range p.members {
 		one := *m
 		if one.State == Alive && !one.Self && time.Since(p.last[name]) > quiet && time.Since(one.Since) > quiet {
@@ -547,10 +541,6 @@
 				p.dropped.Add(1)
 				continue
 			}
-			if m.to == "" && len(to) >= directFor && len(m.b) <= datagramMost {
-				p.queue.QueueBroadcast(news(m.b))
-				continue
-			}
 			for _, a := range to {
 				if m.to == "" || m.to == a.Name {
 					if err := p.list.Load().SendToAddress(a, m.b); err != nil {
@@ -575,13 +565,6 @@
 	return all
 }
 
-// news is a message that goes on by gossip.
-type news []byte
-
-func (n news) Invalidates(memberlist.Broadcast) bool { return false }
-func (n news) Message() []byte                       { return n }
-func (n news) Finished()                             {}
-
 // joining finds the others: by the seeds and what was remembered at first, and again while there are members that are gone
 // or nobody is there.
 func (p *Peers) joining(ctx context.Context) {
--- a/lab/model/peers.go
+++ b/lab/model/peers.go
@@ -1,7 +1,6 @@
 package model
 
 import (
-	"math"
 	"time"
 
 	"masthill/control/join"
@@ -10,15 +9,8 @@
 	"masthill/internal/peers"
 )
 
-const (
-	// peerTick is how often an instance's shell has it do what is due; directFor is up to how many members tell each other
-	// everything directly, gossipEvery how often news goes on by gossip in larger fleets, to gossipTo others each time.
-	// They are internal/peers' figures.
-	peerTick    = int64(100e6)
-	directFor   = 64
-	gossipEvery = 200e6
-	gossipTo    = 3
-)
+// peerTick is how often an instance's shell has it do what is due: internal/peers' figure.
+const peerTick = int64(100e6)
 
 // peerCut tells whether what one controller says does not reach another now.
 func (m *model) peerCut(from, to int) bool {
@@ -59,7 +51,6 @@
 
 // say sends messages on their way.
 func (c *controller) say(out []shared.Out) {
-	n := len(c.m.controllers)
 	if c.n+1 == c.m.Liar {
 		out = append(out, shared.Out{Message: shared.Message{Judge: c.lie()}})
 	}
@@ -74,9 +65,6 @@
 			}
 			c.m.peerSent++
 			wait := int64(9.7e6 + c.rng.Float64()*15.3e6)
-			if o.To == "" && n > directFor { // an epidemic: most have it after as many rounds as a logarithm says
-				wait += int64(gossipEvery * c.rng.Float64() * 2 * math.Log(float64(n)) / math.Log(1+gossipTo))
-			}
 			c.m.after(wait, func() {
 				if to.x != nil && to.peer != nil {
 					to.say(to.peer.Hear(c.m.now, o.Message))
