--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"masthill/control/shared"
 	"masthill/control/shared/count"
 )
@@ -345,3 +348,63 @@
 	s.change(b)
 	return s.Conn.Write(b)
 }
+
+// A message of 200 bytes over an ordered stream, sealed, between two members.
+func BenchmarkOrdered(b *testing.B) {
+	ring := func() *memberlist.Keyring {
+		r, err := memberlist.NewKeyring([][]byte{keyA}, keyA)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return r
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var mark [1]byte
+		c.Read(mark[:])
+		s, err := seal(c, ring(), false)
+		if err != nil {
+			return
+		}
+		ses, err := session(s, false, slog.New(slog.DiscardHandler))
+		if err != nil {
+			return
+		}
+		st, err := ses.Accept()
+		for err == nil {
+			_, err = ReadMessage(st)
+		}
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	s, err := seal(c, ring(), true)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ses, err := session(s, true, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ses.Close()
+	st, err := ses.Open()
+	if err != nil {
+		b.Fatal(err)
+	}
+	msg := make([]byte, 200)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := WriteMessage(st, msg); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
