Streams keep their ciphers; the allocator is logged, and status has a line of peers

Whoever becomes the allocator says so in a log line, and 'masthill status' counts the members by their states.

--- a/cmd/masthill/peers_test.go
+++ b/cmd/masthill/peers_test.go
@@ -147,6 +147,11 @@
 			t.Errorf("%q is missing in\n%s", want, out.String())
 		}
 	}
+	out.Reset()
+	run([]string{"status", "--socket", filepath.Join(dir, "b")}, signals{}, &out, &out)
+	if !strings.Contains(out.String(), "together: 2 alive, 0 suspect, 1 gone, 1 left; allocator") {
+		t.Error(out.String())
+	}
 	plain := start(t, feed, nil, fmt.Sprintf("[socket]\npath = %q\n", filepath.Join(dir, "plain")))
 	out.Reset()
 	if code := run([]string{"peers", "--socket", filepath.Join(dir, "plain")}, signals{}, &out, &out); code != exitFailed || !strings.Contains(out.String(), "knows of no others") {
--- a/cmd/masthill/talking.go
+++ b/cmd/masthill/talking.go
@@ -52,9 +52,17 @@
 	for _, t := range in.p.Shares {
 		settings.Tenants = append(settings.Tenants, t.Name)
 	}
+	reign := int64(0) // until when; the core's goroutine alone looks at it
 	in.shared = shared.New(settings, in.p.Seed^epoch, in.started.UnixNano(), shared.Events{
 		Claim: func(c lease.Claim) { record.put("claim", in.options.Now(), c) },
-		Reign: func(until int64) { record.put("reign", in.options.Now(), until) },
+		Reign: func(until int64) {
+			now := in.options.Now()
+			if now.UnixNano() > reign {
+				log.Info("hands budgets out", "reason", "majority", "for", time.Unix(0, until).Sub(now).Round(time.Millisecond))
+			}
+			reign = until
+			record.put("reign", now, until)
+		},
 		Verdict: func(v judge.Verdict) {
 			record.put("verdict", in.options.Now(), v)
 			state := "ended"
--- a/internal/ctl/text.go
+++ b/internal/ctl/text.go
@@ -1,10 +1,13 @@
 package ctl
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"text/tabwriter"
 	"time"
+
+	"masthill/internal/peers"
 )
 
 // Text writes a status for people.
@@ -30,6 +33,14 @@
 		}
 		fmt.Fprintln(t)
 	}
+	if s.Peers != nil {
+		by := map[string]int{}
+		for _, m := range s.Peers.Members {
+			by[m.State]++
+		}
+		fmt.Fprintf(t, "peers\t%s: %d alive, %d suspect, %d gone, %d left; allocator %s; masthill peers tells more\n", s.Peers.Shared.State, by[peers.Alive],
+			by[peers.Suspect], by[peers.Gone], by[peers.Left], cmp.Or(s.Peers.Shared.Allocator, "not known"))
+	}
 	if s.ConfigWarning != "" {
 		fmt.Fprintf(t, "warning\t%s\n", s.ConfigWarning)
 	}
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -36,6 +36,28 @@
 	rest        []byte // opened, not yet read
 	wmu         sync.Mutex
 	sent, taken uint64
+	write, read ciphers
+}
+
+// ciphers are those of the keys in use: making one costs more than sealing a short record.
+type ciphers map[string]cipher.AEAD
+
+// ciphersMost bounds them, as keys change: a ring has eight at most.
+const ciphersMost = 16
+
+func (c *ciphers) of(key []byte) (cipher.AEAD, error) {
+	if a := (*c)[string(key)]; a != nil {
+		return a, nil
+	}
+	a, err := gcm(key)
+	if err != nil {
+		return nil, err
+	}
+	if *c == nil || len(*c) >= ciphersMost {
+		*c = ciphers{}
+	}
+	(*c)[string(key)] = a
+	return a, nil
 }
 
 // seal makes a sealed connection, after both sides have said where they begin.
@@ -74,7 +96,7 @@
 	defer s.wmu.Unlock()
 	for len(b) > 0 {
 		part := b[:min(len(b), sealMost)]
-		a, err := gcm(s.ring.GetPrimaryKey())
+		a, err := s.write.of(s.ring.GetPrimaryKey())
 		if err != nil {
 			return n, err
 		}
@@ -120,7 +142,7 @@
 	}
 	binary.BigEndian.PutUint64(s.in[2*saltLen:], s.taken)
 	for _, key := range s.ring.GetKeys() {
-		a, err := gcm(key)
+		a, err := s.read.of(key)
 		if err != nil || len(record) < a.NonceSize()+a.Overhead() {
 			return errSeal
 		}
