Peers: four guards get tests, an address that none can reach is a fault, calls go on

Taking code out by hand left four places untested: limiting by the plan, the room's floor under late news, late bids, and (found to be of no use since messages are dated) the guard against old counts, which goes. Each of the others fails a test now without its code, as does the silence of a second process of one name.

Reading the change again: 'listen = ":2908"' told others an address that nobody reaches, and a membership that could not be made ended the instance. The first is a fault of the settings with its line, the second one log line.

--- a/cmd/masthill/talking.go
+++ b/cmd/masthill/talking.go
@@ -89,7 +89,12 @@
 	return part{
 		run: func(ctx context.Context) error {
 			g, ctx := errgroup.WithContext(ctx)
-			g.Go(func() error { return in.peers.Run(ctx) })
+			g.Go(func() error {
+				if err := in.peers.Run(ctx); err != nil { // calls do not depend on it
+					log.Error("no member of the fleet", "reason", "failed", "err", err)
+				}
+				return nil
+			})
 			g.Go(func() error { return record.run(ctx, in) })
 			return g.Wait()
 		},
--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -86,7 +86,6 @@
 // heard is what a reader knows of a source.
 type heard struct {
 	began   int64 // of its process, by the reader's clock, at the latest
-	up      int64 // of the newest message
 	cameAt  int64
 	firstAt int64
 	settled bool // its messages have been dated by more than one
@@ -143,13 +142,9 @@
 			s.dropped++
 			return
 		}
-		h = &heard{began: now - m.Up*1e6, up: -1, cameAt: now, firstAt: now}
+		h = &heard{began: now - m.Up*1e6, cameAt: now, firstAt: now}
 		s.sources[m.From] = h
 	}
-	if m.Up <= h.up { // older than what is known, or the same once more: nothing in it is news, and it says nothing of now
-		return
-	}
-	h.up = m.Up
 	// The message that was under way for the shortest time tells best when the process began; all others are dated by that,
 	// so that one that waited in a frozen process, its sender or this one, is no fresher than it is. The clocks may drift.
 	h.began = min(h.began+int64(2*drift*float64(now-h.cameAt)), now-m.Up*1e6)
--- a/control/shared/lease/lease_test.go
+++ b/control/shared/lease/lease_test.go
@@ -349,6 +349,18 @@
 	}
 }
 
+// A bid that comes late must not put the promise back to its round, which may be yielded any time.
+func TestALateBidChangesNothing(t *testing.T) {
+	k := New(Config{Keepers: []string{"a", "b", "k"}, Most: 3, Term: 2 * second}, ID{"k", 1}, 1, 0, nil)
+	now, a := 10*second, ID{"a", 7}
+	k.Hear(now, Message{Kind: Bid, From: a, Round: 2})
+	k.Hear(now+1, Message{Kind: Bid, From: a, Round: 1})
+	k.Hear(now+2, Message{Kind: Yield, From: a, Round: 1})
+	if out := k.Hear(now+3, Message{Kind: Bid, From: ID{"b", 8}, Round: 1}); len(out) != 0 {
+		t.Error("promised to two")
+	}
+}
+
 // Answers to the process before, late, are not for the one that has its name now.
 func TestAnswersAreForTheProcessThatAsked(t *testing.T) {
 	c := Config{Keepers: []string{"a", "b", "c"}, Most: 3, Term: 2 * second}
--- a/control/shares/shares_test.go
+++ b/control/shares/shares_test.go
@@ -225,3 +225,38 @@
 		t.Errorf("alone: limiting %v, %v", m.Limiting(), admitted)
 	}
 }
+
+// What a fleet is offered far beyond its plan is limited before the first loss is told, and not where it is a little more.
+func TestLimitingBeginsByThePlan(t *testing.T) {
+	s := settings()
+	s.GroupSize = 100
+	for offered, want := range map[float64]bool{120: false, 160: true} {
+		fleet := &told{known: true}
+		fleet.Totals = Totals{Offered: map[string]float64{"barrow-estate": offered}, Placed: map[string]float64{"barrow-estate": 100}}
+		m := New(s, three, 100, 1, second).Of(fleetOf{fleet})
+		m.Admit(2*second, join.Call{ID: "a", Tenant: "barrow-estate"})
+		if m.Limiting() != want {
+			t.Errorf("%v offered, of a plan of 100: limiting %v", offered, m.Limiting())
+		}
+	}
+}
+
+// Losses are told seconds late: the room does not follow them far under the plan, and members within their parts keep theirs.
+func TestTheRoomDoesNotFallWithLateNews(t *testing.T) {
+	s := settings()
+	s.GroupSize = 100
+	fleet := &told{known: true}
+	fleet.Totals = Totals{Offered: map[string]float64{"slaney-vines": 40, "barrow-estate": 300}, Placed: map[string]float64{"barrow-estate": 8},
+		Lost: map[string]float64{"barrow-estate": 2}}
+	m := New(s, three, 100, 1, second).Of(fleetOf{fleet})
+	now, refused := second, 0
+	for k := range 300 { // half a minute
+		now += second / 10
+		if m.Admit(now, join.Call{ID: fmt.Sprint(k), Tenant: "slaney-vines"}).Verdict != join.Admit {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 300 calls within the member's part refused", refused)
+	}
+}
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -46,6 +46,15 @@
 			fault(key, "%v", err)
 		}
 	}
+	told := s.Listen
+	if s.Advertise != "" {
+		told = s.Advertise
+	}
+	if host, _, err := net.SplitHostPort(told); err == nil {
+		if ip := net.ParseIP(host); ip == nil || ip.IsUnspecified() {
+			fault("peers.listen", "others could not reach %q: name an IP address of this machine, here or as peers.advertise", told)
+		}
+	}
 	for _, seed := range s.Seeds {
 		_, addr, named := strings.Cut(seed, "/")
 		if !named {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -24,10 +24,24 @@
 	mu    sync.Mutex
 	name  string
 	heard map[string]int
+	ticks int
 	tells bool
 }
 
+// done counts what the module was called for.
+func (m *module) done() (ticks, heard int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.heard {
+		heard += n
+	}
+	return m.ticks, heard
+}
+
 func (m *module) Tick(int64, int) []shared.Out {
+	m.mu.Lock()
+	m.ticks++
+	m.mu.Unlock()
 	if !m.tells {
 		return nil
 	}
@@ -169,6 +183,12 @@
 	if first.Status().Taken != "" {
 		t.Error("the first gives way, too")
 	}
+	time.Sleep(2 * tickEvery) // what was under way
+	ticks, heard := second.m.done()
+	time.Sleep(5 * tickEvery)
+	if t2, h2 := second.m.done(); t2 != ticks || h2 != heard {
+		t.Error("the second goes on to say and hear things")
+	}
 	first.end()
 	until(t, "the name is free", func() bool { return second.Status().Taken == "" && a.sees("twin", Alive) })
 }
@@ -317,6 +337,26 @@
 	until(t, "the stream is over", func() bool { return o.Put(nil) != nil })
 }
 
+// What a process reads just after it stood still may have waited for it, and is no news.
+func TestWhatWaitedIsNoNews(t *testing.T) {
+	p, err := New(Options{Name: "a", Listen: "127.0.0.1:0", Keys: [][]byte{keyA}, Epoch: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.t.Shutdown()
+	now := time.Now()
+	for _, c := range []struct {
+		beat, woke time.Time
+		want       bool
+	}{{now, now.Add(-time.Minute), false}, {now.Add(-2 * staleAfter), now.Add(-time.Minute), true}, {now, now, true}} {
+		p.beat.Store(c.beat.UnixNano())
+		p.woke.Store(c.woke.UnixNano())
+		if p.stoodStill() != c.want {
+			t.Errorf("%+v", c)
+		}
+	}
+}
+
 // What a connection carries can't be changed, nor begun without a key.
 func TestSealedRecords(t *testing.T) {
 	a := begin(t, Options{Name: "a", Handlers: map[string]Handler{}})
