--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -21,6 +21,7 @@
 	"masthill/internal/ctl"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
+	"masthill/internal/listener"
 	"masthill/internal/logs"
 	"masthill/internal/office"
 	"masthill/internal/state"
@@ -216,10 +217,11 @@
 }
 
 // opens takes a passed socket over, or opens one.
-func (in *instance) opens(name, addr string) (l net.Listener, err error) {
-	if l = in.passed[name]; l != nil {
+func (in *instance) opens(name, addr string) (l *listener.Listener, err error) {
+	if passed, ok := in.passed[name].(*net.TCPListener); ok {
+		l = listener.New(passed)
 		delete(in.passed, name)
-	} else if l, err = net.Listen("tcp", addr); err != nil {
+	} else if l, err = listener.Open(addr); err != nil {
 		return nil, err
 	}
 	in.listeners[name] = l
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -25,6 +25,7 @@
 	"masthill/internal/ctl"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
+	"masthill/internal/listener"
 	"masthill/internal/logs"
 	"masthill/internal/notify"
 	"masthill/internal/peers"
@@ -34,11 +35,14 @@
 const (
 	// acceptFor is how long after SIGTERM new connections are accepted (PROTOCOL: they come for 0.2 to
 	// 0.4 s), takeFor how long requests still come on open ones (0.2 s more), both with a margin.
-	acceptFor, takeFor = 500 * time.Millisecond, 800 * time.Millisecond
-	// refuseAfter is when what still waits is refused: SIGKILL comes no sooner than 3.7 s after SIGTERM.
-	refuseAfter = 3300 * time.Millisecond
-	// flushFor is the time that the last answers get to be written.
-	flushFor = 200 * time.Millisecond
+	acceptFor, takeFor = 450 * time.Millisecond, 700 * time.Millisecond
+	// killAfter, with the longest deadline counted as longestMost at most, is the time from SIGTERM to SIGKILL
+	// (PROTOCOL). refuseLead before it, what still waits is refused; flushFor is the time that the last answers then get
+	// to be written and read.
+	killAfter, longestMost = 700 * time.Millisecond, 3 * time.Second
+	refuseLead, flushFor   = 400 * time.Millisecond, 200 * time.Millisecond
+	// endStep is how often an orderly end looks whether it is through.
+	endStep = 5 * time.Millisecond
 	// callersPart and socketsPart are the shares in a hundred of the descriptors for the two fronts' callers, and
 	// alonePart is that of the platform's where the other front is off. Good callers hold a third at most; the
 	// rest is for offices, the journal, the store and spares.
@@ -53,8 +57,10 @@
 
 // front is one way in for callers.
 type front interface {
-	Drain()
-	Close()
+	Drain()          // the readiness test fails
+	Unfinished() int // requests that are read in part
+	Refuse()         // what still comes is refused at once
+	Shutdown(ctx context.Context)
 	Serve(ctx context.Context, l net.Listener) error
 }
 
@@ -106,7 +112,7 @@
 	core      *exchange.Exchange
 	feed      *journal.Client
 	calls     *caller.Server
-	fronts    map[front]net.Listener
+	fronts    map[front]*listener.Listener
 	listeners map[string]net.Listener // the same by name, for a supervisor that takes them over
 	keeper    *state.Keeper           // nil: nothing is kept
 	recovery  *recovery.Recovery      // nil: off
@@ -129,7 +135,7 @@
 	if own.Old {
 		log.Warn("settings under an old name", "file", own.File, "why", oldName)
 	}
-	in := &instance{p: p, own: own, log: log, started: time.Now(), fronts: map[front]net.Listener{}, listeners: map[string]net.Listener{}}
+	in := &instance{p: p, own: own, log: log, started: time.Now(), fronts: map[front]*listener.Listener{}, listeners: map[string]net.Listener{}}
 	var err error
 	if in.passed, err = notify.Listeners(os.Getenv); err != nil {
 		return err
@@ -175,7 +181,7 @@
 				one.drain()
 			}
 		}
-		end(in.core, in.fronts, in.log)
+		in.end()
 		stop()
 		return nil
 	})
@@ -269,25 +275,49 @@
 	}
 }
 
-// end is the planned end: new calls are taken as long as they may come, and all that was taken is answered.
-func end(x *exchange.Exchange, fronts map[front]net.Listener, log *slog.Logger) {
-	began := time.Now()
-	log.Info("ending", "open", x.Open())
-	for f := range fronts {
+// refuseAfter is when, after SIGTERM, what still waits is refused: in time before SIGKILL, which comes sooner the
+// shorter the deadlines of the settings are, and never before all that may still come has come.
+func refuseAfter(classes []exchange.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return max(takeFor, min(longest, longestMost)+killAfter-refuseLead)
+}
+
+// end is the planned end: new calls are taken as long as they may come, and all that was taken is answered. What comes
+// later still, such as the rest of a request that was read in part, is answered or refused, to the last connection.
+func (in *instance) end() {
+	x, began := in.core, time.Now()
+	in.log.Info("ending", "open", x.Open())
+	for f := range in.fronts {
 		f.Drain()
 	}
 	time.Sleep(acceptFor)
-	for _, l := range fronts {
-		l.Close()
+	for _, l := range in.fronts {
+		l.Drain()
 	}
 	time.Sleep(takeFor - time.Since(began))
-	for x.Open() > 0 && time.Since(began) < refuseAfter {
-		time.Sleep(5 * time.Millisecond)
+	unfinished := func() (n int) {
+		for f := range in.fronts {
+			n += f.Unfinished()
+		}
+		return n
+	}
+	last := refuseAfter(in.p.Names.Classes)
+	for (unfinished() > 0 || x.Open() > 0) && time.Since(began) < last {
+		time.Sleep(endStep)
+	}
+	for f := range in.fronts {
+		f.Refuse() // before the core does, lest it be handed more
 	}
 	x.RefuseAll()
-	for f := range fronts {
-		f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), flushFor)
+	defer cancel()
+	var g errgroup.Group
+	for f := range in.fronts {
+		g.Go(func() error { f.Shutdown(ctx); return nil })
 	}
-	time.Sleep(flushFor)
-	log.Info("ended", "after_ms", time.Since(began).Milliseconds())
+	g.Wait()
+	in.log.Info("ended", "after_ms", time.Since(began).Milliseconds())
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -25,16 +25,23 @@
 const (
 	// writeFor is the deadline of a write to a caller. An answer that takes longer is not whole in time.
 	writeFor = time.Second
-	// wholeFor is how long a set-up may take from its first byte to its last; with firstFor, a peer that sends
-	// nothing whole has its refusal within 3 s.
-	wholeFor = 2 * time.Second
+	// wholeFor is how long a set-up may take from its first byte to its last: honest clients may need two seconds. One
+	// on a connection that has asked for nothing yet is to be whole youngestFor after the accept, as a peer that sends
+	// nothing whole is owed its refusal within 3 s of connecting.
+	wholeFor, youngestFor = 2500 * time.Millisecond, 2600 * time.Millisecond
+	// lingerFor is how long a caller may take to close after this side has: some round trips, and its own pause.
+	lingerFor = 300 * time.Millisecond
 	// firstFor is how long a new connection may ask for nothing, idleFor one that has no call and asked before:
 	// callers close theirs after 4 s, and one that never does must not hold its place. With a set-up open or a
 	// call standing it is looked at again every busyFor.
 	firstFor, idleFor, busyFor = 2 * time.Second, 6 * time.Second, time.Second
 	// youngFor and lateFor order who makes room for a new connection: one that has asked for nothing that long,
-	// then one without a call that has not asked that long. The time of a request on its way is well below.
-	youngFor, lateFor = 250 * time.Millisecond, time.Second
+	// then one without a call that has not asked that long. The time of a request on its way is well below. Nor does
+	// one whose bytes still came partFor ago, as long as others do: it may only be slow.
+	youngFor, lateFor, partFor = 250 * time.Millisecond, time.Second, time.Second
+	// partingMost is the part of the places, as a divisor, that connections which make room may keep while their peers
+	// still read; beyond it they are closed at once.
+	partingMost = 8
 	// openMost bounds the set-ups open on one connection, lest one caller fill the table for all: at the busiest
 	// rates of one instance, all its calls of two seconds.
 	openMost = 256
@@ -45,6 +52,8 @@
 	// turnedLogged is how many requests turned down are logged one by one on a connection; its last line has their
 	// number. A caller that sends the same again at once must not fill the log.
 	turnedLogged = 3
+	// shutdownStep is how often an orderly end looks whether it is through.
+	shutdownStep = 2 * time.Millisecond
 	// releaseFor is how long a release waits for a connection to go out on: PROTOCOL has it sent within 8 s.
 	releaseFor = 7 * time.Second
 	// releasesMost bounds the releases that wait.
@@ -64,11 +73,13 @@
 // Server takes calls from callers that speak the platform's protocol.
 type Server struct {
 	Options
-	ending atomic.Bool
-	mu     sync.Mutex
-	conns  map[*conn]bool
-	txns   map[string]*txn
-	late   []release // that found no connection
+	ending   atomic.Bool
+	mu       sync.Mutex
+	refusing bool // nothing more is taken
+	conns    map[*conn]bool
+	parting  int // of these, those that make room
+	txns     map[string]*txn
+	late     []release // that found no connection
 }
 
 // conn is one caller's connection. What follows its host belongs to the server's lock.
@@ -81,16 +92,52 @@
 	standing int       // calls that stand
 	asked    bool      // something valid was asked
 	used     time.Time // when it last was, or an answer was given; at first, when it was accepted
-	gone     bool      // it makes room for others: nothing more is taken
+	gone     bool      // it is ending: nothing more is taken
+	parts    bool      // it makes room for others
 }
 
 func newConn(c net.Conn, s *Server) *conn {
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	cn := &conn{server: s, host: host, used: time.Now()}
-	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeFor, Whole: wholeFor, Idle: cn.idle, Farewell: sip.Farewell})
+	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeFor, Whole: cn.whole, Idle: cn.idle, Farewell: cn.farewell, Linger: lingerFor})
 	return cn
 }
 
+// whole is how long the message that begins now may take.
+func (c *conn) whole() time.Duration {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.asked {
+		return wholeFor
+	}
+	return min(wholeFor, youngestFor-time.Since(c.used))
+}
+
+// farewell is what a peer that can't be read any further is told last: its set-ups have no other way to their answers.
+func (c *conn) farewell(why error) []byte {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.gone = true
+	var b []byte
+	for _, t := range s.abandon(c) {
+		b = sip.AppendBody(append(sip.AppendStatus(b, 503), t.echo...), nil)
+	}
+	return append(b, sip.Farewell(why)...)
+}
+
+// abandon gives up the set-ups that are open on a connection. Called under the lock.
+func (s *Server) abandon(c *conn) (all []*txn) {
+	for id, t := range s.txns {
+		if t.conn == c && !t.stood {
+			all = append(all, t)
+			s.remove(t)
+			s.Core.GiveUp(id, owner, s)
+		}
+	}
+	return all
+}
+
 // idle is the limit of a connection's silence.
 func (c *conn) idle() time.Duration {
 	c.server.mu.Lock()
@@ -116,6 +163,8 @@
 	switch {
 	case c.open > 0 || c.gone:
 		return -1
+	case c.slow():
+		return 5
 	case !c.asked && unused > youngFor:
 		return 0
 	case c.asked && c.standing == 0 && unused > lateFor:
@@ -128,22 +177,39 @@
 	return 4
 }
 
+// slow tells that a request is on its way in pieces.
+func (c *conn) slow() bool {
+	heard, begun := c.Begun()
+	return begun && time.Since(heard) < partFor
+}
+
+// last is when the connection was last of use.
+func (c *conn) last() time.Time {
+	if heard, begun := c.Begun(); begun && heard.After(c.used) {
+		return heard
+	}
+	return c.used
+}
+
 // room closes the connection that can best be spared, where all places are taken: callers that connect and say
 // nothing must not keep others out. Called under the lock.
 func (s *Server) room() bool {
 	var spare *conn
 	least := 0
 	for c := range s.conns {
-		if r := c.rank(); r >= 0 && (spare == nil || r < least || r == least && c.used.Before(spare.used)) {
+		if r := c.rank(); r >= 0 && (spare == nil || r < least || r == least && c.last().Before(spare.last())) {
 			spare, least = c, r
 		}
 	}
 	if spare == nil {
 		return false
 	}
-	spare.gone = true
-	delete(s.conns, spare)
-	spare.End(sip.Evicted)
+	spare.gone, spare.parts = true, true
+	if s.parting++; s.parting > max(s.MaxOpen/partingMost, 1) {
+		spare.Abort(sip.Evicted)
+	} else {
+		spare.End(sip.Evicted)
+	}
 	return true
 }
 
@@ -188,7 +254,7 @@
 		}
 		pause = time.Millisecond
 		s.mu.Lock()
-		over := len(s.conns) >= s.MaxOpen && !s.room()
+		over := len(s.conns)-s.parting >= s.MaxOpen && !s.room()
 		cn := newConn(c, s)
 		if !over {
 			s.conns[cn] = true
@@ -204,12 +270,48 @@
 	return g.Wait()
 }
 
-// Close ends all connections after what is queued has been written.
-func (s *Server) Close() {
+// Unfinished tells how many set-ups are read in part: their callers write the rest to this process, whatever it does.
+func (s *Server) Unfinished() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.Conn.Close()
+		if _, begun := c.Begun(); begun && !c.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// Refuse has all that still comes refused here, at once: nothing more reaches the core.
+func (s *Server) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+}
+
+// Shutdown ends all connections in order, and waits for that until ctx ends. Refuse and the core's own refusal of all
+// that waits come before it, so that every set-up that was read gets its answer first.
+func (s *Server) Shutdown(ctx context.Context) {
+	tick := time.NewTicker(shutdownStep)
+	defer tick.Stop()
+	for {
+		s.mu.Lock()
+		for c := range s.conns {
+			if c.open == 0 {
+				c.gone = true
+				c.Conn.Close()
+			}
+		}
+		left := len(s.conns)
+		s.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
 	}
 }
 
@@ -221,15 +323,11 @@
 	reason, err := c.Run(ctx, c.take)
 	s.mu.Lock()
 	delete(s.conns, c)
-	c.gone = true
-	left := 0
-	for id, t := range s.txns {
-		if t.conn == c && !t.stood {
-			left++
-			s.remove(t)
-			s.Core.GiveUp(id, owner, s)
-		}
+	if c.parts {
+		s.parting--
 	}
+	c.gone = true
+	left := len(s.abandon(c))
 	s.mu.Unlock()
 	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", left, "turned_down", c.turned,
 		"age_ms", time.Since(began).Milliseconds(), "err", err)
@@ -385,7 +483,7 @@
 	s.mu.Lock()
 	old := s.txns[id]
 	twice := old != nil && old.conn == c && old.sum == t.sum && bytes.Equal(old.echo, t.echo)
-	gone, full := c.gone, c.open >= openMost
+	gone, full := c.gone || s.refusing, c.open >= openMost
 	take := old == nil && !gone && !full
 	if take {
 		s.txns[id] = t
@@ -394,7 +492,8 @@
 	}
 	s.mu.Unlock()
 	switch {
-	case gone: // it makes room for others; nothing was sent for this one
+	case old == nil && gone: // it had come before its caller could see the end; trying again is harmless
+		return 503, "the connection ends"
 	case old == nil && full:
 		return 503, "too many set-ups open on the connection"
 	case take:
@@ -453,7 +552,7 @@
 	b = sip.AppendHeader(b, "Call-ID", id)
 	b = fmt.Appendf(b, "CSeq: %d BYE\r\n", t.seq+1)
 	b = sip.AppendBody(sip.AppendHeader(b, "Reason", cause), nil)
-	if t.conn != nil && s.conns[t.conn] {
+	if t.conn != nil && s.conns[t.conn] && !t.gone {
 		t.Send(b)
 		return
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -33,6 +33,7 @@
 }
 func (c *core) GiveUp(id, _ string, _ exchange.Caller) { c.told <- "give up " + id }
 func (c *core) HangUp(id, _ string)                    { c.told <- "hang up " + id }
+func (c *core) Left(id, _ string)                      { c.told <- "left " + id }
 
 func newServer(most int) (*Server, *core) {
 	c := &core{told: make(chan string, 1000)}
@@ -321,3 +322,161 @@
 		}
 	})
 }
+
+// age makes all connections as old, unused, as they would be after that time.
+func (b *bed) age(by time.Duration) {
+	b.mu().Lock()
+	defer b.mu().Unlock()
+	for c := range b.conns {
+		c.used = c.used.Add(-by)
+	}
+}
+
+func (b *bed) mu() *sync.Mutex { return &b.Server.mu }
+
+// A set-up that is read while its connection makes room got no answer at all.
+func TestASetUpInTheInstantOfTheEviction(t *testing.T) {
+	b := newBed(t, 1)
+	p := b.dial()
+	p.write(message("OPTIONS", "ping", ""))
+	p.want(200, "", "Call-ID", "ping")
+	b.mu().Lock() // the reader can't take it yet
+	p.write(message("INVITE", id, headers))
+	if !b.room() {
+		t.Error("no room")
+	}
+	b.mu().Unlock()
+	p.want(503, "", "Call-ID", id)
+	if _, err := p.Next(); err != io.EOF {
+		t.Errorf("after the refusal: %v", err)
+	}
+	if len(b.told) != 0 {
+		t.Errorf("told %s", <-b.told)
+	}
+}
+
+// A caller that writes slowly lost its place to those that say nothing, as it had connected before them.
+func TestASlowCallerKeepsItsPlace(t *testing.T) {
+	b := newBed(t, 3)
+	slow := b.dial()
+	text := message("INVITE", id, headers)
+	slow.write(text[:40])
+	for begun := false; !begun; {
+		b.mu().Lock()
+		for c := range b.conns {
+			_, begun = c.Begun()
+		}
+		b.mu().Unlock()
+	}
+	for range 3 {
+		b.dial()
+	}
+	b.age(youngFor + time.Millisecond)
+	for range 20 {
+		b.dial()
+	}
+	slow.write(text[40:])
+	b.expect("arrive " + id)
+}
+
+// A release went to a connection that had made room, and was never read.
+func TestAReleaseDoesNotGoWhereNobodyReads(t *testing.T) {
+	b := newBed(t, 1)
+	p := b.dial()
+	p.write(message("INVITE", id, headers))
+	b.expect("arrive " + id)
+	b.Answer(id, exchange.Final{Verdict: exchange.Stands})
+	p.want(200, "", "Call-ID", id)
+	q := b.dial()
+	if _, err := p.Next(); err != io.EOF { // it has made room; its peer has not closed yet
+		t.Errorf("after the answer: %v", err)
+	}
+	b.Release(id, false)
+	q.want(0, "BYE", "Call-ID", id)
+}
+
+// A connection that can't be read any further was closed over the set-ups that waited on it.
+func TestSetUpsBesideGarbageAreAnswered(t *testing.T) {
+	b := newBed(t, 1)
+	p := b.dial()
+	p.write(message("INVITE", id, headers))
+	b.expect("arrive " + id)
+	p.write("garbage\r\n\r\n")
+	p.want(503, "", "Call-ID", id)
+	p.want(400, "", "Call-ID", "")
+	b.expect("give up " + id)
+}
+
+// The planned end: what still comes is refused by the front, what is open keeps its connection until it is answered, and
+// no answer is lost to the close.
+func TestShutdown(t *testing.T) {
+	b := newBed(t, 10)
+	p, q := b.dial(), b.dial()
+	p.write(message("INVITE", id, headers))
+	b.expect("arrive " + id)
+	q.write(message("OPTIONS", "ping", ""))
+	q.want(200, "", "Call-ID", "ping")
+	b.Refuse()
+	ended := make(chan bool)
+	p.write(message("INVITE", "0000000000000002", headers))
+	p.want(503, "", "Call-ID", "0000000000000002")
+	go func() { b.Shutdown(t.Context()); close(ended) }()
+	if _, err := q.Next(); err != io.EOF {
+		t.Errorf("at a connection without a set-up: %v", err)
+	}
+	b.Answer(id, exchange.Final{Verdict: exchange.Refused})
+	p.want(503, "", "Call-ID", id)
+	if _, err := p.Next(); err != io.EOF {
+		t.Errorf("at the end: %v", err)
+	}
+	p.Close()
+	q.Close()
+	<-ended
+	if len(b.told) != 0 {
+		t.Errorf("told %s", <-b.told)
+	}
+}
+
+// A request may take two seconds to come; one that does not come whole is refused within 3 s of connecting.
+func TestSlowRequests(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s, core := newServer(10)
+			ours, theirs := net.Pipe()
+			c := newConn(ours, s)
+			s.conns[c] = true
+			began, done := time.Now(), make(chan bool)
+			go func() { s.serve(t.Context(), c); close(done) }()
+			if !early {
+				time.Sleep(firstFor - time.Millisecond)
+			}
+			text := message("INVITE", id, headers)
+			for k := range 20 {
+				if _, err := io.WriteString(theirs, text[k*len(text)/20:(k+1)*len(text)/20]); err != nil {
+					t.Fatal(err)
+				}
+				if !early {
+					break // and then nothing
+				}
+				if k < 19 {
+					time.Sleep(2100 * time.Millisecond / 19)
+				}
+			}
+			if early {
+				if got := <-core.told; got != "arrive "+id {
+					t.Errorf("told %s", got)
+				}
+				s.Answer(id, exchange.Final{Verdict: exchange.Refused})
+			}
+			m, err := sip.NewReader(theirs).Next()
+			if want := map[bool]int{true: 503, false: 408}[early]; err != nil || m.Status != want {
+				t.Errorf("answer %+v, %v, want %d", m, err, want)
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("took %v", took)
+			}
+			theirs.Close()
+			<-done
+		})
+	}
+}
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -36,6 +36,7 @@
 }
 func (c *core) GiveUp(id, owner string, _ exchange.Caller) { c.told <- "give up " + id + " " + owner }
 func (c *core) HangUp(id, owner string)                    { c.told <- "hang up " + id + " " + owner }
+func (c *core) Left(id, owner string)                      { c.told <- "left " + id + " " + owner }
 
 type bed struct {
 	*core
@@ -126,10 +127,18 @@
 		t.Errorf("%d calls left", n)
 	}
 	b.Front.mu.Unlock()
-	b.Close()
+	b.Refuse() // what still comes at the end is refused here
+	b.write(ws, setup)
+	b.read(ws, `{"type":"error","id":"c1","code":503,"text":"the instance ends"}`)
+	ended := make(chan bool)
+	go func() { b.Shutdown(t.Context()); close(ended) }()
 	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
 		t.Errorf("at the end: %v", err)
 	}
+	<-ended
+	if len(b.told) != 0 {
+		t.Errorf("told %s", <-b.told)
+	}
 }
 
 func TestInvalidRequests(t *testing.T) {
@@ -202,6 +211,7 @@
 	b.write(ws, setup)
 	b.expect("arrive " + key)
 	ws.CloseNow()
+	b.expect("left " + key + " ws/station-7")
 	ws = b.open()
 	b.write(ws, setup)
 	b.expect("arrive " + key)
@@ -220,6 +230,7 @@
 	b.write(ws, setup)
 	b.expect("arrive " + key)
 	ws.CloseNow()
+	b.expect("left " + key + " ws/station-7")
 	b.expect("give up " + key + " ws/station-7")
 }
 
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -33,6 +33,8 @@
 	sweepEvery = 100 * time.Millisecond
 	// releaseFor is how long the release of a call waits for a socket of its caller.
 	releaseFor = 30 * time.Second
+	// shutdownStep is how often an orderly end looks whether it is through.
+	shutdownStep = 2 * time.Millisecond
 	// openMost bounds the calls of one socket that wait for their answer, as on the platform's port.
 	openMost = 256
 	// callsMost bounds the calls of this front, idMost a caller's call id.
@@ -55,14 +57,15 @@
 // Front takes calls over WebSocket.
 type Front struct {
 	Options
-	ending atomic.Bool
-	mu     sync.Mutex
-	socks  map[*sock]bool
-	calls  map[string]*call // by the id that offices know
-	group  *errgroup.Group
-	ctx    context.Context
-	over   bool          // no socket joins the group any more
-	resume time.Duration // resumeFor, but for tests
+	ending   atomic.Bool
+	mu       sync.Mutex
+	refusing bool // nothing more is taken
+	socks    map[*sock]bool
+	calls    map[string]*call // by the id that offices know
+	group    *errgroup.Group
+	ctx      context.Context
+	over     bool          // no socket joins the group any more
+	resume   time.Duration // resumeFor, but for tests
 }
 
 // sock is one caller's socket.
@@ -245,12 +248,38 @@
 	return c
 }
 
-// Close ends all sockets after what is queued has been written.
-func (f *Front) Close() {
+// Unfinished implements what an orderly end asks: the library hands messages over whole.
+func (f *Front) Unfinished() int { return 0 }
+
+// Refuse has all that still comes refused here, at once: nothing more reaches the core.
+func (f *Front) Refuse() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for s := range f.socks {
-		s.Close()
+	f.refusing = true
+}
+
+// Shutdown ends all sockets in order, and waits for that until ctx ends. Refuse and the core's own refusal of all that
+// waits come before it, so that every call that was read gets its answer first.
+func (f *Front) Shutdown(ctx context.Context) {
+	tick := time.NewTicker(shutdownStep)
+	defer tick.Stop()
+	for {
+		f.mu.Lock()
+		for s := range f.socks {
+			if s.open == 0 {
+				s.Close()
+			}
+		}
+		left := len(f.socks)
+		f.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
 	}
 }
 
@@ -310,10 +339,11 @@
 	f.mu.Lock()
 	delete(f.socks, s)
 	waiting := 0
-	for _, c := range f.calls {
+	for key, c := range f.calls {
 		if c.sock == s {
 			if c.sock, c.since = nil, time.Now(); !c.stands {
 				waiting++
+				f.Core.Left(key, s.owner())
 			}
 		}
 	}
@@ -420,6 +450,10 @@
 		f.mu.Unlock()
 		return 482, "id of another call"
 	}
+	if c == nil && f.refusing {
+		f.mu.Unlock()
+		return 503, "the instance ends"
+	}
 	if c == nil && (len(f.calls) >= callsMost || s.open >= openMost) {
 		f.mu.Unlock()
 		return 503, "too many calls"
--- a/internal/ctl/listeners.go
+++ b/internal/ctl/listeners.go
@@ -30,7 +30,7 @@
 	var names []string
 	var fds []int
 	for name, l := range listeners {
-		t, ok := l.(*net.TCPListener)
+		t, ok := l.(interface{ File() (*os.File, error) })
 		if !ok {
 			continue
 		}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -46,6 +46,7 @@
 	clearAt  int64 // no attempt before this
 	notAfter int64 // of its decisions
 	asked    int   // how often joined modules held it; -1: control has it
+	away     bool  // its caller left and may come back
 	stands   bool
 	desc     []byte
 	answered int64
@@ -92,6 +93,7 @@
 
 	events []control.Event // for the module, in order
 	busy   bool
+	ending bool // all that comes is refused
 }
 
 func newCore(o Options, module *control.Controller) *core {
@@ -166,6 +168,11 @@
 func (c *core) send(cl *call, a control.Action) {
 	office, ok := c.known[a.Server]
 	room, module, why := c.chain.Room(c.now, a.Server)
+	if cl.away { // work for nobody; the refusal is on record, should the caller come back
+		cl.sent++
+		c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server, Outcome: control.Superseded})
+		return
+	}
 	if cl.out || c.now < cl.clearAt || !ok || office.State != control.In || !room {
 		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.out,
 			"clear_in_ms", (cl.clearAt-c.now)/1e6, "listed", ok, "capped_by", module, "why", why)
@@ -215,6 +222,7 @@
 			from.Answer(s.ID, Final{Verdict: Failed})
 			return
 		}
+		cl.away = false
 		if cl.from = from; cl.stands {
 			from.Answer(s.ID, Final{Verdict: Stands, Desc: cl.desc})
 		}
@@ -234,7 +242,7 @@
 	cl := &call{Setup: s, serial: c.serial, from: from}
 	c.calls[s.ID] = cl
 	c.open++
-	if c.load += loadEach + len(s.Desc); c.load > c.most/loadPart {
+	if c.load += loadEach + len(s.Desc); c.load > c.most/loadPart || c.ending {
 		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
 		return
 	}
@@ -377,6 +385,12 @@
 	}
 }
 
+func (c *core) left(id, owner string) {
+	if cl := c.calls[id]; cl != nil && cl.Owner == owner && !cl.stands {
+		cl.away = true
+	}
+}
+
 // over ends a standing call: the module learns it, and the memory of its answer begins.
 func (c *core) over(cl *call, e Ending, cut bool) {
 	c.drop(cl)
@@ -488,20 +502,21 @@
 
 // members takes a change of the list. A processor that started anew, or is gone, has cut what stood there.
 func (c *core) members(changed []Office, full bool) {
+	dead := map[uint64]int64{} // and the time before which
 	if full {
 		now := map[uint64]bool{}
 		for _, o := range changed {
 			now[o.Server] = true
 		}
 		for id, o := range c.known {
-			if !now[id] {
+			if !now[id] && o.State != control.Out { // as if it were named as gone
 				o.State = control.Out
 				c.known[id] = o
+				dead[id] = c.now + 1
 			}
 		}
 	}
 	ev := control.Event{Kind: control.Members, Full: full}
-	dead := map[uint64]int64{} // and the time before which
 	for _, o := range changed {
 		if before, ok := c.known[o.Server]; ok && o.State == control.Out {
 			dead[o.Server] = c.now + 1
@@ -541,6 +556,7 @@
 }
 
 func (c *core) refuseAll() {
+	c.ending = true
 	for _, cl := range c.inOrder() {
 		if !cl.stands {
 			c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -87,6 +87,8 @@
 	Arrive(s Setup, from Caller)
 	GiveUp(id, owner string, from Caller)
 	HangUp(id, owner string)
+	// Left tells that a caller is away and may come back to its call by Arrive: until then no attempt is sent.
+	Left(id, owner string)
 }
 
 // Attempt is one set-up on its way to an office.
@@ -271,6 +273,9 @@
 	x.post(false, func() { x.core.giveUp(id, owner, from) })
 }
 
+// Left tells that a caller is away and may come back. It never blocks, as GiveUp.
+func (x *Exchange) Left(id, owner string) { x.post(false, func() { x.core.left(id, owner) }) }
+
 // HangUp tells that a caller ended its standing call.
 func (x *Exchange) HangUp(id, owner string) { x.post(true, func() { x.core.hangUp(id, owner) }) }
 
@@ -395,7 +400,7 @@
 	return s
 }
 
-// RefuseAll answers all that still waits, for an end that can't wait longer.
+// RefuseAll answers all that still waits, for an end that can't wait longer, and from then on refuses what comes.
 func (x *Exchange) RefuseAll() { x.ask(x.core.refuseAll) }
 
 // ask has the core do something and waits for it, or for the core's end.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -334,3 +334,59 @@
 		}
 	})
 }
+
+// A full list that left an office out, without naming it as gone, left the calls that stood there without a release.
+func TestAFullListThatLeavesAnOfficeOut(t *testing.T) {
+	b := newBed(t)
+	b.call("a", 3*time.Second)
+	b.stood(10, "a", 0, nil)
+	b.said = nil
+	b.members([]Office{office(11, 1, control.In, 0)}, true)
+	b.want("release a true")
+	b.members([]Office{office(11, 1, control.In, 0)}, true)
+	b.want()
+}
+
+// A start of an office that goes back in time cuts nothing that was sent after it.
+func TestAStartThatGoesBack(t *testing.T) {
+	b := newBed(t)
+	b.members([]Office{office(10, 0, control.In, b.at.Add(-ms).UnixNano())}, false)
+	b.call("a", 3*time.Second)
+	b.stood(10, "a", 0, nil)
+	b.said = nil
+	b.members([]Office{office(10, 0, control.In, b.at.Add(-time.Hour).UnixNano())}, false)
+	b.members([]Office{office(10, 0, control.In, 0)}, false)
+	b.want()
+}
+
+// A call that is handed over after all that waited was refused, as the program ends, would wait for an answer that
+// nobody gives.
+func TestACallAfterAllWereRefused(t *testing.T) {
+	b := newBed(t)
+	b.call("a", 3*time.Second)
+	b.refuseAll()
+	b.said = nil
+	b.call("b", 3*time.Second)
+	b.want("answer b refused  2000ms")
+}
+
+// While a caller is away, the attempt that is out goes on, and no other is sent for nobody; a caller that comes back has
+// its call, or the answer on record.
+func TestACallerThatIsAway(t *testing.T) {
+	b := newBed(t)
+	b.call("a", 3*time.Second)
+	b.left("a", "another")
+	b.left("a", "o")
+	b.want("invite a 0 at 10")
+	b.ended(10, "a", 0, Ending{Outcome: control.RefusedConn}) // another office would be tried at once
+	b.want("answer a refused  2000ms")
+	b.call("a", 3*time.Second)
+	b.want("answer a refused  2000ms")
+
+	b.call("b", 3*time.Second)
+	b.left("b", "o")
+	b.call("b", 3*time.Second) // it is back
+	b.said = nil
+	b.ended(10, "b", 0, Ending{Outcome: control.RefusedConn})
+	b.want("invite b 1 at 11")
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -13,6 +13,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,11 @@
 	// silentFor is how long nothing may come, of which the service sends a comment every second. What a service
 	// that stopped would have told counts as told 4 s later, and the reconnect takes its time too.
 	silentFor = 2500 * time.Millisecond
+	// headFor is how long a connect and the head of its answer may take at first, doubled with each that fails in a row
+	// up to silentFor: after a silence, two that hang must leave the third in time for what counts as told 7 s after.
+	headFor = time.Second
+	// lineFor bounds one line that keeps coming: the longest event over a slow way.
+	lineFor = time.Minute
 	// retryFirst and retryMost bound the wait before a reconnect. News counts as told 2 s after a break, so a
 	// broken stream must be back well before.
 	retryFirst, retryMost = 100 * time.Millisecond, 1500 * time.Millisecond
@@ -103,6 +109,8 @@
 	Tell  func(changed []exchange.Office, full bool)
 	Pos   int64 // of the last event taken
 	Retry func(failures int) time.Duration
+	// Dial connects to the service; nil: over TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	told  atomic.Int64 // position told, for who looks from outside
 	heard atomic.Int64 // when the service last said anything, Unix nanoseconds; 0: never
@@ -168,7 +176,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		addr, turn, end := c.turn(ctx)
-		heard, err := c.follow(turn, addr)
+		heard, err := c.follow(turn, addr, min(headFor<<min(failures, 5), silentFor))
 		if turn.Err() != nil { // the program ends, or the service has moved
 			c.Log.Info("journal connection ended", "reason", "closed", "addr", addr, "pos", c.Pos)
 			failures = 0
@@ -217,12 +225,12 @@
 	return wait/2 + rand.N(wait/2)
 }
 
-// follow reads one stream; heard tells whether anything came.
-func (c *Client) follow(ctx context.Context, addr string) (heard bool, err error) {
+// follow reads one stream, whose head may take that long; heard tells whether anything came.
+func (c *Client) follow(ctx context.Context, addr string, head time.Duration) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The silence of a service that has vanished ends the stream: its comments stop.
-	silence := time.AfterFunc(silentFor, cancel)
+	silence := time.AfterFunc(head, cancel)
 	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/journal", nil)
 	if err != nil {
@@ -230,7 +238,7 @@
 	}
 	req.Header.Set("Last-Event-ID", strconv.FormatInt(c.Pos, 10))
 	req.Header.Set("Accept", "text/event-stream")
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: c.Dial}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return false, err
@@ -239,17 +247,35 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("%w: status %d", errStatus, resp.StatusCode)
 	}
-	return c.read(resp.Body, func() { silence.Reset(silentFor) })
+	silence.Reset(silentFor)
+	line := time.AfterFunc(lineFor, cancel)
+	defer line.Stop()
+	return c.read(alive{resp.Body, func() { silence.Reset(silentFor) }}, func() { line.Reset(lineFor) })
 }
 
-// read takes a stream of events; alive is called for each line.
-func (c *Client) read(r io.Reader, alive func()) (heard bool, err error) {
+// alive notes that something came, be it a part of a line: a long event over a slow way is no silence, and the next
+// connect would only have it come again from its start.
+type alive struct {
+	from io.Reader
+	note func()
+}
+
+func (a alive) Read(b []byte) (int, error) {
+	n, err := a.from.Read(b)
+	if n > 0 {
+		a.note()
+	}
+	return n, err
+}
+
+// read takes a stream of events; whole is called for each line.
+func (c *Client) read(r io.Reader, whole func()) (heard bool, err error) {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 4096), lineMost)
 	var data []byte
 	var id string
 	for lines.Scan() {
-		alive()
+		whole()
 		heard = true
 		c.heard.Store(time.Now().UnixNano())
 		line := bytes.TrimSuffix(lines.Bytes(), []byte("\r"))
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -172,3 +175,115 @@
 		}
 	}
 }
+
+// stream is a service on pipes: each connect goes to the next of the handlers, and the last one takes all that follow.
+func stream(t *testing.T, c *Client, handlers ...func(t *testing.T, peer net.Conn)) {
+	n := 0
+	c.Addr = "journal:1"
+	c.Dial = func(context.Context, string, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		handle := handlers[min(n, len(handlers)-1)]
+		n++
+		go func() {
+			defer theirs.Close()
+			defer context.AfterFunc(t.Context(), func() { theirs.Close() })()
+			handle(t, theirs)
+		}()
+		return ours, nil
+	}
+}
+
+// serves answers a request with a stream, which it hands on.
+func serves(say func(w io.Writer)) func(*testing.T, net.Conn) {
+	return func(t *testing.T, peer net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(peer)); err != nil {
+			return
+		}
+		io.WriteString(peer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		say(peer)
+		io.Copy(io.Discard, peer)
+	}
+}
+
+func hangs(_ *testing.T, peer net.Conn) { io.Copy(io.Discard, peer) }
+
+// A long event over a slow way was taken for silence, as the limit counted whole lines, and each reconnect had it come
+// again from its start.
+func TestALongEventOverASlowWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := make(chan told, 1)
+		c := client(func(x told) { got <- x })
+		connects := 0
+		stream(t, c, serves(func(w io.Writer) {
+			connects++
+			for _, b := range []byte("id: 41\ndata: " + full + "\n\n") {
+				time.Sleep(silentFor / 100)
+				if _, err := w.Write([]byte{b}); err != nil {
+					return
+				}
+			}
+		}))
+		began := time.Now()
+		go c.Run(t.Context())
+		<-got
+		if took := time.Since(began); took < silentFor || connects != 1 {
+			t.Errorf("after %v, %d connects", took, connects)
+		}
+	})
+}
+
+// A stream that falls silent is left, and so is a connect that hangs, twice in a row: news counts as told 7 s after.
+func TestSilenceAndConnectsThatHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := make(chan told, 1)
+		c := client(func(x told) { got <- x })
+		var last time.Time
+		stream(t, c, serves(func(w io.Writer) {
+			io.WriteString(w, ":\n\n")
+			last = time.Now()
+		}), hangs, hangs, serves(func(w io.Writer) { io.WriteString(w, "id: 41\ndata: "+full+"\n\n") }))
+		go c.Run(t.Context())
+		<-got
+		if took := time.Since(last); took > 6*time.Second {
+			t.Errorf("back %v after the last sign of life", took)
+		}
+	})
+}
+
+// Two moves in a row, one of them between two events and one in the pause before a reconnect: the client follows the last.
+func TestMovesInARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := make(chan told, 10)
+		c := client(func(x told) { got <- x })
+		c.Retry = func(int) time.Duration { return time.Hour } // only a move ends a pause
+		var asked []string
+		handlers := map[string]func(*testing.T, net.Conn){
+			"first:1":  serves(func(w io.Writer) { io.WriteString(w, "id: 41\ndata: "+full+"\n\n") }),
+			"second:1": hangs,
+			"third:1":  func(_ *testing.T, peer net.Conn) {}, // closes at once: a pause follows
+			"fourth:1": serves(func(w io.Writer) { io.WriteString(w, "id: 41\ndata: "+full+"\n\nid: 42\ndata: "+full+"\n\n") }),
+		}
+		c.Dial = func(_ context.Context, _, addr string) (net.Conn, error) {
+			asked = append(asked, addr)
+			ours, theirs := net.Pipe()
+			go func() {
+				defer theirs.Close()
+				defer context.AfterFunc(t.Context(), func() { theirs.Close() })()
+				handlers[addr](t, theirs)
+			}()
+			return ours, nil
+		}
+		c.Addr = "first:1"
+		go c.Run(t.Context())
+		<-got
+		c.Move("second:1")
+		c.Move("third:1")
+		synctest.Wait() // in the pause
+		c.Move("fourth:1")
+		<-got
+		synctest.Wait()
+		if len(got) != 0 || c.Pos != 42 || asked[len(asked)-1] != "fourth:1" || slices.Index(asked, "third:1") < 0 {
+			t.Errorf("asked %v, at %d, %d events more", asked, c.Pos, len(got))
+		}
+	})
+}
--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,78 @@
+package listener
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+)
+
+// Connections that wait in the kernel's queue when the listener closes were reset, though their callers were connected
+// and had sent their requests. Drained, the listener gives each of them, and then it is closed.
+func TestDrainGivesWhatTheKernelHasTakenIn(t *testing.T) {
+	l, err := Open("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const callers = 20
+	var conns []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "request"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	l.Drain()
+	got := 0
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := make([]byte, 7)
+		if _, err := io.ReadFull(c, b); err != nil || string(b) != "request" {
+			t.Errorf("read %q, %v", b, err)
+		}
+		io.WriteString(c, "answer")
+		c.Close()
+		got++
+	}
+	if got != callers {
+		t.Errorf("%d of %d connections", got, callers)
+	}
+	for _, c := range conns {
+		if b, err := io.ReadAll(c); string(b) != "answer" || err != nil {
+			t.Errorf("told %q, %v", b, err)
+		}
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("a drained listener still takes connections")
+	}
+}
+
+// An Accept that waits when the drain begins ends at once.
+func TestDrainWakesAccept(t *testing.T) {
+	l, err := Open("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	l.Drain()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept: %v", err)
+	}
+}
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +40,12 @@
 	// fraction of that, and reports come beside them. New attempts then go over another connection. Every muteEvery
 	// that is looked at while attempts are out.
 	muteFor, muteEvery = 250 * time.Millisecond, 50 * time.Millisecond
+	// copyFor is how long after an answer a copy of it may still come: it names its call and no attempt, and would end
+	// the next one that is out on the same connection. That long the next one waits, of answersMost calls at most.
+	copyFor, answersMost = 50 * time.Millisecond, 1024
+	// byeFor is how long ago a release may have been sent on a connection that ended to be sent again on the next: it may
+	// have been lost on its way, and a call that is released twice is released.
+	byeFor = time.Second
 	// refusedFor is how long an office without a connection must refuse each connect to be taken for dead. One that
 	// drains refuses too, and its connection may have been reset under calls that stand.
 	refusedFor = 2 * time.Second
@@ -110,6 +117,7 @@
 	id  string
 	n   int
 	cut bool
+	at  time.Time // when it was sent
 }
 
 // session is one connection of a link, with the attempts out on it, by call. An office's answer names its call and
@@ -123,6 +131,14 @@
 	heard    time.Time
 	stale    bool // silent where an answer was due: new attempts go over a new connection
 	watching bool // for that
+	answered []answer
+	released []bye // of late
+}
+
+// answer is when a call's attempt was answered.
+type answer struct {
+	id string
+	at time.Time
 }
 
 type sent struct {
@@ -211,7 +227,7 @@
 	switch {
 	case l == nil || len(l.waiting) >= waitingMost:
 		p.Core.Ended(a.Server, a.ID, a.N, exchange.Ending{Outcome: control.RefusedConn})
-	case l.cur != nil && !l.cur.stale:
+	case l.cur != nil && !l.cur.stale && l.cur.copies(a.ID) <= 0:
 		l.cur.invite(a)
 	default:
 		l.waiting = append(l.waiting, a)
@@ -219,6 +235,36 @@
 	}
 }
 
+// copies tells how long a copy of the last answer to a call may still come.
+func (s *session) copies(id string) time.Duration {
+	for k := len(s.answered) - 1; k >= 0; k-- {
+		if s.answered[k].id == id {
+			return copyFor - time.Since(s.answered[k].at)
+		}
+	}
+	return 0
+}
+
+// note keeps an answer that a copy may follow.
+func (s *session) note(id string) {
+	now := time.Now()
+	late := 0
+	for late < len(s.answered) && (len(s.answered)-late >= answersMost || now.Sub(s.answered[late].at) > copyFor) {
+		late++
+	}
+	s.answered = append(slices.Delete(s.answered, 0, late), answer{id, now})
+}
+
+// bye sends a release, and keeps it for the case that the connection ends under it.
+func (s *session) bye(b bye) {
+	b.at = time.Now()
+	s.released = slices.DeleteFunc(s.released, func(old bye) bool { return b.at.Sub(old.at) > byeFor })
+	if len(s.released) < byesMost {
+		s.released = append(s.released, b)
+	}
+	s.peer.Bye(b.id, b.n, b.cut)
+}
+
 func (s *session) invite(a exchange.Attempt) {
 	s.out[a.ID] = sent{a.N, time.Now()}
 	s.peer.Invite(a)
@@ -293,9 +339,9 @@
 	switch {
 	case l == nil:
 	case l.cur != nil:
-		l.cur.peer.Bye(id, n, cut)
+		l.cur.bye(bye{id: id, n: n, cut: cut})
 	case len(l.byes) < byesMost:
-		l.byes = append(l.byes, bye{id, n, cut})
+		l.byes = append(l.byes, bye{id: id, n: n, cut: cut})
 	}
 }
 
@@ -370,12 +416,18 @@
 // flush sends what waited for a connection.
 func (l *link) flush(s *session) {
 	for _, b := range l.byes {
-		s.peer.Bye(b.id, b.n, b.cut)
+		s.bye(b)
 	}
+	var later []exchange.Attempt
 	for _, a := range l.waiting {
+		if wait := s.copies(a.ID); wait > 0 {
+			later = append(later, a)
+			time.AfterFunc(wait, l.wake)
+			continue
+		}
 		s.invite(a)
 	}
-	l.waiting, l.byes, l.check = nil, nil, false
+	l.waiting, l.byes, l.check = later, nil, false
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (Peer, error) {
@@ -451,6 +503,15 @@
 	}
 	out, silent := s.out, time.Since(s.heard) > silentFor
 	s.out = nil
+	for _, b := range s.released {
+		switch l := s.link; {
+		case time.Since(b.at) > byeFor:
+		case l.cur != nil:
+			l.cur.bye(b)
+		case len(l.byes) < byesMost:
+			l.byes = append(l.byes, b)
+		}
+	}
 	p.mu.Unlock()
 	s.pool.Log.Info("office connection ended", "reason", reason, "server", s.server, "addr", s.addr,
 		"open", len(out), "age_ms", time.Since(s.began).Milliseconds(), "err", err)
@@ -479,6 +540,7 @@
 		return -1
 	}
 	delete(s.out, id)
+	s.note(id)
 	s.spent()
 	return a.n
 }
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -413,3 +413,76 @@
 		}
 	})
 }
+
+// A second copy of an answer, some milliseconds late, ended the call's next attempt at the same office: the call then
+// went to another one while the first still worked on it.
+func TestACopyOfAnAnswerAndTheNextAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		office := <-b.dialled
+		r := sip.NewReader(office)
+		full := "SIP/2.0 503 X\r\n" + reply + "Content-Length: 0\r\n\r\n"
+		b.invite(0)
+		hear(t, r, "INVITE")
+		io.WriteString(office, full)
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 0 2 note 0 wait 0 []")
+		hear(t, r, "ACK")
+		b.invite(1)
+		time.Sleep(copyFor / 2)
+		io.WriteString(office, full) // the copy
+		expect(t, b.told, "ended 9b1f03aa5c7e2d41 -1 2 note 0 wait 0 []")
+		hear(t, r, "ACK")
+		hear(t, r, "INVITE")
+		io.WriteString(office, "SIP/2.0 200 OK\r\n"+reply+"Content-Length: 4\r\n\r\ndesc")
+		expect(t, b.told, "stood 9b1f03aa5c7e2d41 1 desc")
+		hear(t, r, "ACK")
+
+		b.invite(2) // and one that is given up while it waits is never sent
+		b.Cancel(10, "9b1f03aa5c7e2d41", 2)
+		time.Sleep(2 * copyFor)
+		b.Bye(10, "9b1f03aa5c7e2d41", 2, true)
+		if m, err := r.Next(); err != nil || string(m.Method) != "BYE" {
+			t.Errorf("heard %+v, %v", m, err)
+		}
+	})
+}
+
+// A release that was written to a connection in the moment of its reset was lost; it goes out on the next one too.
+func TestAReleaseOnAConnectionThatEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		office := <-b.dialled
+		b.Bye(10, "9b1f03aa5c7e2d41", 0, false)
+		office.Close()
+		hear(t, sip.NewReader(<-b.dialled), "BYE")
+		time.Sleep(2 * byeFor)
+	})
+}
+
+// A connect that comes up after its attempt was given up sends nothing, and one that comes up after its office left the
+// list is closed.
+func TestAConnectThatComesUpLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		<-b.dialled
+		goOn := make(chan bool)
+		ours, theirs := net.Pipe()
+		b.Dials[""] = func(context.Context, string) (Peer, error) {
+			<-goOn
+			return &sipPeer{Conn: sip.NewConn(ours, limits), name: "n0", fields: fields}, nil
+		}
+		b.List([]exchange.Office{{Entry: control.Entry{Server: 11}, Addr: "b:1"}}, false)
+		a := exchange.Attempt{ID: "9b1f03aa5c7e2d41", Class: "open-log", Number: "17", Server: 11, Wait: time.Second}
+		b.Invite(a)
+		b.Cancel(11, a.ID, 0)
+		a.ID = "0000000000000002"
+		b.Invite(a)
+		synctest.Wait()
+		b.List([]exchange.Office{{Entry: control.Entry{Server: 11, State: control.Out}}}, false)
+		expect(t, b.told, "ended 0000000000000002 0 4 note 0 wait 0 []")
+		close(goOn)
+		if got, err := io.ReadAll(theirs); len(got) != 0 || err != nil {
+			t.Errorf("sent %q, %v", got, err)
+		}
+	})
+}
--- a/internal/office/sip.go
+++ b/internal/office/sip.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"masthill/control"
 	"masthill/internal/exchange"
@@ -73,7 +74,7 @@
 
 // limits are what an office is allowed. An answer that stops short, or whose length promises more than comes,
 // holds up all answers behind it: such a connection is of no more use. Offices write a message whole.
-var limits = sip.Limits{Write: writeFor, Whole: wholeFor, Strict: true}
+var limits = sip.Limits{Write: writeFor, Whole: func() time.Duration { return wholeFor }, Strict: true}
 
 type sipPeer struct {
 	*sip.Conn
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// lingerFor and lingerBytes bound the end of a connection whose peer is told why: its input is read on that
-	// long, as a close over unread input is a reset, which may destroy the answer before the peer has read it.
+	// lingerFor and lingerBytes bound the end of a connection whose peer was told something of late: its input is read
+	// on that long.
 	lingerFor, lingerBytes = 700 * time.Millisecond, 1 << 20
 )
 
@@ -46,8 +46,8 @@
 
 // Limits are what a connection allows its peer.
 type Limits struct {
-	Write time.Duration // for one write
-	Whole time.Duration // from a message's first byte to its last; 0: any time
+	Write time.Duration        // for one write
+	Whole func() time.Duration // from the first byte of a message that begins now to its last; nil: any time
 	// Idle tells how long nothing need come from now on; it is asked again then. 0 ends the connection. nil: for
 	// ever. It is called where messages are handled, so that the two can't cross.
 	Idle func() time.Duration
@@ -55,6 +55,8 @@
 	Farewell func(err error) []byte
 	// Strict: a message follows the one before without a line end between them.
 	Strict bool
+	// Linger is how long a peer that was written to of late may take to close after this side has; 0: none.
+	Linger time.Duration
 }
 
 // Conn is one connection with a reader, a bounded write queue and a deadline on each write.
@@ -63,14 +65,18 @@
 	net     net.Conn
 	out     *Queue
 	full    atomic.Bool
-	half    chan struct{} // write what is queued, then nothing more
-	closing chan struct{}
+	half    chan struct{} // closed by the reader: write what is queued, then nothing more
+	flushed chan struct{} // closed by the writer, when it has
+	closing chan struct{} // End was called
 	closed  atomic.Pointer[Reason]
+	begun   atomic.Bool  // a message is read in part
+	heard   atomic.Int64 // when the last bytes came, and the last were written, in Unix nanoseconds
+	wrote   atomic.Int64
 }
 
 // NewConn wraps a connection.
 func NewConn(c net.Conn, limits Limits) *Conn {
-	return &Conn{Limits: limits, net: c, out: NewQueue(), half: make(chan struct{}), closing: make(chan struct{})}
+	return &Conn{Limits: limits, net: c, out: NewQueue(), half: make(chan struct{}), flushed: make(chan struct{}), closing: make(chan struct{})}
 }
 
 // Remote is the peer's address.
@@ -87,13 +93,38 @@
 	return false
 }
 
-// Close ends the connection after what is queued has been written.
+// Close ends the connection in order: the reader handles what has come already, what is queued is written, and the peer
+// gets the time to read it.
 func (c *Conn) Close() { c.End(Closed) }
 
+// past is a deadline that wakes a reader.
+var past = time.Unix(1, 0)
+
 // End is Close with a reason.
 func (c *Conn) End(why Reason) {
 	if c.closed.CompareAndSwap(nil, &why) {
 		close(c.closing)
+		c.net.SetReadDeadline(past)
+	}
+}
+
+// Abort closes the connection at once, for who needs its descriptor.
+func (c *Conn) Abort(why Reason) {
+	c.End(why)
+	c.net.Close()
+}
+
+// Begun tells whether a message is read in part, and when its last bytes came.
+func (c *Conn) Begun() (at time.Time, begun bool) {
+	return time.Unix(0, c.heard.Load()), c.begun.Load()
+}
+
+func (c *Conn) ending() bool {
+	select {
+	case <-c.closing:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -115,7 +146,7 @@
 				err = c.out.Room(ctx)
 			}
 			if err != nil {
-				c.part(r, err)
+				c.part(ctx, r, err)
 				return err
 			}
 		}
@@ -132,49 +163,112 @@
 	r     *Reader
 	taken uint64    // messages so far when the wait began
 	began time.Time // the present message; zero: none
+	limit time.Time // for it
+	late  int       // bytes that were read after a deadline
 }
 
 func (p *patient) Read(b []byte) (int, error) {
+	n, err := p.wait(b)
+	if n > 0 {
+		p.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (p *patient) wait(b []byte) (int, error) {
 	for {
 		until := time.Time{}
-		switch begun := p.r.end > p.r.start; {
-		case begun && p.Whole > 0:
+		begun := p.r.end > p.r.start
+		p.begun.Store(begun)
+		switch {
+		case begun && p.Whole != nil:
 			if p.began.IsZero() || p.taken != p.r.count {
 				p.began, p.taken = time.Now(), p.r.count
+				p.limit = p.began.Add(p.Whole())
 			}
-			until = p.began.Add(p.Whole)
+			until = p.limit
 		case !begun:
 			p.began = time.Time{}
 			if p.Idle != nil {
 				wait := p.Idle()
 				if wait <= 0 {
-					return 0, errIdle
+					return p.rest(b, errIdle)
 				}
 				until = time.Now().Add(wait)
 			}
 		}
 		p.net.SetReadDeadline(until) // where that fails, the read tells why
+		if p.ending() {              // End's own deadline may have come before this one
+			p.net.SetReadDeadline(past)
+		}
 		n, err := p.net.Read(b)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
 			return n, err
+		case p.ending():
+			return p.rest(b, errClosed)
+		case !p.began.IsZero():
+			return p.rest(b, errStalled)
 		}
-		if !p.began.IsZero() {
-			return 0, errStalled
+	}
+}
+
+// rest gives what has come already, or the reason for which no more is waited for. A read after its deadline does not
+// look: on a core that others share, a message may have come long before, and a close over it would lose it.
+func (p *patient) rest(b []byte, why error) (n int, err error) {
+	raw, ok := p.net.(syscall.Conn)
+	if !ok || p.late > lingerBytes { // a peer that never stops sending
+		return 0, why
+	}
+	fd, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	p.net.SetReadDeadline(time.Time{})
+	var got error
+	err = fd.Read(func(fd uintptr) bool {
+		for {
+			if n, got = syscall.Read(int(fd), b); got != syscall.EINTR {
+				return true
+			}
 		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(got, syscall.EAGAIN):
+		return 0, why
+	case got != nil:
+		return 0, os.NewSyscallError("read", got)
+	case n == 0:
+		return 0, io.EOF
 	}
+	p.late += n
+	return n, nil
 }
 
-// part tells a peer that can't be read any further why, and waits until it can have read that.
-func (c *Conn) part(r *Reader, why error) {
-	if c.Farewell == nil || !framing(why) && !errors.Is(why, errStalled) {
+// part ends a connection that this side gives up, in an order that loses nothing: what is queued is written, then its
+// peer reads the end, and what it still sends is read on, as a close over unread input is a reset, which may destroy
+// what was written before the peer has read it.
+func (c *Conn) part(ctx context.Context, r *Reader, why error) {
+	linger := c.Linger
+	switch {
+	case c.Farewell != nil && (framing(why) || errors.Is(why, errStalled)):
+		if !c.Send(c.Farewell(why)) {
+			return
+		}
+		linger = lingerFor
+	case !errors.Is(why, errClosed) && !errors.Is(why, errIdle):
 		return
 	}
-	if !c.Send(c.Farewell(why)) {
+	close(c.half)
+	select {
+	case <-c.flushed:
+	case <-ctx.Done():
 		return
 	}
-	close(c.half)
-	until := time.Now().Add(lingerFor)
-	if c.net.SetReadDeadline(until) != nil {
+	until := time.Now().Add(linger)
+	if time.Since(time.Unix(0, c.wrote.Load())) > lingerFor || c.net.SetReadDeadline(until) != nil {
 		return
 	}
 	for read := 0; read < lingerBytes; {
@@ -185,30 +279,25 @@
 	}
 	// It goes on and on: left unread, it waits to write and has the time to read.
 	select {
-	case <-c.closing:
+	case <-ctx.Done():
 	case <-time.After(time.Until(until)):
 	}
 }
 
 func (c *Conn) write(ctx context.Context) error {
-	half := c.half
 	for {
 		select {
 		case <-ctx.Done():
 			return nil // the reader has the reason
-		case <-c.closing:
-			if err := c.flush(); err != nil {
-				return err
-			}
-			return errClosed
-		case <-half:
-			half = nil
+		case <-c.half:
+			defer close(c.flushed)
 			if err := c.flush(); err != nil {
 				return nil // the reader has the reason
 			}
 			if tcp, ok := c.net.(interface{ CloseWrite() error }); ok {
 				tcp.CloseWrite()
 			}
+			return nil
 		case <-c.out.Ready():
 			if err := c.flush(); err != nil {
 				return err
@@ -225,6 +314,7 @@
 		}
 		buffers := net.Buffers(batch)
 		_, err := buffers.WriteTo(c.net)
+		c.wrote.Store(time.Now().UnixNano())
 		return err
 	})
 }
