An office that stops unheard while the list is silent: its calls are released in time

Ruled out: a release that was heard and went nowhere (the core still had the call), a connection that had ended (it was open), a spoilt answer on it (no log line). At fault: Pool.down, where a refused connect beside an open connection counted as a sign of life, so that such an office was never given up.

Now an office that refuses connects and has said nothing for 7 s is given up where the list is not heard either.

--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -231,7 +231,8 @@
 // placing is the offices' side.
 func placing(in *instance) (part, error) {
 	offices := office.NewPool(office.Options{Core: in.core, Log: in.log.With(logs.Part, "offices"), ConnectWait: in.p.ConnectWait,
-		Dials: map[string]office.Dial{"": office.SIP(in.p.Name, in.p.Settings.Fields), "ws": callws.Dial(in.p.Settings.Fields)}})
+		Listed: func() bool { return in.feed.Heard() },
+		Dials:  map[string]office.Dial{"": office.SIP(in.p.Name, in.p.Settings.Fields), "ws": callws.Dial(in.p.Settings.Fields)}})
 	in.core.Connect(offices)
 	return part{run: offices.Run}, nil
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -31,6 +31,8 @@
 	// silentFor is how long nothing may come, of which the service sends a comment every second. What a service
 	// that stopped would have told counts as told 4 s later, and the reconnect takes its time too.
 	silentFor = 2500 * time.Millisecond
+	// heardFor is how old the last line may be for the service to count as heard: a comment comes every second.
+	heardFor = 1500 * time.Millisecond
 	// headFor is how long a connect and the head of its answer may take at first, doubled with each that fails in a row
 	// up to silentFor: after a silence, two that hang must leave the third in time for what counts as told 7 s after.
 	headFor = time.Second
@@ -160,6 +162,12 @@
 	return c.told.Load(), heard
 }
 
+// Heard tells whether the service is heard: what it has to tell has come, but for the last moment.
+func (c *Client) Heard() bool {
+	_, at := c.Position()
+	return time.Since(at) < heardFor
+}
+
 // take handles one event. A malformed one is logged and passed over: what comes after it still counts.
 func (c *Client) take(data []byte) {
 	changed, full, err := Decode(data)
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -49,6 +49,11 @@
 	// refusedFor is how long an office without a connection must refuse each connect to be taken for dead. One that
 	// drains refuses too, and its connection may have been reset under calls that stand.
 	refusedFor = 2 * time.Second
+	// deafFor is how long an office that refuses connects may say nothing over the connection it has, while the list can't
+	// tell of its end either: a release may have been lost as it stopped, and what has ended must be released within 8 s
+	// (PROTOCOL). Offices that drain say nothing for a while and go on with their calls, so it is not much shorter, and
+	// nothing is done while the list is heard. Every deafStep that is looked at again.
+	deafFor, deafStep = 7 * time.Second, 250 * time.Millisecond
 )
 
 // Core is what this side tells the exchange.
@@ -87,6 +92,7 @@
 	Log         *slog.Logger
 	ConnectWait time.Duration   // a connection not up by then is refused
 	Dials       map[string]Dial // by scheme; "" for an address without one
+	Listed      func() bool     // whether the list of offices is heard: what it would tell of has not happened
 }
 
 // Pool holds the links to all offices on the list.
@@ -129,8 +135,10 @@
 	began    time.Time
 	ended    chan struct{}
 	heard    time.Time
-	stale    bool // silent where an answer was due: new attempts go over a new connection
-	watching bool // for that
+	asked    time.Time // when a connect beside it was last refused
+	waits    bool      // for deafFor to pass
+	stale    bool      // silent where an answer was due: new attempts go over a new connection
+	watching bool      // for that
 	answered []answer
 	released []bye // of late
 }
@@ -147,7 +155,12 @@
 }
 
 // NewPool makes a pool; Run starts it.
-func NewPool(o Options) *Pool { return &Pool{Options: o, links: map[uint64]*link{}} }
+func NewPool(o Options) *Pool {
+	if o.Listed == nil {
+		o.Listed = func() bool { return true }
+	}
+	return &Pool{Options: o, links: map[uint64]*link{}}
+}
 
 // Run serves the links until ctx ends.
 func (p *Pool) Run(ctx context.Context) error {
@@ -351,8 +364,8 @@
 func (p *Pool) Suspect(server uint64, since time.Time, check bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.links[server]; l != nil && l.cur != nil && l.cur.heard.Before(since) {
-		l.cur.stale, l.check = true, check
+	if l := p.links[server]; l != nil && l.cur != nil && l.cur.heard.Before(since) && l.cur.asked.Before(since) {
+		l.cur.stale, l.check = true, l.check || check
 		l.wake()
 	}
 }
@@ -444,7 +457,8 @@
 
 // down takes a connect that failed. Refused for a while, with no connection left, tells that no process runs: what
 // stood there is cut. Refused beside an open connection tells nothing of the calls: an office that drains takes no
-// new connections and goes on with what it has. Where the connect did not come up and the open connection has long
+// new connections and goes on with what it has, and says so by its reports. Refused again, after no word for deafFor
+// and while the list is not heard, nothing that ends there can be known. Where the connect did not come up and the open connection has long
 // been silent, or there has long been none, the machine has vanished, and what stood there is cut too.
 func (l *link) down(err error) {
 	if errors.Is(err, context.Canceled) {
@@ -460,8 +474,13 @@
 	case s == nil:
 		off := time.Since(l.off)
 		gone = off > silentFor || refused && off > refusedFor
-	case refused:
-		s.heard, s.stale, l.check = time.Now(), false, false // the machine is there
+	case refused: // the machine is there; whether the process is, a connection that was ever heard would tell
+		gone = time.Since(s.heard) >= deafFor && !l.pool.Listed()
+		s.asked, s.stale, l.check = time.Now(), false, false
+		if !gone && !s.waits {
+			s.waits = true
+			time.AfterFunc(deafFor-time.Since(s.heard), s.deaf)
+		}
 	default:
 		gone = time.Since(s.heard) > silentFor
 		l.check = s.stale // tried again until one of the two connections speaks
@@ -473,6 +492,23 @@
 	}
 }
 
+// deaf asks for the connect that tells of an office that has long been silent and refused the last one, as soon as the
+// list is not heard either.
+func (s *session) deaf() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	switch left := deafFor - time.Since(s.heard); {
+	case s != s.cur:
+	case left > 0: // it has spoken; the next look at silent offices comes here again
+		s.waits = false
+	case s.pool.Listed():
+		time.AfterFunc(deafStep, s.deaf)
+	default:
+		s.waits, s.stale, s.check = false, true, true
+		s.wake()
+	}
+}
+
 // up takes a new connection into use. The one before stays as long as attempts are out on it: it may only be slow.
 // Once a later attempt stands over the new one it is known to be dead, as a processor takes set-ups in turn; and
 // once a report came over the new one alone, as offices send those on all connections.
@@ -501,7 +537,7 @@
 	if s.prev == s {
 		s.prev = nil
 	}
-	out, silent := s.out, time.Since(s.heard) > silentFor
+	out, silent := s.out, time.Since(s.heard) > silentFor && time.Since(s.asked) > silentFor
 	s.out = nil
 	for _, b := range s.released {
 		switch l := s.link; {
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -48,6 +48,7 @@
 	refuse  atomic.Bool // connects are refused
 	silent  atomic.Bool // connects do not come up
 	reset   atomic.Bool // connections that end do so by a reset
+	unheard atomic.Bool // the list is not heard
 }
 
 func newBed(t *testing.T) *bed {
@@ -65,7 +66,7 @@
 		return &sipPeer{Conn: sip.NewConn(resettable{ours, &b.reset}, limits), name: "n0", fields: fields}, nil
 	}
 	b.Pool = NewPool(Options{Core: b.core, Log: netcase.Quiet(), ConnectWait: 500 * time.Millisecond,
-		Dials: map[string]Dial{"": dial}})
+		Dials: map[string]Dial{"": dial}, Listed: func() bool { return !b.unheard.Load() }})
 	go b.Run(t.Context())
 	synctest.Wait()
 	b.List([]exchange.Office{{Entry: control.Entry{Server: 10}, Addr: "a:1"}}, true)
@@ -213,7 +214,7 @@
 		office := <-b.dialled
 		go io.Copy(io.Discard, office)
 		b.refuse.Store(true)
-		for range 8 {
+		for range 12 {
 			time.Sleep(time.Second)
 			b.Suspect(10, time.Now().Add(-3*time.Second), true)
 			synctest.Wait()
@@ -226,6 +227,36 @@
 	})
 }
 
+// A draining office stopped as it sent a release, its connection stayed open, and the list fell silent before it told of
+// the end: the call was over for 8 s without a release. One that speaks, or of which the list would tell, is waited for.
+func TestAnOfficeThatStopsUnheard(t *testing.T) {
+	for _, unheard := range []time.Duration{0, 3 * time.Second, 7600 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t)
+			office := <-b.dialled
+			go io.Copy(io.Discard, office)
+			b.refuse.Store(true)
+			time.Sleep(time.Second)
+			io.WriteString(office, "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n")
+			expect(t, b.told, "state [3 -1 -1 -1]")
+			began := time.Now()
+			for k := 1; len(b.told) == 0 && k < 200; k++ {
+				time.Sleep(100 * time.Millisecond)
+				b.unheard.Store(time.Since(began) >= unheard)
+				if k%10 == 0 {
+					b.Suspect(10, time.Now().Add(-3*time.Second), true)
+				}
+				synctest.Wait()
+			}
+			expect(t, b.told, "lost")
+			took, least := time.Since(began), max(deafFor, unheard)
+			if took < least || took > least+2*deafStep {
+				t.Errorf("after %v, want %v", took, least)
+			}
+		})
+	}
+}
+
 // Connections are reset on their way too: taken for the death of the process, 419 standing calls were released on one
 // day. One that was silent is another matter: the machine had vanished and is back.
 func TestAResetIsNotADeath(t *testing.T) {
--- a/internal/sip/conn_test.go
+++ b/internal/sip/conn_test.go
@@ -164,13 +164,18 @@
 	}
 }
 
-// A peer that goes on after this side has closed gets what was written before, and no reset in its place.
+// A peer that goes on after this side has closed is read on: it gets the end of the connection, and no reset in its place.
 func TestWhatComesAfterTheCloseResetsNothing(t *testing.T) {
-	peer, c, reason := pair(t, Limits{Linger: time.Second}, func(*Conn, *Message) {})
+	peer, c, reason := pair(t, Limits{Linger: time.Minute}, func(*Conn, *Message) {})
 	c.Send([]byte("SIP/2.0 200 OK\r\nl: 0\r\n\r\n"))
 	c.Close()
 	<-c.flushed
-	io.WriteString(peer, invite)
+	for range 20 {
+		time.Sleep(time.Millisecond) // a reset has the time to come back
+		if _, err := io.WriteString(peer, invite); err != nil {
+			t.Fatalf("reset: %v", err)
+		}
+	}
 	if got := statuses(t, peer); len(got) != 1 {
 		t.Errorf("answers %v, want one", got)
 	}
