--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -15,6 +15,7 @@
 	"masthill/control/levels"
 	"masthill/control/recovery"
 	"masthill/control/shares"
+	"masthill/internal/admin"
 	"masthill/internal/caller"
 	"masthill/internal/callws"
 	"masthill/internal/config"
@@ -33,7 +34,7 @@
 // part that the settings leave off is empty.
 type part struct {
 	run    func(ctx context.Context) error
-	drain  func()                // new calls still come for a moment
+	end    func()                // the planned end begins; new calls still come for a moment
 	status func(*ctl.Status)     // from any goroutine
 	reload func(*config.Project) // new settings: what can change under a running program does
 }
@@ -41,7 +42,7 @@
 // subsystems makes the parts, in this order: what takes part in decisions comes before the core, in the order in which it
 // is asked, and what needs the core comes behind it.
 var subsystems = []func(*instance) (part, error){
-	snapshots, talking, recovering, levelling, sharing, bounding, recording, deciding, calling, placing, following, controlling, socket,
+	snapshots, talking, recovering, levelling, sharing, bounding, recording, deciding, calling, placing, following, controlling, administering, socket,
 }
 
 // joins adds a decision module beside control.
@@ -206,7 +207,7 @@
 	if in.own.CallWS.Listen == "" {
 		share = alonePart
 	}
-	in.calls = caller.New(caller.Options{Core: in.core, Log: in.log.With(logs.Part, "callers"), Names: in.p.Names,
+	in.calls = caller.New(caller.Options{Core: in.core, Log: in.log.With(logs.Part, "callers"), Names: in.p.Names, Ready: in.state.Ready,
 		MaxOpen: min(in.p.Sockets*share/100, in.p.MemoryMB<<20/connPart/connEach)})
 	l, err := in.opens("callers", in.p.Listen)
 	if err != nil {
@@ -221,7 +222,7 @@
 	if passed, ok := in.passed[name].(*net.TCPListener); ok {
 		l = listener.New(passed)
 		delete(in.passed, name)
-	} else if l, err = listener.Open(addr); err != nil {
+	} else if l, err = listener.Open(addr, in.p.Admin != ""); err != nil {
 		return nil, err
 	}
 	in.listeners[name] = l
@@ -256,13 +257,27 @@
 	if err != nil {
 		return part{}, fmt.Errorf("callws.listen: %w", err)
 	}
-	f := callws.New(callws.Options{Core: in.core, Log: in.log.With(logs.Part, "callws"), Names: in.p.Names, Callers: in.own.CallWS.Callers,
+	f := callws.New(callws.Options{Core: in.core, Log: in.log.With(logs.Part, "callws"), Names: in.p.Names, Callers: in.own.CallWS.Callers, Ready: in.state.Ready,
 		MaxOpen: in.p.Sockets * socketsPart / 100})
 	in.fronts[f] = l
 	in.log.Info("serving call control", "listen", l.Addr().String())
 	return part{run: func(ctx context.Context) error { return f.Serve(ctx, l) }}, nil
 }
 
+// administering is the operators' second address.
+func administering(in *instance) (part, error) {
+	if in.p.Admin == "" {
+		return part{}, nil
+	}
+	l, err := net.Listen("tcp", in.p.Admin)
+	if err != nil {
+		return part{}, fmt.Errorf("admin: %w", err)
+	}
+	in.log.Info("serving second address", "admin", l.Addr().String())
+	s := &admin.Server{State: &in.state, Log: in.log.With(logs.Part, "admin")}
+	return part{run: func(ctx context.Context) error { return s.Serve(ctx, l) }}, nil
+}
+
 // socket is the control socket.
 func socket(in *instance) (part, error) {
 	path := in.own.Socket.Path
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -29,6 +29,7 @@
 	"masthill/internal/logs"
 	"masthill/internal/notify"
 	"masthill/internal/peers"
+	"masthill/internal/readiness"
 	"masthill/internal/state"
 )
 
@@ -41,6 +42,11 @@
 	// to be written and read.
 	killAfter, longestMost = 700 * time.Millisecond, 3 * time.Second
 	refuseLead, flushFor   = 400 * time.Millisecond, 200 * time.Millisecond
+	// drainAfter is how long after an operator's call idle connections are kept: the platform asks ten times a second and
+	// stops new connections 0.2 s after a no, and callers that lose theirs before would only come again.
+	drainAfter = 400 * time.Millisecond
+	// settleFor is how long a start beside another process waits for the list, of the 6 s in which it is to be ready.
+	settleFor = 1500 * time.Millisecond
 	// endStep is how often an orderly end looks whether it is through.
 	endStep = 5 * time.Millisecond
 	// callersPart and socketsPart are the shares in a hundred of the descriptors for the two fronts' callers, and
@@ -57,8 +63,9 @@
 
 // front is one way in for callers.
 type front interface {
-	Drain()          // the readiness test fails
-	Unfinished() int // requests that are read in part
+	Drain(after time.Duration) // connections are closed as they have nothing open
+	Resume()
+	Unfinished() int // connections that a drain has still to serve
 	Refuse()         // what still comes is refused at once
 	Shutdown(ctx context.Context)
 	Serve(ctx context.Context, l net.Listener) error
@@ -124,8 +131,7 @@
 	reason    string // of the start
 	snapshot  string // taken up, or why not
 	listen    string
-	draining  atomic.Bool
-	ready     atomic.Bool
+	state     readiness.State
 	atWarning atomic.Value // string
 }
 
@@ -174,11 +180,11 @@
 			return nil
 		case <-signals.term:
 		}
-		in.draining.Store(true)
+		in.state.End()
 		in.manager.Stopping("answers what it has taken")
 		for _, one := range in.parts {
-			if one.drain != nil {
-				one.drain()
+			if one.end != nil {
+				one.end()
 			}
 		}
 		in.end()
@@ -198,16 +204,53 @@
 		}
 	})
 	g.Go(func() error { return in.manager.Watch(ctx, func() { in.core.Open() }) })
+	g.Go(func() error { in.follow(ctx); return nil })
+	if in.p.Admin != "" {
+		in.settle(ctx)
+	}
 	pos, _ := in.feed.Position()
 	in.log.Info("serving", "listen", in.listen, "pos", pos, "start", in.reason, "snapshot", in.snapshot)
-	in.ready.Store(true)
-	in.manager.Ready("serving " + in.listen)
+	in.state.Started()
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
 	return nil
 }
 
+// settle waits a moment for the list's service: an instance that is started beside the one before it, in an upgrade, must
+// not send callers to offices that its own list does not know to have gone. Without the service it starts all the same.
+func (in *instance) settle(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, settleFor)
+	defer cancel()
+	for !in.feed.Heard() && limit.Err() == nil {
+		time.Sleep(endStep)
+	}
+}
+
+// follow has the fronts and the service manager do what the instance's state asks, until the end.
+func (in *instance) follow(ctx context.Context) {
+	for last := readiness.Starting; ctx.Err() == nil && last != readiness.Ending; {
+		now := in.state.Await(ctx, last)
+		if now == last {
+			return
+		}
+		switch now {
+		case readiness.Ready:
+			for f := range in.fronts {
+				f.Resume()
+			}
+			in.manager.Ready("serving " + in.listen)
+		case readiness.Draining:
+			for f := range in.fronts {
+				f.Drain(drainAfter)
+			}
+			in.manager.Status("draining")
+		}
+		in.log.Info("state", "phase", now, "before", last)
+		last = now
+	}
+}
+
 // status is what the control socket tells.
 func (in *instance) status() ctl.Status {
 	core := in.core.Status()
@@ -224,10 +267,10 @@
 	}
 	s.MemoryMB, s.Descriptors = ctl.Usage()
 	s.ConfigWarning, _ = in.atWarning.Load().(string)
-	switch {
-	case in.draining.Load():
+	switch in.state.Phase() {
+	case readiness.Draining, readiness.Ending:
 		s.Phase = ctl.Draining
-	case !in.ready.Load():
+	case readiness.Starting:
 		s.Phase = ctl.Starting
 	}
 	for _, m := range core.Modules {
@@ -290,14 +333,14 @@
 func (in *instance) end() {
 	x, began := in.core, time.Now()
 	in.log.Info("ending", "open", x.Open())
-	for f := range in.fronts {
-		f.Drain()
-	}
 	time.Sleep(acceptFor)
 	for _, l := range in.fronts {
 		l.Drain()
 	}
 	time.Sleep(takeFor - time.Since(began))
+	for f := range in.fronts {
+		f.Drain(0)
+	}
 	unfinished := func() (n int) {
 		for f := range in.fronts {
 			n += f.Unfinished()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,6 +51,8 @@
 	// turnedLogged is how many requests turned down are logged one by one on a connection; its last line has their
 	// number. A caller that sends the same again at once must not fill the log.
 	turnedLogged = 3
+	// drainFor is how long after the begin of a drain a connection that is never without a set-up may bring new ones.
+	drainFor = time.Second
 	// shutdownStep is how often an orderly end looks whether it is through.
 	shutdownStep = 2 * time.Millisecond
 	// releaseFor is how long a release waits for a connection to go out on: PROTOCOL has it sent within 8 s.
@@ -67,15 +68,16 @@
 	Core    exchange.Desk
 	Log     *slog.Logger
 	Names   exchange.Names
-	MaxOpen int // connections held at once
+	Ready   func() bool // whether the readiness test passes
+	MaxOpen int         // connections held at once
 }
 
 // Server takes calls from callers that speak the platform's protocol.
 type Server struct {
 	Options
-	ending   atomic.Bool
 	mu       sync.Mutex
-	refusing bool // nothing more is taken
+	refusing bool      // nothing more is taken
+	drainAt  time.Time // from then on connections are closed as they have nothing open; zero: no drain
 	conns    map[*conn]bool
 	parting  int // of these, those that make room
 	txns     map[string]*txn
@@ -93,6 +95,7 @@
 	asked    bool      // something valid was asked
 	used     time.Time // when it last was, or an answer was given; at first, when it was accepted
 	gone     bool      // it is ending: nothing more is taken
+	spent    bool      // as it was idle; its reader may still find a request that had come
 	parts    bool      // it makes room for others
 }
 
@@ -142,20 +145,36 @@
 func (c *conn) idle() time.Duration {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	if c.open > 0 || c.standing > 0 {
+	c.spent = false
+	if c.open > 0 {
 		return busyFor
 	}
 	left := firstFor - time.Since(c.used)
-	if c.asked {
+	switch {
+	case c.standing > 0:
+		left = busyFor
+	case c.asked:
 		left = idleFor - time.Since(c.used)
 	}
-	c.gone = c.gone || left <= 0
+	if wait, drains := c.leaves(); drains {
+		left = min(left, wait)
+	}
+	if left <= 0 && !c.gone {
+		c.gone, c.spent = true, true
+	}
 	if c.gone {
 		return 0
 	}
 	return left
 }
 
+// stays takes back that the connection is idle, as a request had come before its end. Called by the reader, under the lock.
+func (c *conn) stays() {
+	if c.spent {
+		c.gone, c.spent = false, false
+	}
+}
+
 // rank orders connections by how soon they make room for others; -1: never, as a set-up is open there. What
 // stands goes on without its connection.
 func (c *conn) rank() int {
@@ -177,6 +196,13 @@
 	return 4
 }
 
+// outstays tells that a connection has not been without a set-up since the drain began: what it still brings is refused, or
+// it would never end.
+func (c *conn) outstays() bool {
+	left, drains := c.leaves()
+	return drains && c.open > 0 && left < -drainFor
+}
+
 // slow tells that a request is on its way in pieces.
 func (c *conn) slow() bool {
 	heard, begun := c.Begun()
@@ -234,8 +260,30 @@
 	return &Server{Options: o, conns: map[*conn]bool{}, txns: map[string]*txn{}}
 }
 
-// Drain makes the readiness test fail, so that the front sends no more.
-func (s *Server) Drain() { s.ending.Store(true) }
+// Drain closes connections as soon as no set-up is open on them, beginning after that time. What still comes is served.
+func (s *Server) Drain(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainAt = time.Now().Add(after)
+	for c := range s.conns {
+		c.Wake()
+	}
+}
+
+// Resume ends a drain: connections are kept again.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainAt = time.Time{}
+}
+
+// leaves tells how long a connection without an open set-up is kept in a drain.
+func (c *conn) leaves() (left time.Duration, drains bool) {
+	if c.server.drainAt.IsZero() || !c.asked || c.standing > 0 {
+		return 0, false
+	}
+	return time.Until(c.server.drainAt), true
+}
 
 // Serve accepts connections until the listener is closed, and serves them until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
@@ -270,12 +318,13 @@
 	return g.Wait()
 }
 
-// Unfinished tells how many set-ups are read in part: their callers write the rest to this process, whatever it does.
+// Unfinished tells how many connections are still to be served before the end: a set-up is open there, or read in part, or
+// the connection is one that a drain has not closed yet. Calls that only stand go on without it.
 func (s *Server) Unfinished() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if _, begun := c.Begun(); begun && !c.gone {
+		if _, begun := c.Begun(); !c.gone && (begun || c.open > 0 || c.asked && c.standing == 0) {
 			n++
 		}
 	}
@@ -361,7 +410,7 @@
 	case "OPTIONS":
 		c.use()
 		status := 200
-		if c.server.ending.Load() {
+		if !c.server.Ready() {
 			status = 503
 		}
 		c.Send(sip.Answer(m, status))
@@ -411,12 +460,21 @@
 		t.open--
 	}
 	t.used = time.Now()
+	t.conn.answered()
+}
+
+// answered has the reader look whether the connection is to be closed, in a drain. Called under the lock.
+func (c *conn) answered() {
+	if c.open == 0 && !c.server.drainAt.IsZero() {
+		c.Wake()
+	}
 }
 
 // use notes that something valid was asked.
 func (c *conn) use() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
+	c.stays()
 	c.ask()
 }
 
@@ -481,9 +539,10 @@
 	s := c.server
 	t := &txn{conn: c, id: id, number: number, sum: call.Sum(), echo: echo, seq: seq}
 	s.mu.Lock()
+	c.stays()
 	old := s.txns[id]
 	twice := old != nil && old.conn == c && old.sum == t.sum && bytes.Equal(old.echo, t.echo)
-	gone, full := c.gone || s.refusing, c.open >= openMost
+	gone, full := c.gone || s.refusing || c.outstays(), c.open >= openMost
 	take := old == nil && !gone && !full
 	if take {
 		s.txns[id] = t
@@ -524,6 +583,7 @@
 	if f.Verdict == exchange.Stands {
 		t.stood, t.echo = true, nil
 		t.open, t.standing, t.used = t.open-1, t.standing+1, time.Now()
+		t.answered()
 	} else {
 		s.remove(t)
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 	mu    sync.Mutex
 	told  chan string
 	setup exchange.Setup
+	away  atomic.Bool // the readiness test fails
 }
 
 func (c *core) Arrive(s exchange.Setup, _ exchange.Caller) {
@@ -37,7 +39,7 @@
 
 func newServer(most int) (*Server, *core) {
 	c := &core{told: make(chan string, 1000)}
-	return New(Options{Core: c, Log: netcase.Quiet(), MaxOpen: most, Names: exchange.Names{
+	return New(Options{Core: c, Log: netcase.Quiet(), Ready: func() bool { return !c.away.Load() }, MaxOpen: most, Names: exchange.Names{
 		Classes: []exchange.Class{{Name: "open-log", Deadline: 9 * time.Second}}, Tenants: []string{"acme"}, Cells: []int{0, 1, 2}}}), c
 }
 
@@ -133,7 +135,7 @@
 	b.expect("give up " + id)
 	p.write(message("SUBSCRIBE", id, ""))
 	p.want(405, "", "Call-ID", id)
-	b.Drain()
+	b.away.Store(true)
 	p.write(message("OPTIONS", "ping", ""))
 	p.want(503, "", "Call-ID", "ping")
 }
@@ -480,3 +482,77 @@
 		})
 	}
 }
+
+// A drain: connections that are idle are closed once it begins, those with a set-up open once that is answered or its call is
+// over, and new ones are served. A request that crosses the close is served. After it, connections are kept again.
+func TestDrain(t *testing.T) {
+	b := newBed(t, 10)
+	idle, busy, crossing := b.dial(), b.dial(), b.dial()
+	for _, p := range []peer{idle, busy, crossing} {
+		p.write(message("OPTIONS", "ping", ""))
+		p.want(200, "", "Call-ID", "ping")
+	}
+	busy.write(message("INVITE", id, headers))
+	b.expect("arrive " + id)
+	b.mu().Lock() // no reader looks at its limits before the request has come
+	b.drainAt = time.Now()
+	for c := range b.conns {
+		c.Wake()
+	}
+	other := "0000000000000002"
+	crossing.write(message("INVITE", other, headers))
+	b.mu().Unlock()
+	b.expect("arrive " + other)
+	if _, err := idle.Next(); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	fresh := b.dial()
+	fresh.write(message("INVITE", "0000000000000003", headers))
+	b.expect("arrive 0000000000000003")
+	// A call that stands keeps its connection: its release has no other way while no new connection comes.
+	b.Answer(id, exchange.Final{Verdict: exchange.Stands})
+	busy.want(200, "", "Call-ID", id)
+	if !errors.Is(busy.readByte(), os.ErrDeadlineExceeded) {
+		t.Error("a connection with a standing call was closed")
+	}
+	busy.SetReadDeadline(time.Time{})
+	b.Release(id, false)
+	busy.want(0, "BYE", "Call-ID", id)
+	for id, p := range map[string]peer{other: crossing, "0000000000000003": fresh} {
+		b.Answer(id, exchange.Final{Verdict: exchange.Refused})
+		p.want(503, "", "Call-ID", id)
+	}
+	for _, p := range []peer{busy, crossing, fresh} {
+		if _, err := p.Next(); err != io.EOF {
+			t.Errorf("with nothing open: %v", err)
+		}
+	}
+	b.Resume()
+	kept := b.dial()
+	kept.write(message("OPTIONS", "ping", ""))
+	kept.want(200, "", "Call-ID", "ping")
+	if !errors.Is(kept.readByte(), os.ErrDeadlineExceeded) {
+		t.Error("a connection was closed after the drain")
+	}
+}
+
+// A connection that is never without a set-up would never end: after a while it is refused new ones.
+func TestABusyConnectionInADrain(t *testing.T) {
+	b := newBed(t, 10)
+	p := b.dial()
+	p.write(message("INVITE", id, headers))
+	b.expect("arrive " + id)
+	b.Drain(-drainFor / 2)
+	p.write(message("INVITE", "0000000000000002", headers))
+	b.expect("arrive 0000000000000002")
+	b.Drain(-2 * drainFor)
+	p.write(message("INVITE", "0000000000000003", headers))
+	p.want(503, "", "Call-ID", "0000000000000003")
+	for _, id := range []string{id, "0000000000000002"} {
+		b.Answer(id, exchange.Final{Verdict: exchange.Refused})
+		p.want(503, "", "Call-ID", id)
+	}
+	if _, err := p.Next(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+}
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	mu    sync.Mutex
 	told  chan string
 	calls map[string]exchange.Setup
+	away  atomic.Bool // the readiness test fails
 }
 
 func (c *core) Arrive(s exchange.Setup, _ exchange.Caller) {
@@ -47,7 +49,7 @@
 
 func newBed(t *testing.T, mostOpen int, resume ...time.Duration) *bed {
 	b := &bed{core: &core{told: make(chan string, 1000), calls: map[string]exchange.Setup{}}, t: t}
-	b.Front = New(Options{Core: b.core, Log: netcase.Quiet(), MaxOpen: mostOpen, Callers: map[string]string{"station-7": token},
+	b.Front = New(Options{Core: b.core, Log: netcase.Quiet(), Ready: func() bool { return !b.away.Load() }, MaxOpen: mostOpen, Callers: map[string]string{"station-7": token},
 		Names: exchange.Names{Classes: []exchange.Class{{Name: "open-log", Deadline: 9 * time.Second}}, Tenants: []string{"acme"}}})
 	b.resume = time.Hour // no machine is too slow to come back in that
 	for _, r := range resume {
@@ -172,7 +174,7 @@
 	if err != nil || ready.StatusCode != 200 {
 		t.Errorf("ready: %v, %v", ready, err)
 	}
-	b.Drain()
+	b.away.Store(true)
 	ready, err = http.Get("http://" + b.addr + "/v1/ready")
 	if err != nil || ready.StatusCode != 503 {
 		t.Errorf("ready while ending: %v, %v", ready, err)
@@ -271,6 +273,38 @@
 	}
 }
 
+// A drain: sockets that have nothing open are closed, those with a call once that is answered, and new ones are served.
+func TestDrain(t *testing.T) {
+	b := newBed(t, 10)
+	idle, busy := b.open(), b.open()
+	b.write(idle, strings.Replace(setup, "c1", "c0", 1))
+	b.expect("arrive " + Key("station-7", "c0"))
+	b.Answer(Key("station-7", "c0"), exchange.Final{Verdict: exchange.Refused})
+	b.read(idle, `{"type":"refused","id":"c0"}`)
+	b.write(busy, setup)
+	b.expect("arrive " + key)
+	b.Drain(0)
+	if _, _, err := idle.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("an idle socket: %v", err)
+	}
+	fresh := b.open()
+	b.write(fresh, strings.Replace(setup, "c1", "c2", 1))
+	b.expect("arrive " + Key("station-7", "c2"))
+	b.Answer(Key("station-7", "c2"), exchange.Final{Verdict: exchange.Refused})
+	b.read(fresh, `{"type":"refused","id":"c2"}`)
+	b.Answer(key, exchange.Final{Verdict: exchange.Stands})
+	b.read(busy, `{"type":"stands","id":"c1"}`)
+	for _, ws := range []*websocket.Conn{fresh, busy} {
+		if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+			t.Errorf("after the answer: %v", err)
+		}
+	}
+	b.Resume()
+	kept := b.open()
+	b.write(kept, setup)
+	b.expect("arrive " + key)
+}
+
 // sockets counts the sockets that the front holds.
 func (b *bed) sockets() int {
 	b.Front.mu.Lock()
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,6 +32,8 @@
 	sweepEvery = 100 * time.Millisecond
 	// releaseFor is how long the release of a call waits for a socket of its caller.
 	releaseFor = 30 * time.Second
+	// drainFor is how long after the begin of a drain a socket that is never without a call may bring new ones.
+	drainFor = time.Second
 	// shutdownStep is how often an orderly end looks whether it is through.
 	shutdownStep = 2 * time.Millisecond
 	// openMost bounds the calls of one socket that wait for their answer, as on the platform's port.
@@ -51,15 +52,16 @@
 	Log     *slog.Logger
 	Names   exchange.Names
 	Callers map[string]string // tokens by identity
+	Ready   func() bool       // whether the readiness test passes
 	MaxOpen int               // connections held at once
 }
 
 // Front takes calls over WebSocket.
 type Front struct {
 	Options
-	ending   atomic.Bool
 	mu       sync.Mutex
-	refusing bool // nothing more is taken
+	refusing bool      // nothing more is taken
+	drainAt  time.Time // from then on sockets are closed as they have nothing open; zero: no drain
 	socks    map[*sock]bool
 	calls    map[string]*call // by the id that offices know
 	group    *errgroup.Group
@@ -74,6 +76,8 @@
 	front    *Front
 	identity string
 	open     int // calls without their answer
+	asked    bool
+	since    time.Time
 }
 
 // call is a call of this front, until it has its refusal or its release has been told.
@@ -118,8 +122,31 @@
 	return hex.EncodeToString(sum[:8])
 }
 
-// Drain makes the readiness test fail.
-func (f *Front) Drain() { f.ending.Store(true) }
+// Drain closes sockets as soon as no call waits for its answer there, beginning after that time. What still comes is served.
+func (f *Front) Drain(after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drainAt = time.Now().Add(after)
+}
+
+// Resume ends a drain: sockets are kept again.
+func (f *Front) Resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drainAt = time.Time{}
+}
+
+// leave closes the sockets that a drain has no more use for. Called under the lock.
+func (f *Front) leave() {
+	if f.drainAt.IsZero() || time.Now().Before(f.drainAt) {
+		return
+	}
+	for s := range f.socks {
+		if s.open == 0 && (s.asked || time.Since(s.since) > headerFor) {
+			s.Close()
+		}
+	}
+}
 
 // Serve takes connections until ctx ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
@@ -128,7 +155,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/calls", f.upgrade)
 	mux.HandleFunc("GET /v1/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if f.ending.Load() {
+		if !f.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -248,8 +275,17 @@
 	return c
 }
 
-// Unfinished implements what an orderly end asks: the library hands messages over whole.
-func (f *Front) Unfinished() int { return 0 }
+// Unfinished tells how many sockets are still to be served in a drain.
+func (f *Front) Unfinished() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s := range f.socks {
+		if s.open > 0 {
+			n++
+		}
+	}
+	return n
+}
 
 // Refuse has all that still comes refused here, at once: nothing more reaches the core.
 func (f *Front) Refuse() {
@@ -313,7 +349,7 @@
 		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
 		return
 	}
-	s := &sock{conn: newConn(ws, raw), front: f, identity: identity}
+	s := &sock{conn: newConn(ws, raw), front: f, identity: identity, since: time.Now()}
 	peer := r.RemoteAddr
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -364,6 +400,7 @@
 		case <-tick.C:
 		}
 		f.mu.Lock()
+		f.leave()
 		for key, c := range f.calls {
 			switch {
 			case c.sock != nil:
@@ -450,7 +487,7 @@
 		f.mu.Unlock()
 		return 482, "id of another call"
 	}
-	if c == nil && f.refusing {
+	if late := !f.drainAt.IsZero() && time.Since(f.drainAt) > drainFor; c == nil && (f.refusing || late && s.open > 0) {
 		f.mu.Unlock()
 		return 503, "the instance ends"
 	}
@@ -468,7 +505,7 @@
 		}
 		s.open++
 	}
-	c.sock = s
+	c.sock, s.asked = s, true
 	f.mu.Unlock()
 	f.Core.Arrive(setup, f)
 	return 0, ""
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 // Platform is what the platform tells an instance.
 type Platform struct {
 	Name, Listen, Journal string
+	Admin                 string // the operators' second address; empty: none
 	Seed                  uint64
 	Cores                 float64
 	MemoryMB, Sockets     int
@@ -38,6 +39,7 @@
 type file struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
+	Admin  string `json:"admin"`
 	Seed   string `json:"seed"`
 	Limits struct {
 		Cores    float64 `json:"cores"`
@@ -71,7 +73,7 @@
 // socketsLeast is what an instance needs to serve at all: a listener, the journal and a few connections.
 const socketsLeast = 32
 
-// Load reads PROXY_CONFIG; PROXY_NAME and PROXY_LISTEN come before what the file says. The error is a Faults with all
+// Load reads PROXY_CONFIG; PROXY_NAME, PROXY_LISTEN and PROXY_ADMIN come before what the file says. The error is a Faults with all
 // that is wrong.
 func Load(getenv func(string) string) (*Platform, error) {
 	path := getenv("PROXY_CONFIG")
@@ -118,7 +120,7 @@
 	if _, _, err := net.SplitHostPort(f.Journal); err != nil {
 		fault("journal", "%v", err)
 	}
-	p := &Platform{Name: f.Name, Listen: f.Listen, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
+	p := &Platform{Name: f.Name, Listen: f.Listen, Admin: f.Admin, Journal: f.Journal, Seed: seed, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
 	if v := getenv("PROXY_NAME"); v != "" {
 		p.Name = v
@@ -129,6 +131,12 @@
 	if _, _, err := net.SplitHostPort(p.Listen); err != nil {
 		fault("listen", "%v", err)
 	}
+	if v := getenv("PROXY_ADMIN"); v != "" {
+		p.Admin = v
+	}
+	if _, _, err := net.SplitHostPort(p.Admin); p.Admin != "" && err != nil {
+		fault("admin", "%v", err)
+	}
 	if f.Settings == nil {
 		fault("settings", "missing")
 		return nil, sorted(faults)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -3,12 +3,15 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Listener is a TCP listener that can be drained.
@@ -17,9 +20,20 @@
 	draining atomic.Bool
 }
 
-// Open listens at an address.
-func Open(addr string) (*Listener, error) {
-	l, err := net.Listen("tcp", addr)
+// Open listens at an address. Shared, another process may listen there too, such as the next one in an upgrade.
+func Open(addr string, shared bool) (*Listener, error) {
+	var config net.ListenConfig
+	if shared {
+		config.Control = func(_, _ string, c syscall.RawConn) (err error) {
+			if failed := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}); failed != nil {
+				return failed
+			}
+			return os.NewSyscallError("setsockopt SO_REUSEPORT", err)
+		}
+	}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -10,7 +10,7 @@
 // Connections that wait in the kernel's queue when the listener closes were reset, though their callers were connected
 // and had sent their requests. Drained, the listener gives each of them, and then it is closed.
 func TestDrainGivesWhatTheKernelHasTakenIn(t *testing.T) {
-	l, err := Open("127.0.0.1:0")
+	l, err := Open("127.0.0.1:0", false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +62,7 @@
 
 // An Accept that waits when the drain begins ends at once.
 func TestDrainWakesAccept(t *testing.T) {
-	l, err := Open("127.0.0.1:0")
+	l, err := Open("127.0.0.1:0", false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,3 +76,35 @@
 		t.Errorf("accept: %v", err)
 	}
 }
+
+// Two processes listen at one address in an upgrade; without asking for it, a port that is taken is a failed start.
+func TestShared(t *testing.T) {
+	first, err := Open("127.0.0.1:0", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	if l, err := Open(first.Addr().String(), false); err == nil {
+		l.Close()
+		t.Error("listens at a port that is taken")
+	}
+	second, err := Open(first.Addr().String(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	first.Drain()
+	if _, err := first.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept: %v", err)
+	}
+	c, err := net.Dial("tcp", first.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got, err := second.Accept(); err != nil {
+		t.Error(err)
+	} else {
+		got.Close()
+	}
+}
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -69,6 +69,7 @@
 	flushed chan struct{} // closed by the writer, when it has
 	closing chan struct{} // End was called
 	closed  atomic.Pointer[Reason]
+	woken   atomic.Bool  // the limits are to be asked again
 	begun   atomic.Bool  // a message is read in part
 	heard   atomic.Int64 // when the last bytes came, and the last were written, in Unix nanoseconds
 	wrote   atomic.Int64
@@ -108,6 +109,12 @@
 	}
 }
 
+// Wake has the reader ask its limits again.
+func (c *Conn) Wake() {
+	c.woken.Store(true)
+	c.net.SetReadDeadline(past)
+}
+
 // Abort closes the connection at once, for who needs its descriptor.
 func (c *Conn) Abort(why Reason) {
 	c.End(why)
@@ -177,6 +184,7 @@
 
 func (p *patient) wait(b []byte) (int, error) {
 	for {
+		p.woken.Store(false)
 		until := time.Time{}
 		begun := p.r.end > p.r.start
 		p.begun.Store(begun)
@@ -197,8 +205,8 @@
 				until = time.Now().Add(wait)
 			}
 		}
-		p.net.SetReadDeadline(until) // where that fails, the read tells why
-		if p.ending() {              // End's own deadline may have come before this one
+		p.net.SetReadDeadline(until)      // where that fails, the read tells why
+		if p.ending() || p.woken.Load() { // their deadline may have come before this one
 			p.net.SetReadDeadline(past)
 		}
 		n, err := p.net.Read(b)
@@ -207,7 +215,7 @@
 			return n, err
 		case p.ending():
 			return p.rest(b, errClosed)
-		case !p.began.IsZero():
+		case !p.began.IsZero() && !time.Now().Before(until):
 			return p.rest(b, errStalled)
 		}
 	}
