--- /dev/null
+++ b/cmd/masthill/operation_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"masthill/internal/sip"
+)
+
+// free gives an address that nobody listens at.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// operated starts a program that has a second address, in the platform's words.
+func operated(t *testing.T, journal string, offices []string, listen string, sockets int) (p *program, admin string) {
+	t.Helper()
+	admin = free(t)
+	return startWith(t, strings.NewReplacer(`"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q,"admin":%q`, listen, admin),
+		`"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets)).Replace(configuration(journal, offices)), ""), admin
+}
+
+// ask makes one call at a second address and tells its status; every answer is due within 1 s.
+func ask(t *testing.T, admin, method, path string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", admin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second)) // the bound of a test on a busy machine
+	io.WriteString(c, method+" "+path+" HTTP/1.1\r\nHost: admin\r\nContent-Length: 0\r\n\r\n")
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	r.Body.Close()
+	return r.StatusCode
+}
+
+// until asks for the health check until it has that status.
+func until(t *testing.T, admin string, status int) {
+	t.Helper()
+	for k := 0; ask(t, admin, "GET", "/healthcheck") != status; k++ {
+		if k > 2000 {
+			t.Fatalf("never %d", status)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// A drain under calls: the answers of what is open still come, no idle connection is kept, and none that has had its answer;
+// ok has callers come again. fail and ok cross each other, and the last one holds.
+func TestDrainUnderCalls(t *testing.T) {
+	office := newProcessor(newLedger(), "office")
+	p, admin := operated(t, newJournal(t), []string{sipOffice(t, office)}, free(t), 1024)
+	until(t, admin, 200)
+	idle, busy := dial(t, p.sip), dial(t, p.sip)
+	idle.write(options)
+	idle.want(200, "")
+	office.line.Lock() // nothing is answered before the drain
+	busy.write(invite("0000000000000001", "X-Patience: 60000\r\n"))
+	if got := ask(t, admin, "POST", "/healthcheck/fail"); got != 200 {
+		t.Errorf("fail: %d", got)
+	}
+	until(t, admin, 503)
+	if _, err := idle.Next(); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	late := dial(t, p.sip)
+	late.write(options)
+	late.want(503, "")
+	office.line.Unlock()
+	busy.want(200, "")
+	busy.write("BYE sip:x@net SIP/2.0\r\nCall-ID: 0000000000000001\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n")
+	busy.want(200, "")
+	for _, c := range []*peer{busy, late} {
+		if _, err := c.Next(); err != io.EOF {
+			t.Errorf("with nothing open: %v", err)
+		}
+	}
+	var wg sync.WaitGroup
+	for k := range 20 {
+		wg.Go(func() { ask(t, admin, "POST", []string{"/healthcheck/fail", "/healthcheck/ok"}[k%2]) })
+	}
+	wg.Wait()
+	ask(t, admin, "POST", "/healthcheck/ok")
+	until(t, admin, 200)
+	kept := dial(t, p.sip)
+	kept.write(options)
+	kept.want(200, "")
+	p.stop()
+}
+
+// An upgrade while 500 connections arrive, each with one request: the new process listens beside the old one, the old one is
+// told to end, and every request has its answer from one of them.
+func TestUpgradeUnderConnections(t *testing.T) {
+	office := sipOffice(t, newProcessor(newLedger(), "office"))
+	journal, listen := newJournal(t), free(t)
+	old, _ := operated(t, journal, []string{office}, listen, 1024)
+	const connections = 500
+	var answered, turned atomic.Int64
+	var wg sync.WaitGroup
+	ended := make(chan bool)
+	for k := range connections {
+		if k == connections/4 {
+			_, admin := operated(t, journal, []string{office}, listen, 1024)
+			until(t, admin, 200)
+			old.Process.Signal(syscall.SIGTERM)
+			go func() { <-old.ended; close(ended) }()
+		}
+		wg.Go(func() {
+			c, err := net.Dial("tcp", listen)
+			if err != nil {
+				turned.Add(1)
+				return
+			}
+			defer c.Close()
+			io.WriteString(c, options)
+			m, err := sip.NewReader(c).Next()
+			if err != nil || m.Status != 200 && m.Status != 503 {
+				turned.Add(1)
+				return
+			}
+			answered.Add(1)
+		})
+		time.Sleep(4 * time.Millisecond) // spread over the old one's end, 0.45 s after its signal
+	}
+	wg.Wait()
+	<-ended
+	t.Logf("%d answered, %d turned back", answered.Load(), turned.Load())
+	if turned.Load() > 2 || answered.Load()+turned.Load() != connections {
+		t.Errorf("%d answered, %d turned back", answered.Load(), turned.Load())
+	}
+	if code := old.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("the old process ended with %d", code)
+	}
+}
+
+// A new process that can't start leaves the old one serving.
+func TestAnUpgradeThatCannotStart(t *testing.T) {
+	journal, listen := newJournal(t), free(t)
+	old, admin := operated(t, journal, nil, listen, 1024)
+	text := strings.Replace(configuration(journal, nil), `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q,"admin":%q`, listen, admin), 1)
+	second := startWith(t, text, "") // at the same second address
+	<-second.ended
+	if code := second.ProcessState.ExitCode(); code != 1 || !strings.Contains(second.log.String(), "admin") {
+		t.Errorf("exit code %d, %q", code, second.log.String())
+	}
+	until(t, admin, 200)
+	c := dial(t, listen)
+	c.write(options)
+	c.want(200, "")
+	old.stop()
+}
+
+// A crowd with few descriptors: thousands connect and say nothing, or stop half way. A slow caller is served, and the second
+// address answers beside it, also beside half calls of its own.
+func TestACrowdWithFewDescriptors(t *testing.T) {
+	office := sipOffice(t, newProcessor(newLedger(), "office"))
+	p, admin := operated(t, newJournal(t), []string{office}, free(t), 64)
+	until(t, admin, 200)
+	stop := make(chan bool)
+	var wg sync.WaitGroup
+	var crowd atomic.Int64
+	for k := range 4 {
+		wg.Go(func() {
+			var open []net.Conn
+			for n := 0; n < 1000; n++ {
+				select {
+				case <-stop:
+					n = 1000
+					continue
+				default:
+				}
+				c, err := net.DialTimeout("tcp", p.sip, 5*time.Second)
+				if err != nil {
+					if errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Error("connects are not taken in")
+						return
+					}
+					continue
+				}
+				crowd.Add(1)
+				if (n+k)%2 == 0 {
+					io.WriteString(c, "INVITE sip:17@net SI")
+				}
+				if open = append(open, c); len(open) > 40 {
+					open[0].Close()
+					open = open[1:]
+				}
+			}
+			for _, c := range open {
+				c.Close()
+			}
+		})
+	}
+	half, err := net.Dial("tcp", admin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer half.Close()
+	io.WriteString(half, "POST /healthcheck/fa")
+	for k := range 5 {
+		slow := dial(t, p.sip)
+		text := invite(fmt.Sprintf("%016x", k+1), "X-Patience: 60000\r\n")
+		for n := 0; n < len(text); n += 20 {
+			slow.write(text[n:min(n+20, len(text))])
+			time.Sleep(20 * time.Millisecond)
+		}
+		slow.want(200, "")
+		slow.Close()
+		if got := ask(t, admin, "GET", "/healthcheck"); got != 200 {
+			t.Errorf("health check: %d", got)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if crowd.Load() < 100 {
+		t.Errorf("a crowd of %d", crowd.Load())
+	}
+	p.stop()
+}
--- a/cmd/masthill/standin_test.go
+++ b/cmd/masthill/standin_test.go
@@ -72,10 +72,15 @@
 
 // start writes the configuration and starts the program; offices are addresses, cells in their order.
 func start(t *testing.T, journal string, offices []string, callws string) *program {
+	t.Helper()
+	return startWith(t, configuration(journal, offices), callws)
+}
+
+// startWith starts the program with a configuration of the test's own.
+func startWith(t *testing.T, text, callws string) *program {
 	t.Helper()
 	dir := t.TempDir()
 	file, project := filepath.Join(dir, "config.json"), filepath.Join(dir, "callws.toml")
-	text := configuration(journal, offices)
 	for name, text := range map[string]string{file: text, project: callws} {
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
