A call whose caller is away ends without a trace in what is believed of offices

Seen: check.sh on a clean checkout failed TestACallerThatIsAway. Besides the expected wait, it showed a fault: the attempt that was kept back was told to the module as an answer without a free line, which marked a well office for 0.2 s. It is now told as called off, as for a caller that leaves.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -169,8 +169,9 @@
 	office, ok := c.known[a.Server]
 	room, module, why := c.chain.Room(c.now, a.Server)
 	if cl.away { // work for nobody; the refusal is on record, should the caller come back
-		cl.sent++
-		c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server, Outcome: control.Superseded})
+		c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
+		c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server, Outcome: control.Recalled, Ended: true})
+		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
 		return
 	}
 	if cl.out || c.now < cl.clearAt || !ok || office.State != control.In || !room {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -383,6 +383,7 @@
 	b.call("a", 3*time.Second)
 	b.want("answer a refused  2000ms")
 
+	b = newBed(t)
 	b.call("b", 3*time.Second)
 	b.left("b", "o")
 	b.call("b", 3*time.Second) // it is back
