--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -274,7 +274,7 @@
 		return part{}, fmt.Errorf("admin: %w", err)
 	}
 	in.log.Info("serving second address", "admin", l.Addr().String())
-	s := &admin.Server{State: &in.state, Log: in.log.With(logs.Part, "admin")}
+	s := admin.New(&in.state, in.log.With(logs.Part, "admin"))
 	return part{run: func(ctx context.Context) error { return s.Serve(ctx, l) }}, nil
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,8 @@
 
 const (
 	// ConnsMost bounds the connections, and so the descriptors that are set aside for them. Where all are taken, the
-	// oldest makes room: an honest call is over in a moment.
-	ConnsMost = 16
+	// oldest makes room as soon as it has had youngFor: an honest call is over in a moment.
+	ConnsMost, youngFor = 16, 100 * time.Millisecond
 	// callFor is the time for a whole call, headerMost its size.
 	callFor, headerMost = 2 * time.Second, 4 << 10
 )
@@ -30,7 +31,18 @@
 	State *readiness.State
 	Log   *slog.Logger
 	mu    sync.Mutex
-	open  []net.Conn // the oldest first
+	open  []held        // the oldest first
+	freed chan struct{} // a place is free, or may be
+}
+
+type held struct {
+	net.Conn
+	since time.Time
+}
+
+// New makes a server.
+func New(state *readiness.State, log *slog.Logger) *Server {
+	return &Server{State: state, Log: log, freed: make(chan struct{}, 1)}
 }
 
 // Serve answers until ctx ends.
@@ -55,25 +67,44 @@
 	return g.Wait()
 }
 
-// state keeps the connections within their bound.
+// state keeps the connections within their bound. The server calls it for a new one before it accepts the next.
 func (s *Server) state(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		if s.open = append(s.open, c); len(s.open) > ConnsMost {
-			s.Log.Warn("second address", "reason", "evicted", "peer", s.open[0].RemoteAddr().String())
-			s.open[0].Close() // the server hears of it and tells so
-			s.open = s.open[1:]
+		for !s.admit(c) {
+			wait := time.NewTimer(youngFor)
+			select {
+			case <-s.freed:
+			case <-wait.C:
+			}
+			wait.Stop()
 		}
 	case http.StateClosed, http.StateHijacked:
-		for k, open := range s.open {
-			if open == c {
-				s.open = append(s.open[:k:k], s.open[k+1:]...)
-				return
-			}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open = slices.DeleteFunc(s.open, func(h held) bool { return h.Conn == c })
+		select {
+		case s.freed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// admit gives a connection a place, if need be that of the oldest.
+func (s *Server) admit(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= ConnsMost {
+		oldest := s.open[0]
+		if time.Since(oldest.since) < youngFor {
+			return false
 		}
+		s.Log.Warn("second address", "reason", "evicted", "peer", oldest.RemoteAddr().String())
+		oldest.Close() // the server hears of it and tells so
+		s.open = s.open[1:]
 	}
+	s.open = append(s.open, held{c, time.Now()})
+	return true
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
