Tests: a drained connection ends with its answer; a crowd's slow caller is served

Each part was taken out once: both tests were seen to fail without it. The crowd's test had passed without the look at slow callers, as its request came whole before a silent connection loses its place.

--- a/cmd/masthill/operation_test.go
+++ b/cmd/masthill/operation_test.go
@@ -196,12 +196,12 @@
 	}
 	defer half.Close()
 	io.WriteString(half, "POST /healthcheck/fa")
-	for k := range 5 {
+	for k := range 3 {
 		slow := dial(t, p.sip)
 		text := invite(fmt.Sprintf("%016x", k+1), "X-Patience: 60000\r\n")
-		for n := 0; n < len(text); n += 20 {
-			slow.write(text[n:min(n+20, len(text))])
-			time.Sleep(20 * time.Millisecond)
+		for n := 0; n < len(text); n += 12 {
+			slow.write(text[n:min(n+12, len(text))])
+			time.Sleep(40 * time.Millisecond) // longer, in all, than silent ones keep their place
 			join(10)
 		}
 		slow.want(200, "")
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -556,3 +556,28 @@
 		t.Errorf("after the last answer: %v", err)
 	}
 }
+
+// In a drain a connection is closed with the answer to its last set-up, not only when its reader looks again.
+func TestADrainedConnectionEndsWithItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, core := newServer(10)
+		ours, theirs := net.Pipe()
+		c := newConn(ours, s)
+		s.conns[c] = true
+		done := make(chan bool)
+		go func() { s.serve(t.Context(), c); close(done) }()
+		go io.Copy(io.Discard, theirs)
+		io.WriteString(theirs, message("INVITE", id, headers))
+		<-core.told
+		s.Drain(0)
+		synctest.Wait()
+		s.Answer(id, exchange.Final{Verdict: exchange.Refused})
+		synctest.Wait()
+		s.mu.Lock()
+		if !c.gone {
+			t.Error("kept after its answer")
+		}
+		s.mu.Unlock()
+		<-done
+	})
+}
