A late deadline of a close ends neither the linger nor the last look

Seen: TestWhatComesAfterTheCloseResetsNothing failed once in 200 runs under the race detector. End closes its channel and then sets a deadline that wakes the reader; a reader that was quicker had set its own for the linger by then, and the late one ended it, so the connection was closed at once and its peer's next bytes were reset. The linger now goes on to its own end, and the last look does not go by deadlines (RawConn.Control). The test sets the late deadline itself: seen to fail without the mend.

--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -232,12 +232,11 @@
 	if err != nil {
 		return 0, err
 	}
-	p.net.SetReadDeadline(time.Time{})
 	var got error
-	err = fd.Read(func(fd uintptr) bool {
+	err = fd.Control(func(fd uintptr) { // whatever the deadline
 		for {
 			if n, got = syscall.Read(int(fd), b); got != syscall.EINTR {
-				return true
+				return
 			}
 		}
 	})
@@ -281,7 +280,11 @@
 	}
 	for read := 0; read < lingerBytes; {
 		n, err := c.net.Read(r.buf)
-		if read += n; err != nil {
+		read += n
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until):
+			c.net.SetReadDeadline(until) // that of End or Wake came after this one
+		case err != nil:
 			return
 		}
 	}
--- a/internal/sip/conn_test.go
+++ b/internal/sip/conn_test.go
@@ -171,6 +171,7 @@
 	c.Close()
 	<-c.flushed
 	for range 20 {
+		c.net.SetReadDeadline(past)  // that of a Close whose reader was quicker
 		time.Sleep(time.Millisecond) // a reset has the time to come back
 		if _, err := io.WriteString(peer, invite); err != nil {
 			t.Fatalf("reset: %v", err)
