An instance is ready before it logs that it serves

Seen: check.sh on a clean checkout failed TestASteadyRun, "n2 fails its test": the line "serving" came before the state's change, and a caller that went by the line had 503 to its first OPTIONS. The two lines are swapped. TestASteadyRun and the tests of cmd/masthill wait for that line; the order can't be forced from outside the process, so no further test is added.

--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -209,8 +209,8 @@
 		in.settle(ctx)
 	}
 	pos, _ := in.feed.Position()
+	in.state.Started() // before the line that tells so
 	in.log.Info("serving", "listen", in.listen, "pos", pos, "start", in.reason, "snapshot", in.snapshot)
-	in.state.Started()
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
