Rig: the broken build that believes one witness is looked for over four silent servers

Seen: check.sh on a clean checkout failed TestBrokenProgramsAreCaught/witnesses, "nothing found" with 12 verdicts, in one of four runs today; alone it passes. Nothing of the peers has changed. Whether one silent server shows the fault hangs on whose calls come then. The plan had two of them in 16 s and has four in 28 s: the same check, with more for it to find.

--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"fmt"
 	"math"
 	"os"
 	"os/exec"
@@ -126,7 +127,11 @@
 			t.Parallel()
 			text := short
 			if guard == judge.Witnesses { // one that has its servers' answers late, for the others to hear of
-				text += "[[fault]]\nkind = \"silent\"\nat = \"3s\"\nfor = \"3s\"\nwho = [0]\n[[fault]]\nkind = \"silent\"\nat = \"9s\"\nfor = \"3s\"\nwho = [1]\n"
+				// One such fault shows it or not, by whose calls come then, so there are four.
+				text = strings.Replace(text, `for = "16s"`, `for = "28s"`, 1)
+				for who, at := range []string{"3s", "9s", "15s", "21s"} {
+					text += fmt.Sprintf("[[fault]]\nkind = \"silent\"\nat = %q\nfor = \"3s\"\nwho = [%d]\n", at, who%3)
+				}
 			}
 			r := play(t, text, Options{Program: broken, Env: []string{"MASTHILL_WITHOUT=" + guard}})
 			if found(r) == 0 {
