--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Formatting, vet, the deploy file's build and all tests; needs nothing outside the repository, and fails on any unformatted file.
+# Formatting, vet, staticcheck, the deploy file's build and all tests; needs nothing outside the repository, and fails on any unformatted file.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -8,5 +8,6 @@
   exit 1
 fi
 go vet ./...
+go tool staticcheck ./...
 sh -c "$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
 go test -race -count=1 ./...
--- a/control/levels/levels_test.go
+++ b/control/levels/levels_test.go
@@ -56,7 +56,7 @@
 	if r := l.Admit(now, join.Call{ID: "f"}); r.Verdict != join.Admit {
 		t.Error("a first try is taken", r)
 	}
-	now = play(l, now, 40, 0)
+	play(l, now, 40, 0)
 	if l.Level() != Normal || len(told) != 4 || told[3].Reason != Calm {
 		t.Errorf("%+v", told)
 	}
@@ -67,7 +67,7 @@
 	l := New(settings(), 1, 100*second, nil, nil)
 	now := play(l, 100*second, 20, 0)
 	now = play(l, now, 3, 0.3)
-	now = play(l, now, 60, 0)
+	play(l, now, 60, 0)
 	if n := len(l.History()); n > 4 || l.Level() != Normal {
 		t.Errorf("%d changes for one jump: %+v", n, l.History())
 	}
--- a/control/shared/lease/lease_test.go
+++ b/control/shared/lease/lease_test.go
@@ -24,7 +24,6 @@
 	size    int64
 	wanting func(k int) int64
 	most    int64 // that was ever in use
-	used    map[int][]int64
 	broken  string
 	starts  int64 // of processes, each of which may begin with a part of a unit
 }
--- a/internal/config/fault.go
+++ b/internal/config/fault.go
@@ -41,14 +41,6 @@
 	return strings.Join(lines, "\n")
 }
 
-// err is nil without faults: a Faults of length 0 in an error would not be.
-func (f Faults) err() error {
-	if len(f) == 0 {
-		return nil
-	}
-	return f
-}
-
 // All gives every fault of an error from Load, LoadProject or their like.
 func All(err error) Faults {
 	var many Faults
--- a/internal/notify/notify_test.go
+++ b/internal/notify/notify_test.go
@@ -65,8 +65,10 @@
 		})
 		close(ended)
 	}()
-	if hear() != "WATCHDOG=1" || hear() != "WATCHDOG=1" {
-		t.Error("no sign of life")
+	for range 2 {
+		if got := hear(); got != "WATCHDOG=1" {
+			t.Errorf("no sign of life: %q", got)
+		}
 	}
 	l.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
 	if n, _ := l.Read(make([]byte, 100)); n > 0 {
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -35,7 +35,6 @@
 	from   *controller
 	gen    int // of the controller's process
 	stands bool
-	over   bool
 }
 
 func (m *model) newServer(cell int, ready int64) *server {
--- a/lab/rig/claims.go
+++ b/lab/rig/claims.go
@@ -45,7 +45,6 @@
 	reigns   [][2]int64 // from and until
 	looks    []look
 	verdicts []judge.Verdict
-	avoids   []int // how many it avoided after each verdict
 }
 
 type claim struct {
