internal/peers: one file a concern; lines are moved, none is changed

Change: peers.go keeps the life cycle; options, members, their events, the library's delegate and settings, the codec, broadcast, receiving, ticks, joining, the remembered addresses, keys and status have a file each, and so have framing and ordered streams.

--- /dev/null
+++ b/internal/peers/events.go
@@ -0,0 +1,77 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	// lostMost bounds the members that are remembered after they are gone, lostFor how long, and rejoinEvery is how often
+	// some of them, and the seeds, are tried: after a cut two halves do not find each other by themselves.
+	lostMost, lostFor = 1024, time.Hour
+)
+
+// memberlistMost is how many members there may be.
+const memberlistMost = 1024
+
+// seen takes what the library says of a member.
+func (p *Peers) seen(n *memberlist.Node, state string) {
+	var m meta
+	if decode(n.Meta, &m) != nil {
+		return
+	}
+	if m.Leaving && state == Gone {
+		state = Left
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.members[n.Name]
+	now := &Member{Name: n.Name, Addr: n.Address(), Site: m.Site, Machine: m.Machine, Epoch: m.Epoch, Started: time.UnixMilli(m.Started), Version: m.Version,
+		State: state, Since: time.Now(), Starts: 1, Self: n.Name == p.o.Name}
+	reason := Joined
+	switch {
+	case before == nil && state != Alive:
+		return
+	case before == nil:
+		if len(p.members) >= lostMost+memberlistMost {
+			p.forgetOldest()
+		}
+	case before.Epoch != m.Epoch && state == Alive:
+		reason, now.Starts = Restarted, before.Starts+1
+	case before.State == state:
+		now.Since, now.Starts = before.Since, before.Starts
+		p.members[n.Name] = now
+		return
+	default:
+		now.Starts = before.Starts
+		if reason = Returned; state != Alive {
+			reason = state
+		}
+	}
+	p.members[n.Name] = now
+	if !now.Self {
+		p.note(n.Name, state, reason)
+		if state != Alive || reason == Restarted {
+			p.group.Go(func() error { p.links.forget(n.Name); return nil }) // closes sockets, which the library must not wait for
+		}
+	}
+}
+
+// note logs and keeps a change.
+func (p *Peers) note(name, state, reason string) {
+	p.log.Info("member", "name", name, "state", state, "reason", reason)
+	p.changes = append(p.changes, Change{time.Now(), name, state, reason})
+	p.changes = p.changes[max(0, len(p.changes)-changesMost):]
+}
+
+func (p *Peers) forgetOldest() {
+	oldest := ""
+	for name, m := range p.members {
+		if m.State != Alive && (oldest == "" || m.Since.Before(p.members[oldest].Since)) {
+			oldest = name
+		}
+	}
+	delete(p.members, oldest)
+	delete(p.last, oldest)
+}
--- /dev/null
+++ b/internal/peers/framing.go
@@ -0,0 +1,57 @@
+package peers
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+const (
+	// MessageMost bounds one message of an ordered stream, queueMost the bytes that wait for a peer: a peer that takes less
+	// than this in writeFor is let go.
+	MessageMost, queueMost = 64 << 10, 1 << 20
+)
+
+// writeText writes a short text behind its length.
+func writeText(w io.Writer, s string) error {
+	_, err := w.Write(append([]byte{byte(len(s))}, s...))
+	return err
+}
+
+func readText(r io.Reader, most int) (string, error) {
+	var n [1]byte
+	if _, err := io.ReadFull(r, n[:]); err != nil {
+		return "", err
+	}
+	if int(n[0]) > most {
+		return "", fmt.Errorf("a name of %d bytes", n[0])
+	}
+	b := make([]byte, n[0])
+	_, err := io.ReadFull(r, b)
+	return string(b), err
+}
+
+// WriteMessage writes one message of a stream, behind its length.
+func WriteMessage(w io.Writer, b []byte) error {
+	if len(b) > MessageMost {
+		return fmt.Errorf("a message of %d bytes", len(b))
+	}
+	record := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
+	_, err := w.Write(append(record, b...))
+	return err
+}
+
+// ReadMessage reads one message.
+func ReadMessage(r io.Reader) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > MessageMost {
+		return nil, fmt.Errorf("a message of %d bytes", n)
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(r, b)
+	return b, err
+}
--- /dev/null
+++ b/internal/peers/status.go
@@ -0,0 +1,50 @@
+package peers
+
+import (
+	"slices"
+	"strconv"
+)
+
+// Status is what operators are told.
+type Status struct {
+	Name     string   `json:"name"`
+	Addr     string   `json:"addr"`
+	Epoch    string   `json:"epoch"`
+	Taken    string   `json:"name_taken_by,omitempty"`
+	Members  []Member `json:"members"`
+	Changes  []Change `json:"changes"`
+	Health   int      `json:"health"` // 0: well; more: this instance itself hears late (Lifeguard's local health)
+	Heard    int64    `json:"heard"`  // messages
+	Dropped  int64    `json:"dropped"`
+	Unread   int64    `json:"unreadable"`
+	SentN    int64    `json:"sent"` // datagrams
+	SentByte int64    `json:"sent_bytes"`
+}
+
+// Status tells what the membership knows.
+func (p *Peers) Status() Status {
+	s := Status{Name: p.o.Name, Addr: p.Addr(), Epoch: strconv.FormatUint(p.o.Epoch, 16), Members: p.Members(), Heard: p.heard.Load(),
+		Dropped: p.dropped.Load() + p.t.dropped.Load(), Unread: p.unread.Load(), SentN: p.t.sentN.Load(), SentByte: p.t.sent.Load()}
+	if list := p.list.Load(); list != nil {
+		s.Health = list.GetHealthScore()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.Changes, s.Taken = slices.Clone(p.changes), p.taken
+	return s
+}
+
+// count is how many members are taken to be there.
+func (p *Peers) count() int {
+	if list := p.list.Load(); list != nil {
+		return list.NumMembers()
+	}
+	return 1
+}
+
+// silent tells whether this process has to hold its tongue, its name being another's.
+func (p *Peers) silent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.taken != ""
+}
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
-	"fmt"
 	"io"
 	"log"
 	"log/slog"
@@ -15,17 +13,12 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
-
-	"masthill/internal/logs"
 )
 
 const (
 	// kindMost bounds a stream's kind, NameMost a member's name.
 	kindMost, NameMost = 32, 64
-	// MessageMost bounds one message of an ordered stream, queueMost the bytes that wait for a peer: a peer that takes less
-	// than this in writeFor is let go.
-	MessageMost, queueMost = 64 << 10, 1 << 20
-	writeFor               = 3 * time.Second
+	writeFor           = 3 * time.Second
 	// streamsMost bounds the streams that one peer may have open here.
 	streamsMost = 32
 	windowMost  = 256 << 10
@@ -34,8 +27,6 @@
 var (
 	// ErrNoMember tells that nobody of that name is a member now.
 	ErrNoMember = errors.New("no such member")
-	// ErrLetGo tells that a peer took too little and is not waited for.
-	ErrLetGo = errors.New("peer let go")
 )
 
 // Handler serves a stream that a member has opened; the stream is closed when it returns.
@@ -217,146 +208,18 @@
 	}
 }
 
-// writeText writes a short text behind its length.
-func writeText(w io.Writer, s string) error {
-	_, err := w.Write(append([]byte{byte(len(s))}, s...))
-	return err
-}
-
-func readText(r io.Reader, most int) (string, error) {
-	var n [1]byte
-	if _, err := io.ReadFull(r, n[:]); err != nil {
-		return "", err
-	}
-	if int(n[0]) > most {
-		return "", fmt.Errorf("a name of %d bytes", n[0])
-	}
-	b := make([]byte, n[0])
-	_, err := io.ReadFull(r, b)
-	return string(b), err
-}
-
-// WriteMessage writes one message of a stream, behind its length.
-func WriteMessage(w io.Writer, b []byte) error {
-	if len(b) > MessageMost {
-		return fmt.Errorf("a message of %d bytes", len(b))
-	}
-	record := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
-	_, err := w.Write(append(record, b...))
-	return err
-}
-
-// ReadMessage reads one message.
-func ReadMessage(r io.Reader) ([]byte, error) {
-	var size [4]byte
-	if _, err := io.ReadFull(r, size[:]); err != nil {
-		return nil, err
-	}
-	n := binary.BigEndian.Uint32(size[:])
-	if n > MessageMost {
-		return nil, fmt.Errorf("a message of %d bytes", n)
-	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(r, b)
-	return b, err
-}
-
-// Ordered is an ordered stream to a member that is never waited for: what is put into it is sent in order, and a peer that
-// takes too little is let go, with all that waits for it.
-type Ordered struct {
-	mu    sync.Mutex
-	queue [][]byte
-	bytes int
-	wake  chan struct{}
-	err   error
-}
-
-// Put hands over a message; it never blocks. An error tells that the stream is over: what was put before may not have
-// arrived, and whoever needs it to sends it anew over another stream.
-func (o *Ordered) Put(b []byte) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.err == nil && (len(b) > MessageMost || o.bytes+len(b) > queueMost) {
-		o.err = ErrLetGo
-	}
-	if o.err != nil {
-		return o.err
-	}
-	o.queue = append(o.queue, b)
-	o.bytes += len(b)
-	select {
-	case o.wake <- struct{}{}:
-	default:
-	}
-	return nil
-}
-
-// run sends until the stream or ctx ends.
-func (o *Ordered) run(ctx context.Context, open func() (net.Conn, error)) error {
-	c, err := open()
-	if err == nil {
-		defer c.Close()
-		stop := context.AfterFunc(ctx, func() { c.Close() })
-		defer stop()
-	}
-	for err == nil {
-		o.mu.Lock()
-		batch := o.queue
-		o.queue, err = nil, o.err
-		o.mu.Unlock()
-		for _, b := range batch {
-			if err == nil {
-				c.SetWriteDeadline(time.Now().Add(writeFor))
-				err = WriteMessage(c, b)
-			}
-			o.mu.Lock()
-			o.bytes -= len(b)
-			o.mu.Unlock()
-		}
-		if err == nil && len(batch) == 0 {
-			select {
-			case <-o.wake:
-			case <-ctx.Done():
-				err = ctx.Err()
-			}
+// dial connects to a member for streams.
+func (p *Peers) dial(ctx context.Context, name string) (net.Conn, error) {
+	for _, a := range p.addresses() {
+		if a.Name == name {
+			d := net.Dialer{Timeout: greetFor}
+			return d.DialContext(ctx, "tcp", p.t.to(a))
 		}
 	}
-	o.mu.Lock()
-	if o.err == nil {
-		o.err = err
-		var late net.Error
-		if errors.As(err, &late) && late.Timeout() {
-			o.err = ErrLetGo
-		}
-	}
-	o.queue, err = nil, o.err
-	o.mu.Unlock()
-	return err
-}
-
-// Ordered opens an ordered stream of a kind to a member. It is over with an error of Put.
-func (p *Peers) Ordered(name, kind string) *Ordered {
-	o := &Ordered{wake: make(chan struct{}, 1)}
-	if p.list.Load() == nil {
-		o.err = ErrNoMember
-		return o
-	}
-	p.group.Go(func() error {
-		err := o.run(p.ctx, func() (net.Conn, error) { return p.Open(p.ctx, name, kind) })
-		p.log.Info("ordered stream ended", logs.Part, "peers", "reason", reasonOf(err), "member", name, "kind", kind, "err", err)
-		return nil
-	})
-	return o
+	return nil, ErrNoMember
 }
 
-func reasonOf(err error) string {
-	switch {
-	case errors.Is(err, ErrLetGo):
-		return "let-go"
-	case errors.Is(err, context.Canceled):
-		return "ending"
-	case errors.Is(err, ErrNoMember):
-		return "no-member"
-	}
-	return "peer-closed"
+// Open opens a stream of a kind to a member. What it carries comes in order or not at all.
+func (p *Peers) Open(ctx context.Context, name, kind string) (net.Conn, error) {
+	return p.links.open(ctx, name, kind)
 }
