--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -13,56 +13,13 @@
 package count
 
 import (
-	"cmp"
 	"maps"
-	"math"
-	"slices"
-	"sort"
-	"strings"
 )
 
-// Config bounds what is kept, and names what the bounds assume.
-type Config struct {
-	Window int64   // the longest that is asked for, in nanoseconds
-	Every  int64   // between two samples of an instance that are kept apart
-	Delay  int64   // that a message takes at most
-	Rate   float64 // that one instance counts of one key at most, a second
-	// Without leaves a guard out, to show that the checkers notice: Merge. Empty in every build but the lab's.
-	Without string
-}
-
-// Merge is the guard that keeps what is heard twice from counting twice.
-const Merge = "merge"
-
 const (
-	second = int64(1e9)
-	// keysMost bounds the keys of one instance, KeyLong a key's length, sourcesMost the instances (with those that have been
-	// replaced within a window).
-	keysMost, sourcesMost = 64, 2048
-	KeyLong               = 48
-	// drift is by how much a clock may run fast or slow: as in package lease.
-	drift = 0.002
-	// futureMost bounds how far one message may move a count, in seconds of the greatest rate: a message that is wrong, and
-	// not just late, must not count for a whole season.
-	futureMost = 3600.0
-	upMost     = int64(10 * 366 * 24 * 3600 * 1000) // ten years in milliseconds
+	KeyLong = 48
 )
 
-func (c *Config) defaults() {
-	if c.Window <= 0 {
-		c.Window = 10 * second
-	}
-	if c.Every <= 0 {
-		c.Every = second / 4
-	}
-	if c.Delay <= 0 {
-		c.Delay = 2 * second
-	}
-	if c.Rate <= 0 {
-		c.Rate = 2000
-	}
-}
-
 // Source is one process of an instance.
 type Source struct {
 	Name  string `codec:"n"`
@@ -196,105 +153,3 @@
 
 // silence is how long a process may say nothing before it is no longer counted with.
 func (s *Set) silence() int64 { return s.cfg.Window + 2*s.cfg.Delay }
-
-// Reading is a count of the fleet over a window. A process of which nothing was heard a Config.Delay ago is in the value
-// alone: its first messages may have waited in another that passed them on, so that nothing is sure of their age.
-type Reading struct {
-	Value float64 `json:"value"`  // the likeliest
-	Least int64   `json:"least"`  // surely counted in the window by the processes that it is about
-	Most  int64   `json:"most"`   // by them, at most
-	AgeMS int64   `json:"age_ms"` // of what was heard last from the one that has been quiet for longest
-	Of    int     `json:"of"`     // processes that it is about, this one among them
-}
-
-// Read reads a key over a window that ends now.
-func (s *Set) Read(now int64, key string, window int64) (r Reading) {
-	window = min(window, s.cfg.Window)
-	from := now - window
-	for id, h := range s.sources {
-		delay, last := s.cfg.Delay, h.samples[len(h.samples)-1]
-		total := last.counts[key]
-		if id == s.own {
-			delay, total, last.at = 0, s.counts[key], now
-		}
-		age := now - last.at
-		if age > s.silence() {
-			continue
-		}
-		if h.settled {
-			r.Of++
-			r.AgeMS = max(r.AgeMS, age/1e6)
-		}
-		// A sample shows its process as it was when it was sent: not later than it came, and not more than the delay before.
-		// So what it had counted when the window began is before at least and after at most, and likely guess.
-		all := h.samples
-		next := sort.Search(len(all), func(k int) bool { return all[k].at > from })
-		was, before := sample{at: h.began}, int64(0)
-		if next > 0 {
-			was = all[next-1]
-			before = was.counts[key]
-		}
-		guess := float64(before)
-		switch {
-		case next < len(all) && was.at <= from:
-			guess += float64(all[next].counts[key]-before) * float64(from-was.at) / float64(all[next].at-was.at)
-		case next == len(all) && id != s.own: // nothing was heard since
-			guess = float64(total)
-		}
-		after := total
-		if sure := sort.Search(len(all), func(k int) bool { return all[k].at-delay >= from }); sure < len(all) {
-			after = min(after, all[sure].counts[key])
-		}
-		if h.began-delay-1e6 >= from {
-			after = 0 // its process had not begun
-		}
-		if r.Value += float64(total) - guess; !h.settled {
-			continue
-		}
-		r.Least += total - min(after, total)
-		r.Most += total - before
-		if id != s.own {
-			r.Most += int64(math.Ceil(s.cfg.Rate * float64(min(age+delay, window)) / 1e9))
-		}
-	}
-	return r
-}
-
-// Known is what a process is known to have counted since its start.
-type Known struct {
-	Source
-	Counts map[string]int64 `json:"counts"`
-	AgeMS  int64            `json:"age_ms"` // of the news
-}
-
-// All tells what is known of each process that readings are about, the newest news only, in the order of names.
-func (s *Set) All(now int64) (all []Known) {
-	for id, h := range s.sources {
-		last := h.samples[len(h.samples)-1]
-		if id == s.own {
-			last = sample{now, s.counts}
-		} else if !h.settled || now-last.at > s.silence() {
-			continue
-		}
-		all = append(all, Known{id, maps.Clone(last.counts), (now - last.at) / 1e6})
-	}
-	slices.SortFunc(all, func(a, b Known) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Epoch, b.Epoch))
-	})
-	return all
-}
-
-// Keys lists the keys with a prefix that any process known has counted.
-func (s *Set) Keys(prefix string) []string {
-	seen := map[string]bool{}
-	for _, h := range s.sources {
-		for k := range h.samples[len(h.samples)-1].counts {
-			seen[k] = seen[k] || strings.HasPrefix(k, prefix)
-		}
-	}
-	for k := range s.counts {
-		seen[k] = seen[k] || strings.HasPrefix(k, prefix)
-	}
-	maps.DeleteFunc(seen, func(_ string, is bool) bool { return !is })
-	return slices.Sorted(maps.Keys(seen))
-}
