--- a/internal/peers/broadcast.go
+++ b/internal/peers/broadcast.go
@@ -9,50 +9,50 @@
 	"masthill/control/shared"
 )
 
-// byteTo is a message and whom it is for, or from whom.
-type byteTo struct {
-	to string
-	b  []byte
-	at time.Time // it was made, or read
+// envelope is a message and whom it is for, or from whom.
+type envelope struct {
+	to        string
+	payload   []byte
+	createdAt time.Time // it was made, or read
 }
 
-// send takes what the module has to say; it is called on the core's goroutine and never blocks.
-func (p *Peers) send(out []shared.Out) {
+// enqueue takes what the module has to say; it is called on the core's goroutine and never blocks.
+func (p *Peers) enqueue(out []shared.Out) {
 	if len(out) == 0 {
 		return
 	}
-	batch := make([]byteTo, 0, len(out))
+	batch := make([]envelope, 0, len(out))
 	for _, o := range out {
 		b, err := Encode(o.Message)
 		if err == nil {
-			batch = append(batch, byteTo{o.To, b, time.Now()})
+			batch = append(batch, envelope{o.To, b, time.Now()})
 		}
 	}
 	select {
-	case p.out <- batch:
+	case p.outbound <- batch:
 	default:
 		p.dropped.Add(int64(len(batch)))
 	}
 }
 
-// saying sends datagrams: to one member, or to all.
-func (p *Peers) saying(ctx context.Context) {
+// sendLoop sends datagrams: to one member, or to all.
+func (p *Peers) sendLoop(ctx context.Context) {
 	for {
-		var batch []byteTo
+		var batch []envelope
 		select {
 		case <-ctx.Done():
 			return
-		case batch = <-p.out:
+		case batch = <-p.outbound:
 		}
-		to := p.addresses()
+		to := p.peerAddresses()
 		for _, m := range batch {
-			if time.Since(m.at) > staleAfter {
+			if time.Since(m.createdAt) > maxMessageAge {
 				p.dropped.Add(1)
 				continue
 			}
 			for _, a := range to {
 				if m.to == "" || m.to == a.Name {
-					if err := p.list.Load().SendToAddress(a, m.b); err != nil {
+					if err := p.list.Load().SendToAddress(a, m.payload); err != nil {
 						p.dropped.Add(1)
 					}
 				}
@@ -61,9 +61,9 @@
 	}
 }
 
-// addresses are those of the other members. They are kept from the library's events: what its Members gives changes under
+// peerAddresses are those of the other members. They are kept from the library's events: what its Members gives changes under
 // the reader's hands.
-func (p *Peers) addresses() (all []memberlist.Address) {
+func (p *Peers) peerAddresses() (all []memberlist.Address) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, m := range p.members {
--- a/internal/peers/config.go
+++ b/internal/peers/config.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	label = "masthill"
+	clusterLabel = "masthill"
 )
 
-func (p *Peers) config() *memberlist.Config {
+func (p *Peers) memberlistConfig() *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Transport, c.Keyring, c.Label = p.o.Name, p.t, p.ring, label
+	c.Name, c.Transport, c.Keyring, c.Label = p.options.Name, p.transport, p.ring, clusterLabel
 	c.GossipVerifyIncoming, c.GossipVerifyOutgoing = true, true
-	own := p.t.addr()
+	own := p.transport.addr()
 	c.BindAddr, c.BindPort = own.IP.String(), own.Port
-	if host, port, err := net.SplitHostPort(p.o.Advertise); err == nil {
+	if host, port, err := net.SplitHostPort(p.options.Advertise); err == nil {
 		c.AdvertiseAddr = host
 		c.AdvertisePort, _ = strconv.Atoi(port)
 	}
--- a/internal/peers/delegate.go
+++ b/internal/peers/delegate.go
@@ -12,16 +12,16 @@
 
 func (d *delegate) NodeMeta(int) []byte {
 	d.mu.Lock()
-	m := d.meta
+	m := d.self
 	d.mu.Unlock()
 	b, _ := Encode(m)
 	return b
 }
 
 func (d *delegate) NotifyMsg(b []byte) {
-	d.heard.Add(1)
+	d.received.Add(1)
 	select {
-	case d.in <- []byteTo{{b: append([]byte(nil), b...), at: time.Now()}}:
+	case d.inbound <- []envelope{{payload: append([]byte(nil), b...), createdAt: time.Now()}}:
 	default:
 		d.dropped.Add(1)
 	}
@@ -35,35 +35,35 @@
 
 // NotifyAlive refuses whoever is no instance of this program.
 func (d *delegate) NotifyAlive(n *memberlist.Node) error {
-	var m meta
-	if err := decode(n.Meta, &m); err != nil || m.Epoch == 0 || len(n.Name) > NameMost {
+	var m memberInfo
+	if err := decode(n.Meta, &m); err != nil || m.Epoch == 0 || len(n.Name) > MaxNameLength {
 		return errors.New("no member's description")
 	}
 	return nil
 }
 
-func (d *delegate) NotifyJoin(n *memberlist.Node) { (*Peers)(d).seen(n, Alive) }
+func (d *delegate) NotifyJoin(n *memberlist.Node) { (*Peers)(d).memberChanged(n, Alive) }
 
-func (d *delegate) NotifyUpdate(n *memberlist.Node) { (*Peers)(d).seen(n, Alive) }
+func (d *delegate) NotifyUpdate(n *memberlist.Node) { (*Peers)(d).memberChanged(n, Alive) }
 
-func (d *delegate) NotifyLeave(n *memberlist.Node) { (*Peers)(d).seen(n, Gone) }
+func (d *delegate) NotifyLeave(n *memberlist.Node) { (*Peers)(d).memberChanged(n, Gone) }
 
 // NotifyConflict takes that two processes have one name. The one that started later gives way: it says nothing to anybody
 // until the name is free, so that it takes no part in any decision.
 func (d *delegate) NotifyConflict(known, other *memberlist.Node) {
 	p := (*Peers)(d)
-	var m meta
-	if decode(other.Meta, &m) != nil || m.Epoch == p.o.Epoch {
+	var m memberInfo
+	if decode(other.Meta, &m) != nil || m.Epoch == p.options.Epoch {
 		return
 	}
 	p.log.Error("two processes of one name", "reason", NameTaken, "member", known.Name, "addr", known.Address(), "other", other.Address())
-	if known.Name != p.o.Name {
+	if known.Name != p.options.Name {
 		return
 	}
-	if mine := p.meta; m.Started < mine.Started || m.Started == mine.Started && m.Epoch < mine.Epoch {
+	if mine := p.self; m.Started < mine.Started || m.Started == mine.Started && m.Epoch < mine.Epoch {
 		p.mu.Lock()
-		p.taken = other.Address()
-		p.note(p.o.Name, Gone, NameTaken)
+		p.nameTakenBy = other.Address()
+		p.recordChange(p.options.Name, Gone, NameTaken)
 		p.mu.Unlock()
 	}
 }
--- a/internal/peers/events.go
+++ b/internal/peers/events.go
@@ -7,17 +7,17 @@
 )
 
 const (
-	// lostMost bounds the members that are remembered after they are gone, lostFor how long, and rejoinEvery is how often
+	// maxLostMembers bounds the members that are remembered after they are gone, retention how long, and rejoinInterval is how often
 	// some of them, and the seeds, are tried: after a cut two halves do not find each other by themselves.
-	lostMost, lostFor = 1024, time.Hour
+	maxLostMembers, retention = 1024, time.Hour
 )
 
-// memberlistMost is how many members there may be.
-const memberlistMost = 1024
+// maxMembers is how many members there may be.
+const maxMembers = 1024
 
-// seen takes what the library says of a member.
-func (p *Peers) seen(n *memberlist.Node, state string) {
-	var m meta
+// memberChanged takes what the library says of a member.
+func (p *Peers) memberChanged(n *memberlist.Node, state string) {
+	var m memberInfo
 	if decode(n.Meta, &m) != nil {
 		return
 	}
@@ -28,14 +28,14 @@
 	defer p.mu.Unlock()
 	before := p.members[n.Name]
 	now := &Member{Name: n.Name, Addr: n.Address(), Site: m.Site, Machine: m.Machine, Epoch: m.Epoch, Started: time.UnixMilli(m.Started), Version: m.Version,
-		State: state, Since: time.Now(), Starts: 1, Self: n.Name == p.o.Name}
+		State: state, Since: time.Now(), Starts: 1, Self: n.Name == p.options.Name}
 	reason := Joined
 	switch {
 	case before == nil && state != Alive:
 		return
 	case before == nil:
-		if len(p.members) >= lostMost+memberlistMost {
-			p.forgetOldest()
+		if len(p.members) >= maxLostMembers+maxMembers {
+			p.evictOldestLost()
 		}
 	case before.Epoch != m.Epoch && state == Alive:
 		reason, now.Starts = Restarted, before.Starts+1
@@ -51,21 +51,21 @@
 	}
 	p.members[n.Name] = now
 	if !now.Self {
-		p.note(n.Name, state, reason)
+		p.recordChange(n.Name, state, reason)
 		if state != Alive || reason == Restarted {
-			p.group.Go(func() error { p.links.forget(n.Name); return nil }) // closes sockets, which the library must not wait for
+			p.group.Go(func() error { p.sessions.closeMember(n.Name); return nil }) // closes sockets, which the library must not wait for
 		}
 	}
 }
 
-// note logs and keeps a change.
-func (p *Peers) note(name, state, reason string) {
+// recordChange logs and keeps a change.
+func (p *Peers) recordChange(name, state, reason string) {
 	p.log.Info("member", "name", name, "state", state, "reason", reason)
 	p.changes = append(p.changes, Change{time.Now(), name, state, reason})
-	p.changes = p.changes[max(0, len(p.changes)-changesMost):]
+	p.changes = p.changes[max(0, len(p.changes)-maxChanges):]
 }
 
-func (p *Peers) forgetOldest() {
+func (p *Peers) evictOldestLost() {
 	oldest := ""
 	for name, m := range p.members {
 		if m.State != Alive && (oldest == "" || m.Since.Before(p.members[oldest].Since)) {
@@ -73,5 +73,5 @@
 		}
 	}
 	delete(p.members, oldest)
-	delete(p.last, oldest)
+	delete(p.lastHeard, oldest)
 }
--- a/internal/peers/framing.go
+++ b/internal/peers/framing.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// MessageMost bounds one message of an ordered stream, queueMost the bytes that wait for a peer: a peer that takes less
-	// than this in writeFor is let go.
-	MessageMost, queueMost = 64 << 10, 1 << 20
+	// MaxMessageSize bounds one message of an ordered stream, maxQueuedBytes the bytes that wait for a peer: a peer that takes less
+	// than this in writeTimeout is let go.
+	MaxMessageSize, maxQueuedBytes = 64 << 10, 1 << 20
 )
 
 // writeText writes a short text behind its length.
@@ -33,7 +33,7 @@
 
 // WriteMessage writes one message of a stream, behind its length.
 func WriteMessage(w io.Writer, b []byte) error {
-	if len(b) > MessageMost {
+	if len(b) > MaxMessageSize {
 		return fmt.Errorf("a message of %d bytes", len(b))
 	}
 	record := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n > MessageMost {
+	if n > MaxMessageSize {
 		return nil, fmt.Errorf("a message of %d bytes", n)
 	}
 	b := make([]byte, n)
--- a/internal/peers/join.go
+++ b/internal/peers/join.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	rejoinEvery = 3 * time.Second
-	rejoinSome  = 3
+	rejoinInterval = 3 * time.Second
+	rejoinAttempts = 3
 )
 
-// joining finds the others: by the seeds and what was remembered at first, and again while there are members that are gone
+// joinLoop finds the others: by the seeds and what was remembered at first, and again while there are members that are gone
 // or nobody is there.
-func (p *Peers) joining(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(p.o.Epoch, 0x6a6f696e))
-	known := p.remembered()
+func (p *Peers) joinLoop(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.options.Epoch, 0x6a6f696e))
+	known := p.loadMembers()
 	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = 200*time.Millisecond, rejoinEvery
+	pause.InitialInterval, pause.MaxInterval = 200*time.Millisecond, rejoinInterval
 	remembered := time.Now()
 	for {
 		p.mu.Lock()
@@ -32,34 +32,34 @@
 			switch {
 			case m.State == Alive:
 				alive++
-			case m.State == Gone && time.Since(m.Since) < lostFor:
+			case m.State == Gone && time.Since(m.Since) < retention:
 				lost = append(lost, name+"/"+m.Addr)
 			}
 		}
-		taken := p.taken
+		taken := p.nameTakenBy
 		p.mu.Unlock()
 		slices.Sort(lost)
 		to := lost
 		if alive <= 1 || taken != "" || rng.IntN(8) == 0 { // the seeds now and then, in case of two fleets that never met
-			to = append(append(to, p.o.Seeds...), known...)
+			to = append(append(to, p.options.Seeds...), known...)
 		}
 		rng.Shuffle(len(to), func(a, b int) { to[a], to[b] = to[b], to[a] })
-		for _, addr := range to[:min(len(to), rejoinSome)] {
+		for _, addr := range to[:min(len(to), rejoinAttempts)] {
 			if ctx.Err() != nil {
 				return
 			}
-			if p.claims(addr) {
+			if p.isOther(addr) {
 				p.list.Load().Join([]string{addr})
 			}
 		}
 		if alive > 1 {
 			pause.Reset()
-			if time.Since(remembered) > rejoinEvery {
+			if time.Since(remembered) > rejoinInterval {
 				remembered = time.Now()
-				p.remember()
+				p.saveMembers()
 			}
 		}
-		wait := rejoinEvery
+		wait := rejoinInterval
 		if alive <= 1 {
 			wait = pause.NextBackOff()
 		}
@@ -69,32 +69,32 @@
 		case <-time.After(wait):
 		}
 		if taken != "" {
-			p.retryName()
+			p.recheckName()
 		}
 	}
 }
 
-// claims tells whether an address is another's: an instance does not join itself.
-func (p *Peers) claims(addr string) bool {
+// isOther tells whether an address is another's: an instance does not join itself.
+func (p *Peers) isOther(addr string) bool {
 	if _, bare, ok := strings.Cut(addr, "/"); ok {
 		addr = bare
 	}
-	return addr != p.Addr() && addr != p.o.Advertise
+	return addr != p.Addr() && addr != p.options.Advertise
 }
 
-// retryName asks whether the other process of this one's name is still there.
-func (p *Peers) retryName() {
+// recheckName asks whether the other process of this one's name is still there.
+func (p *Peers) recheckName() {
 	p.mu.Lock()
-	taken := p.taken
+	taken := p.nameTakenBy
 	p.mu.Unlock()
 	udp, err := net.ResolveUDPAddr("udp", taken)
 	if err == nil {
-		_, err = p.list.Load().Ping(p.o.Name, udp)
+		_, err = p.list.Load().Ping(p.options.Name, udp)
 	}
 	if err != nil {
 		p.mu.Lock()
-		p.taken = ""
-		p.note(p.o.Name, Alive, NameFree)
+		p.nameTakenBy = ""
+		p.recordChange(p.options.Name, Alive, NameFree)
 		p.mu.Unlock()
 	}
 }
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	suspectAfter = 3 * time.Second // a member tells its counts twice a second, in large fleets more rarely
-	// usualFor is up to how many members each tells the others its counts twice a second; larger fleets do it more rarely.
-	usualFor    = 64
-	changesMost = 64 // that are kept for operators
+	suspectTimeout = 3 * time.Second // a member tells its counts twice a second, in large fleets more rarely
+	// fullRateMembers is up to how many members each tells the others its counts twice a second; larger fleets do it more rarely.
+	fullRateMembers = 64
+	maxChanges      = 64 // that are kept for operators
 )
 
 // Member states.
@@ -53,8 +53,8 @@
 	Reason string    `json:"reason"`
 }
 
-// meta is what a member tells of itself.
-type meta struct {
+// memberInfo is what a member tells of itself.
+type memberInfo struct {
 	Site    string `codec:"s"`
 	Machine string `codec:"m"`
 	Epoch   uint64 `codec:"e"`
@@ -67,10 +67,10 @@
 func (p *Peers) Members() (all []Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	quiet := suspectAfter * time.Duration(1+len(p.members)/usualFor)
+	quiet := suspectTimeout * time.Duration(1+len(p.members)/fullRateMembers)
 	for name, m := range p.members {
 		one := *m
-		if one.State == Alive && !one.Self && time.Since(p.last[name]) > quiet && time.Since(one.Since) > quiet {
+		if one.State == Alive && !one.Self && time.Since(p.lastHeard[name]) > quiet && time.Since(one.Since) > quiet {
 			one.State = Suspect
 		}
 		all = append(all, one)
--- a/internal/peers/ordered.go
+++ b/internal/peers/ordered.go
@@ -11,8 +11,8 @@
 )
 
 var (
-	// ErrLetGo tells that a peer took too little and is not waited for.
-	ErrLetGo = errors.New("peer let go")
+	// ErrSlowPeer tells that a peer took too little and is not waited for.
+	ErrSlowPeer = errors.New("peer let go")
 )
 
 // Ordered is an ordered stream to a member that is never waited for: what is put into it is sent in order, and a peer that
@@ -30,8 +30,8 @@
 func (o *Ordered) Put(b []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.err == nil && (len(b) > MessageMost || o.bytes+len(b) > queueMost) {
-		o.err = ErrLetGo
+	if o.err == nil && (len(b) > MaxMessageSize || o.bytes+len(b) > maxQueuedBytes) {
+		o.err = ErrSlowPeer
 	}
 	if o.err != nil {
 		return o.err
@@ -60,7 +60,7 @@
 		o.mu.Unlock()
 		for _, b := range batch {
 			if err == nil {
-				c.SetWriteDeadline(time.Now().Add(writeFor))
+				c.SetWriteDeadline(time.Now().Add(writeTimeout))
 				err = WriteMessage(c, b)
 			}
 			o.mu.Lock()
@@ -80,7 +80,7 @@
 		o.err = err
 		var late net.Error
 		if errors.As(err, &late) && late.Timeout() {
-			o.err = ErrLetGo
+			o.err = ErrSlowPeer
 		}
 	}
 	o.queue, err = nil, o.err
@@ -97,15 +97,15 @@
 	}
 	p.group.Go(func() error {
 		err := o.run(p.ctx, func() (net.Conn, error) { return p.Open(p.ctx, name, kind) })
-		p.log.Info("ordered stream ended", logs.Part, "peers", "reason", reasonOf(err), "member", name, "kind", kind, "err", err)
+		p.log.Info("ordered stream ended", logs.Part, "peers", "reason", endReason(err), "member", name, "kind", kind, "err", err)
 		return nil
 	})
 	return o
 }
 
-func reasonOf(err error) string {
+func endReason(err error) string {
 	switch {
-	case errors.Is(err, ErrLetGo):
+	case errors.Is(err, ErrSlowPeer):
 		return "let-go"
 	case errors.Is(err, context.Canceled):
 		return "ending"
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,33 +19,33 @@
 )
 
 const (
-	// inMost and outMost bound the messages on their way to the module and from it.
-	inMost, outMost = 512, 2048
-	leaveFor        = 500 * time.Millisecond
+	// inboundQueueSize and outboundQueueSize bound the messages on their way to the module and from it.
+	inboundQueueSize, outboundQueueSize = 512, 2048
+	leaveTimeout                        = 500 * time.Millisecond
 )
 
 // Peers is one instance's membership.
 type Peers struct {
-	o       Options
-	log     *slog.Logger
-	list    atomic.Pointer[memberlist.Memberlist] // nil until Run has begun; what Run sets before is there then, too
-	ring    *memberlist.Keyring
-	t       *transport
-	links   *links
-	in, out chan []byteTo
-	group   *errgroup.Group
-	ctx     context.Context
+	options           Options
+	log               *slog.Logger
+	list              atomic.Pointer[memberlist.Memberlist] // nil until Run has begun; what Run sets before is there then, too
+	ring              *memberlist.Keyring
+	transport         *transport
+	sessions          *sessionPool
+	inbound, outbound chan []envelope
+	group             *errgroup.Group
+	ctx               context.Context
 
-	mu      sync.Mutex
-	members map[string]*Member
-	last    map[string]time.Time // a member was heard
-	changes []Change
-	meta    meta
-	taken   string // by whom this one's name is taken; empty: by nobody
-	began   time.Time
+	mu          sync.Mutex
+	members     map[string]*Member
+	lastHeard   map[string]time.Time // a member was heard
+	changes     []Change
+	self        memberInfo
+	nameTakenBy string // by whom this one's name is taken; empty: by nobody
+	startedAt   time.Time
 
-	heard, dropped, unread atomic.Int64
-	beat, woke             atomic.Int64 // the last tick, and the first one after a standstill, Unix nanoseconds
+	received, dropped, undecodable atomic.Int64
+	lastTickAt, resumedAt          atomic.Int64 // the last tick, and the first one after a standstill, Unix nanoseconds
 }
 
 // New opens the address. Nobody is told anything before Run.
@@ -61,17 +61,17 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Peers{o: o, log: o.Log, ring: ring, t: t, in: make(chan []byteTo, inMost), out: make(chan []byteTo, outMost), members: map[string]*Member{}, last: map[string]time.Time{},
-		began: time.Now()}
-	p.meta = meta{Site: o.Site, Machine: o.Machine, Epoch: o.Epoch, Started: p.began.UnixMilli(), Version: o.Version}
-	p.links = &links{name: o.Name, ring: ring, log: o.Log, handlers: o.Handlers, out: map[string]*yamux.Session{}}
-	p.links.dial = p.dial
-	t.own = p.links.take
+	p := &Peers{options: o, log: o.Log, ring: ring, transport: t, inbound: make(chan []envelope, inboundQueueSize), outbound: make(chan []envelope, outboundQueueSize), members: map[string]*Member{}, lastHeard: map[string]time.Time{},
+		startedAt: time.Now()}
+	p.self = memberInfo{Site: o.Site, Machine: o.Machine, Epoch: o.Epoch, Started: p.startedAt.UnixMilli(), Version: o.Version}
+	p.sessions = &sessionPool{name: o.Name, ring: ring, log: o.Log, handlers: o.Handlers, byMember: map[string]*yamux.Session{}}
+	p.sessions.dial = p.dial
+	t.handleStream = p.sessions.accept
 	return p, nil
 }
 
 // Addr is the address where this member is reached.
-func (p *Peers) Addr() string { return p.t.addr().String() }
+func (p *Peers) Addr() string { return p.transport.addr().String() }
 
 // Run is a member until ctx ends, and leaves then.
 func (p *Peers) Run(ctx context.Context) error {
@@ -79,30 +79,30 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	p.group, p.ctx = g, work
-	p.links.group, p.links.ctx = g, work
-	g.Go(func() error { return p.t.run(work) })
-	list, err := memberlist.Create(p.config())
+	p.sessions.group, p.sessions.ctx = g, work
+	g.Go(func() error { return p.transport.run(work) })
+	list, err := memberlist.Create(p.memberlistConfig())
 	if err != nil {
 		stop()
 		g.Wait()
 		return err
 	}
 	p.list.Store(list)
-	p.beat.Store(time.Now().UnixNano())
-	g.Go(func() error { p.hearing(work); return nil })
-	g.Go(func() error { p.saying(work); return nil })
-	g.Go(func() error { p.ticking(work); return nil })
-	g.Go(func() error { p.joining(work); return nil })
-	p.log.Info("member of the fleet", "addr", p.Addr(), "site", p.o.Site, "machine", p.o.Machine, "epoch", strconv.FormatUint(p.o.Epoch, 16))
+	p.lastTickAt.Store(time.Now().UnixNano())
+	g.Go(func() error { p.receiveLoop(work); return nil })
+	g.Go(func() error { p.sendLoop(work); return nil })
+	g.Go(func() error { p.tickLoop(work); return nil })
+	g.Go(func() error { p.joinLoop(work); return nil })
+	p.log.Info("member of the fleet", "addr", p.Addr(), "site", p.options.Site, "machine", p.options.Machine, "epoch", strconv.FormatUint(p.options.Epoch, 16))
 	<-ctx.Done()
 	p.mu.Lock()
-	p.meta.Leaving = true
+	p.self.Leaving = true
 	p.mu.Unlock()
-	list.UpdateNode(leaveFor)
-	list.Leave(leaveFor)
-	p.remember()
+	list.UpdateNode(leaveTimeout)
+	list.Leave(leaveTimeout)
+	p.saveMembers()
 	list.Shutdown()
 	stop()
-	p.links.close()
+	p.sessions.close()
 	return g.Wait()
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -183,9 +183,9 @@
 	if first.Status().Taken != "" {
 		t.Error("the first gives way, too")
 	}
-	time.Sleep(2 * tickEvery) // what was under way
+	time.Sleep(2 * tickInterval) // what was under way
 	ticks, heard := second.m.done()
-	time.Sleep(5 * tickEvery)
+	time.Sleep(5 * tickInterval)
 	if t2, h2 := second.m.done(); t2 != ticks || h2 != heard {
 		t.Error("the second goes on to say and hear things")
 	}
@@ -309,14 +309,14 @@
 	b := begin(t, Options{Name: "b", Seeds: []string{a.Addr()}})
 	until(t, "they meet", func() bool { return b.sees("a", Alive) })
 	slow, o := b.Ordered("a", "slow"), b.Ordered("a", "take")
-	big := make([]byte, MessageMost)
+	big := make([]byte, MaxMessageSize)
 	var err error
 	for range 10_000 { // it never blocks, and ends
 		if err = slow.Put(big); err != nil {
 			break
 		}
 	}
-	if !errors.Is(err, ErrLetGo) {
+	if !errors.Is(err, ErrSlowPeer) {
 		t.Errorf("the slow one: %v", err)
 	}
 	for n := range 500 {
@@ -343,15 +343,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer p.t.Shutdown()
+	defer p.transport.Shutdown()
 	now := time.Now()
 	for _, c := range []struct {
 		beat, woke time.Time
 		want       bool
-	}{{now, now.Add(-time.Minute), false}, {now.Add(-2 * staleAfter), now.Add(-time.Minute), true}, {now, now, true}} {
-		p.beat.Store(c.beat.UnixNano())
-		p.woke.Store(c.woke.UnixNano())
-		if p.stoodStill() != c.want {
+	}{{now, now.Add(-time.Minute), false}, {now.Add(-2 * maxMessageAge), now.Add(-time.Minute), true}, {now, now, true}} {
+		p.lastTickAt.Store(c.beat.UnixNano())
+		p.resumedAt.Store(c.woke.UnixNano())
+		if p.justResumed() != c.want {
 			t.Errorf("%+v", c)
 		}
 	}
@@ -414,7 +414,7 @@
 		if err != nil {
 			return
 		}
-		ses, err := session(s, false, slog.New(slog.DiscardHandler))
+		ses, err := newSession(s, false, slog.New(slog.DiscardHandler))
 		if err != nil {
 			return
 		}
@@ -431,7 +431,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	ses, err := session(s, true, slog.New(slog.DiscardHandler))
+	ses, err := newSession(s, true, slog.New(slog.DiscardHandler))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -7,37 +7,37 @@
 	"masthill/control/shared"
 )
 
-// staleAfter is how old a message may be that is still worth sending, or how long this process may have stood still for
+// maxMessageAge is how old a message may be that is still worth sending, or how long this process may have stood still for
 // what it reads then to be news: what waited in a frozen process tells of a time long past as if it were now.
-const staleAfter = time.Second
+const maxMessageAge = time.Second
 
-// hearing brings the module what the others say.
-func (p *Peers) hearing(ctx context.Context) {
+// receiveLoop brings the module what the others say.
+func (p *Peers) receiveLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case one := <-p.in:
+		case one := <-p.inbound:
 			var m shared.Message
-			if err := decode(one[0].b, &m); err != nil {
-				p.unread.Add(1)
+			if err := decode(one[0].payload, &m); err != nil {
+				p.undecodable.Add(1)
 				continue
 			}
-			if p.silent() {
+			if p.nameTaken() {
 				continue
 			}
-			if m.Lease == nil && (time.Since(one[0].at) > staleAfter || p.stoodStill()) {
+			if m.Lease == nil && (time.Since(one[0].createdAt) > maxMessageAge || p.justResumed()) {
 				p.dropped.Add(1)
 				continue
 			}
 			if m.Count != nil {
 				p.mu.Lock()
 				if p.members[m.Count.From.Name] != nil {
-					p.last[m.Count.From.Name] = time.Now()
+					p.lastHeard[m.Count.From.Name] = time.Now()
 				}
 				p.mu.Unlock()
 			}
-			if !p.o.Do(func(now int64) { p.send(p.o.Module.Hear(now, m)) }) {
+			if !p.options.Do(func(now int64) { p.enqueue(p.options.Module.Hear(now, m)) }) {
 				p.dropped.Add(1)
 			}
 		}
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -18,53 +18,53 @@
 	// streamMark is the first byte of a stream of this package's own. Those of the membership library begin with its label's
 	// mark, as this package always sets a label.
 	streamMark = 'M'
-	// sealMost bounds the text of one sealed record, saltLen a side's part in what a connection's records are bound to.
-	sealMost, saltLen = 16 << 10, 16
-	// greetFor is how long a new stream may take until both sides have shown that they have a key.
-	greetFor = 2 * time.Second
+	// maxRecordSize bounds the text of one sealed record, saltSize a side's part in what a connection's records are bound to.
+	maxRecordSize, saltSize = 16 << 10, 16
+	// handshakeTimeout is how long a new stream may take until both sides have shown that they have a key.
+	handshakeTimeout = 2 * time.Second
 )
 
-var errSeal = errors.New("a record that no key opens")
+var errUnauthenticated = errors.New("a record that no key opens")
 
-// sealed is a connection whose records are encrypted and authenticated by the fleet's keys: AES-GCM with random nonces, as
+// sealedConn is a connection whose records are encrypted and authenticated by the fleet's keys: AES-GCM with random nonces, as
 // the membership library does it with its datagrams. A record is bound to its connection, its direction and its place, so
 // that none can be played again. Any key of the ring opens; the first seals: keys are changed while connections stand.
-type sealed struct {
+type sealedConn struct {
 	net.Conn
-	ring        *memberlist.Keyring
-	out, in     []byte // what records are bound to, with room for their number
-	rest        []byte // opened, not yet read
-	wmu         sync.Mutex
-	sent, taken uint64
-	write, read ciphers
+	ring                         *memberlist.Keyring
+	sendBinding, receiveBinding  []byte // what records are bound to, with room for their number
+	unread                       []byte // opened, not yet read
+	writeMu                      sync.Mutex
+	sentRecords, receivedRecords uint64
+	writeCiphers, readCiphers    cipherCache
 }
 
-// ciphers are those of the keys in use: making one costs more than sealing a short record.
-type ciphers map[string]cipher.AEAD
+// cipherCache are those of the keys in use: making one costs more than sealing a short record.
+type cipherCache map[string]cipher.AEAD
 
-// ciphersMost bounds them, as keys change: a ring has eight at most.
-const ciphersMost = 16
+// maxCiphers bounds them, as keys change: a ring has eight at most.
+const maxCiphers = 16
 
-func (c *ciphers) of(key []byte) (cipher.AEAD, error) {
+func (c *cipherCache) get(key []byte) (cipher.AEAD, error) {
 	if a := (*c)[string(key)]; a != nil {
 		return a, nil
 	}
-	a, err := gcm(key)
+	a, err := newGCM(key)
 	if err != nil {
 		return nil, err
 	}
-	if *c == nil || len(*c) >= ciphersMost {
-		*c = ciphers{}
+	if *c == nil || len(*c) >= maxCiphers {
+		*c = cipherCache{}
 	}
 	(*c)[string(key)] = a
 	return a, nil
 }
 
 // seal makes a sealed connection, after both sides have said where they begin.
-func seal(c net.Conn, ring *memberlist.Keyring, dialled bool) (*sealed, error) {
-	c.SetDeadline(time.Now().Add(greetFor))
+func seal(c net.Conn, ring *memberlist.Keyring, dialled bool) (*sealedConn, error) {
+	c.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer c.SetDeadline(time.Time{})
-	mine, theirs := make([]byte, saltLen), make([]byte, saltLen)
+	mine, theirs := make([]byte, saltSize), make([]byte, saltSize)
 	rand.Read(mine)
 	hello := mine
 	if dialled {
@@ -76,13 +76,13 @@
 	if _, err := io.ReadFull(c, theirs); err != nil {
 		return nil, err
 	}
-	s := &sealed{Conn: c, ring: ring}
-	s.out = append(append(append(s.out, mine...), theirs...), make([]byte, 8)...)
-	s.in = append(append(append(s.in, theirs...), mine...), make([]byte, 8)...)
+	s := &sealedConn{Conn: c, ring: ring}
+	s.sendBinding = append(append(append(s.sendBinding, mine...), theirs...), make([]byte, 8)...)
+	s.receiveBinding = append(append(append(s.receiveBinding, theirs...), mine...), make([]byte, 8)...)
 	return s, nil
 }
 
-func gcm(key []byte) (cipher.AEAD, error) {
+func newGCM(key []byte) (cipher.AEAD, error) {
 	b, err := aes.NewCipher(key)
 	if err != nil {
 		return nil, err
@@ -91,20 +91,20 @@
 }
 
 // Write implements net.Conn.
-func (s *sealed) Write(b []byte) (n int, err error) {
-	s.wmu.Lock()
-	defer s.wmu.Unlock()
+func (s *sealedConn) Write(b []byte) (n int, err error) {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
 	for len(b) > 0 {
-		part := b[:min(len(b), sealMost)]
-		a, err := s.write.of(s.ring.GetPrimaryKey())
+		part := b[:min(len(b), maxRecordSize)]
+		a, err := s.writeCiphers.get(s.ring.GetPrimaryKey())
 		if err != nil {
 			return n, err
 		}
-		binary.BigEndian.PutUint64(s.out[2*saltLen:], s.sent)
-		s.sent++
+		binary.BigEndian.PutUint64(s.sendBinding[2*saltSize:], s.sentRecords)
+		s.sentRecords++
 		record := make([]byte, 4+a.NonceSize(), 4+a.NonceSize()+len(part)+a.Overhead())
 		rand.Read(record[4:])
-		record = a.Seal(record, record[4:], part, s.out)
+		record = a.Seal(record, record[4:], part, s.sendBinding)
 		binary.BigEndian.PutUint32(record, uint32(len(record)-4))
 		if _, err := s.Conn.Write(record); err != nil {
 			return n, err
@@ -116,41 +116,41 @@
 }
 
 // Read implements net.Conn.
-func (s *sealed) Read(b []byte) (int, error) {
-	for len(s.rest) == 0 {
-		if err := s.next(); err != nil {
+func (s *sealedConn) Read(b []byte) (int, error) {
+	for len(s.unread) == 0 {
+		if err := s.readRecord(); err != nil {
 			return 0, err
 		}
 	}
-	n := copy(b, s.rest)
-	s.rest = s.rest[n:]
+	n := copy(b, s.unread)
+	s.unread = s.unread[n:]
 	return n, nil
 }
 
-func (s *sealed) next() error {
+func (s *sealedConn) readRecord() error {
 	var size [4]byte
 	if _, err := io.ReadFull(s.Conn, size[:]); err != nil {
 		return err
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n > sealMost+64 {
-		return errSeal
+	if n > maxRecordSize+64 {
+		return errUnauthenticated
 	}
 	record := make([]byte, n)
 	if _, err := io.ReadFull(s.Conn, record); err != nil {
 		return err
 	}
-	binary.BigEndian.PutUint64(s.in[2*saltLen:], s.taken)
+	binary.BigEndian.PutUint64(s.receiveBinding[2*saltSize:], s.receivedRecords)
 	for _, key := range s.ring.GetKeys() {
-		a, err := s.read.of(key)
+		a, err := s.readCiphers.get(key)
 		if err != nil || len(record) < a.NonceSize()+a.Overhead() {
-			return errSeal
+			return errUnauthenticated
 		}
-		if text, err := a.Open(nil, record[:a.NonceSize()], record[a.NonceSize():], s.in); err == nil {
-			s.taken++
-			s.rest = text
+		if text, err := a.Open(nil, record[:a.NonceSize()], record[a.NonceSize():], s.receiveBinding); err == nil {
+			s.receivedRecords++
+			s.unread = text
 			return nil
 		}
 	}
-	return errSeal
+	return errUnauthenticated
 }
--- a/internal/peers/snapshot.go
+++ b/internal/peers/snapshot.go
@@ -7,9 +7,9 @@
 	"github.com/google/renameio/v2"
 )
 
-// remember writes the members' addresses down, for a start at which all seeds are away.
-func (p *Peers) remember() {
-	if p.o.Remember == "" {
+// saveMembers writes the members' addresses down, for a start at which all seeds are away.
+func (p *Peers) saveMembers() {
+	if p.options.Remember == "" {
 		return
 	}
 	var all []string
@@ -23,24 +23,24 @@
 	}
 	b, err := json.Marshal(all)
 	if err == nil {
-		err = renameio.WriteFile(p.o.Remember, b, 0o600)
+		err = renameio.WriteFile(p.options.Remember, b, 0o600)
 	}
 	if err != nil {
 		p.log.Warn("members not remembered", "reason", "disk", "err", err)
 	}
 }
 
-func (p *Peers) remembered() (all []string) {
-	if p.o.Remember == "" {
+func (p *Peers) loadMembers() (all []string) {
+	if p.options.Remember == "" {
 		return nil
 	}
-	b, err := os.ReadFile(p.o.Remember)
+	b, err := os.ReadFile(p.options.Remember)
 	if err != nil {
 		return nil
 	}
 	if json.Unmarshal(b, &all) != nil {
-		p.log.Warn("remembered members left out", "reason", "unreadable", "file", p.o.Remember)
+		p.log.Warn("remembered members left out", "reason", "unreadable", "file", p.options.Remember)
 		return nil
 	}
-	return all[:min(len(all), memberlistMost)]
+	return all[:min(len(all), maxMembers)]
 }
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -23,28 +23,28 @@
 
 // Status tells what the membership knows.
 func (p *Peers) Status() Status {
-	s := Status{Name: p.o.Name, Addr: p.Addr(), Epoch: strconv.FormatUint(p.o.Epoch, 16), Members: p.Members(), Heard: p.heard.Load(),
-		Dropped: p.dropped.Load() + p.t.dropped.Load(), Unread: p.unread.Load(), SentN: p.t.sentN.Load(), SentByte: p.t.sent.Load()}
+	s := Status{Name: p.options.Name, Addr: p.Addr(), Epoch: strconv.FormatUint(p.options.Epoch, 16), Members: p.Members(), Heard: p.received.Load(),
+		Dropped: p.dropped.Load() + p.transport.dropped.Load(), Unread: p.undecodable.Load(), SentN: p.transport.sentPackets.Load(), SentByte: p.transport.sentBytes.Load()}
 	if list := p.list.Load(); list != nil {
 		s.Health = list.GetHealthScore()
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s.Changes, s.Taken = slices.Clone(p.changes), p.taken
+	s.Changes, s.Taken = slices.Clone(p.changes), p.nameTakenBy
 	return s
 }
 
-// count is how many members are taken to be there.
-func (p *Peers) count() int {
+// aliveMembers is how many members are taken to be there.
+func (p *Peers) aliveMembers() int {
 	if list := p.list.Load(); list != nil {
 		return list.NumMembers()
 	}
 	return 1
 }
 
-// silent tells whether this process has to hold its tongue, its name being another's.
-func (p *Peers) silent() bool {
+// nameTaken tells whether this process has to hold its tongue, its name being another's.
+func (p *Peers) nameTaken() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.taken != ""
+	return p.nameTakenBy != ""
 }
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// kindMost bounds a stream's kind, NameMost a member's name.
-	kindMost, NameMost = 32, 64
-	writeFor           = 3 * time.Second
-	// streamsMost bounds the streams that one peer may have open here.
-	streamsMost = 32
-	windowMost  = 256 << 10
+	// maxKindLength bounds a stream's kind, MaxNameLength a member's name.
+	maxKindLength, MaxNameLength = 32, 64
+	writeTimeout                 = 3 * time.Second
+	// maxStreamsPerPeer bounds the streams that one peer may have open here.
+	maxStreamsPerPeer = 32
+	maxStreamWindow   = 256 << 10
 )
 
 var (
@@ -32,9 +32,9 @@
 // Handler serves a stream that a member has opened; the stream is closed when it returns.
 type Handler func(ctx context.Context, from string, c net.Conn)
 
-// links are the sessions with other members, one for each at most: many ordered streams share one connection, each with a
+// sessionPool are the sessions with other members, one for each at most: many ordered streams share one connection, each with a
 // window of its own, so that a slow one does not hold the others up.
-type links struct {
+type sessionPool struct {
 	name     string
 	ring     *memberlist.Keyring
 	log      *slog.Logger
@@ -43,15 +43,15 @@
 	group    *errgroup.Group
 	ctx      context.Context
 	mu       sync.Mutex
-	out      map[string]*yamux.Session // by member
+	byMember map[string]*yamux.Session // by member
 }
 
-func session(c net.Conn, dialled bool, l *slog.Logger) (*yamux.Session, error) {
+func newSession(c net.Conn, dialled bool, l *slog.Logger) (*yamux.Session, error) {
 	cfg := yamux.DefaultConfig()
-	cfg.AcceptBacklog = streamsMost
-	cfg.KeepAliveInterval, cfg.ConnectionWriteTimeout = 5*time.Second, writeFor
-	cfg.StreamOpenTimeout, cfg.StreamCloseTimeout = greetFor, writeFor
-	cfg.MaxStreamWindowSize = windowMost
+	cfg.AcceptBacklog = maxStreamsPerPeer
+	cfg.KeepAliveInterval, cfg.ConnectionWriteTimeout = 5*time.Second, writeTimeout
+	cfg.StreamOpenTimeout, cfg.StreamCloseTimeout = handshakeTimeout, writeTimeout
+	cfg.MaxStreamWindowSize = maxStreamWindow
 	cfg.LogOutput, cfg.Logger = nil, log.New(io.Discard, "", 0)
 	if dialled {
 		return yamux.Client(c, cfg)
@@ -59,23 +59,23 @@
 	return yamux.Server(c, cfg)
 }
 
-// take serves a connection that another member has opened.
-func (l *links) take(c net.Conn) {
+// accept serves a connection that another member has opened.
+func (l *sessionPool) accept(c net.Conn) {
 	s, err := seal(c, l.ring, false)
 	if err != nil {
 		l.log.Warn("peer stream refused", "reason", "greeting", "peer", c.RemoteAddr().String(), "err", err)
 		c.Close()
 		return
 	}
-	c.SetReadDeadline(time.Now().Add(greetFor))
-	from, err := readText(s, NameMost)
+	c.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	from, err := readText(s, MaxNameLength)
 	if err != nil {
 		l.log.Warn("peer stream refused", "reason", "no-key", "peer", c.RemoteAddr().String(), "err", err)
 		c.Close()
 		return
 	}
 	c.SetReadDeadline(time.Time{})
-	ses, err := session(s, false, l.log)
+	ses, err := newSession(s, false, l.log)
 	if err != nil {
 		c.Close()
 		return
@@ -87,9 +87,9 @@
 }
 
 // serve takes the streams of a session until it ends.
-func (l *links) serve(ses *yamux.Session, from string) {
+func (l *sessionPool) serve(ses *yamux.Session, from string) {
 	g, ctx := errgroup.WithContext(l.ctx)
-	g.SetLimit(streamsMost)
+	g.SetLimit(maxStreamsPerPeer)
 	stop := context.AfterFunc(ctx, func() { ses.Close() })
 	defer stop()
 	began := time.Now()
@@ -102,8 +102,8 @@
 		}
 		g.Go(func() error {
 			defer c.Close()
-			c.SetReadDeadline(time.Now().Add(greetFor))
-			kind, err := readText(c, kindMost)
+			c.SetReadDeadline(time.Now().Add(handshakeTimeout))
+			kind, err := readText(c, maxKindLength)
 			if err != nil {
 				return nil
 			}
@@ -124,22 +124,22 @@
 }
 
 // open opens a stream to a member, over the session with it or a new one.
-func (l *links) open(ctx context.Context, name, kind string) (net.Conn, error) {
+func (l *sessionPool) open(ctx context.Context, name, kind string) (net.Conn, error) {
 	l.mu.Lock()
-	ses := l.out[name]
+	ses := l.byMember[name]
 	l.mu.Unlock()
 	if ses == nil || ses.IsClosed() {
 		var err error
-		if ses, err = l.begin(ctx, name); err != nil {
+		if ses, err = l.dialSession(ctx, name); err != nil {
 			return nil, err
 		}
 	}
 	c, err := ses.Open()
 	if err != nil {
-		l.drop(name, ses)
+		l.remove(name, ses)
 		return nil, err
 	}
-	c.SetWriteDeadline(time.Now().Add(greetFor))
+	c.SetWriteDeadline(time.Now().Add(handshakeTimeout))
 	if err := writeText(c, kind); err != nil {
 		c.Close()
 		return nil, err
@@ -148,14 +148,14 @@
 	return c, nil
 }
 
-func (l *links) begin(ctx context.Context, name string) (*yamux.Session, error) {
+func (l *sessionPool) dialSession(ctx context.Context, name string) (*yamux.Session, error) {
 	c, err := l.dial(ctx, name)
 	if err != nil {
 		return nil, err
 	}
 	s, err := seal(c, l.ring, true)
 	if err == nil {
-		c.SetWriteDeadline(time.Now().Add(greetFor))
+		c.SetWriteDeadline(time.Now().Add(handshakeTimeout))
 		err = writeText(s, l.name)
 		c.SetWriteDeadline(time.Time{})
 	}
@@ -163,45 +163,45 @@
 		c.Close()
 		return nil, err
 	}
-	ses, err := session(s, true, l.log)
+	ses, err := newSession(s, true, l.log)
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if other := l.out[name]; other != nil && !other.IsClosed() { // another stream was quicker
+	if other := l.byMember[name]; other != nil && !other.IsClosed() { // another stream was quicker
 		ses.Close()
 		return other, nil
 	}
-	l.out[name] = ses
+	l.byMember[name] = ses
 	return ses, nil
 }
 
-// drop ends the session with a member.
-func (l *links) drop(name string, ses *yamux.Session) {
+// remove ends the session with a member.
+func (l *sessionPool) remove(name string, ses *yamux.Session) {
 	l.mu.Lock()
-	if l.out[name] == ses {
-		delete(l.out, name)
+	if l.byMember[name] == ses {
+		delete(l.byMember, name)
 	}
 	l.mu.Unlock()
 	ses.Close()
 }
 
-func (l *links) close() {
+func (l *sessionPool) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, ses := range l.out {
+	for name, ses := range l.byMember {
 		ses.Close()
-		delete(l.out, name)
+		delete(l.byMember, name)
 	}
 }
 
-// forget ends the session with a member that is gone.
-func (l *links) forget(name string) {
+// closeMember ends the session with a member that is gone.
+func (l *sessionPool) closeMember(name string) {
 	l.mu.Lock()
-	ses := l.out[name]
-	delete(l.out, name)
+	ses := l.byMember[name]
+	delete(l.byMember, name)
 	l.mu.Unlock()
 	if ses != nil {
 		ses.Close()
@@ -210,10 +210,10 @@
 
 // dial connects to a member for streams.
 func (p *Peers) dial(ctx context.Context, name string) (net.Conn, error) {
-	for _, a := range p.addresses() {
+	for _, a := range p.peerAddresses() {
 		if a.Name == name {
-			d := net.Dialer{Timeout: greetFor}
-			return d.DialContext(ctx, "tcp", p.t.to(a))
+			d := net.Dialer{Timeout: handshakeTimeout}
+			return d.DialContext(ctx, "tcp", p.transport.addressOf(a))
 		}
 	}
 	return nil, ErrNoMember
@@ -221,5 +221,5 @@
 
 // Open opens a stream of a kind to a member. What it carries comes in order or not at all.
 func (p *Peers) Open(ctx context.Context, name, kind string) (net.Conn, error) {
-	return p.links.open(ctx, name, kind)
+	return p.sessions.open(ctx, name, kind)
 }
--- a/internal/peers/tick.go
+++ b/internal/peers/tick.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// tickEvery is how often the module does what is due.
-	tickEvery = 100 * time.Millisecond
+	// tickInterval is how often the module does what is due.
+	tickInterval = 100 * time.Millisecond
 )
 
-// ticking has the module do what is due.
-func (p *Peers) ticking(ctx context.Context) {
-	tick := time.NewTicker(tickEvery)
+// tickLoop has the module do what is due.
+func (p *Peers) tickLoop(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -20,20 +20,20 @@
 			return
 		case <-tick.C:
 		}
-		if time.Since(time.Unix(0, p.beat.Load())) > staleAfter {
-			p.woke.Store(time.Now().UnixNano())
+		if time.Since(time.Unix(0, p.lastTickAt.Load())) > maxMessageAge {
+			p.resumedAt.Store(time.Now().UnixNano())
 		}
-		p.beat.Store(time.Now().UnixNano())
-		if p.silent() {
+		p.lastTickAt.Store(time.Now().UnixNano())
+		if p.nameTaken() {
 			continue
 		}
-		n := p.count()
-		p.o.Do(func(now int64) { p.send(p.o.Module.Tick(now, n)) })
+		n := p.aliveMembers()
+		p.options.Do(func(now int64) { p.enqueue(p.options.Module.Tick(now, n)) })
 	}
 }
 
-// stoodStill tells whether this process has just begun to run again: what it reads then may have waited for it. Frozen, it
+// justResumed tells whether this process has just begun to run again: what it reads then may have waited for it. Frozen, it
 // has no ticks; what the kernel holds for it is read within a moment.
-func (p *Peers) stoodStill() bool {
-	return time.Since(time.Unix(0, p.beat.Load())) > staleAfter || time.Since(time.Unix(0, p.woke.Load())) < 2*tickEvery
+func (p *Peers) justResumed() bool {
+	return time.Since(time.Unix(0, p.lastTickAt.Load())) > maxMessageAge || time.Since(time.Unix(0, p.resumedAt.Load())) < 2*tickInterval
 }
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// packetMost is the longest datagram that is read, packetsMost how many wait for the membership library; beyond it they
+	// maxPacketSize is the longest datagram that is read, packetQueueSize how many wait for the membership library; beyond it they
 	// are dropped, as a network drops them.
-	packetMost, packetsMost = 64 << 10, 256
-	// inboundMost bounds the streams that others have opened to this instance and that have not yet shown a key.
-	inboundMost = 64
+	maxPacketSize, packetQueueSize = 64 << 10, 256
+	// maxPendingStreams bounds the streams that others have opened to this instance and that have not yet shown a key.
+	maxPendingStreams = 64
 	// acceptPause is how long after a failed accept the next one is tried.
 	acceptPause = 50 * time.Millisecond
 )
@@ -26,17 +26,17 @@
 // transport carries the membership library's datagrams and streams, and this package's own streams, over one address. To
 // some members it may go by another address than they tell.
 type transport struct {
-	udp     *net.UDPConn
-	tcp     *net.TCPListener
-	via     map[string]string // by name
-	packets chan *memberlist.Packet
-	streams chan net.Conn
-	own     func(net.Conn) // takes a stream of this package's own, after its mark
-	log     *slog.Logger
-	inbound atomic.Int32
-	dropped atomic.Int64 // datagrams
-	sent    atomic.Int64 // bytes in datagrams
-	sentN   atomic.Int64
+	udp              *net.UDPConn
+	tcp              *net.TCPListener
+	addressOverrides map[string]string // by name
+	packets          chan *memberlist.Packet
+	streams          chan net.Conn
+	handleStream     func(net.Conn) // takes a stream of this package's own, after its mark
+	log              *slog.Logger
+	pending          atomic.Int32
+	dropped          atomic.Int64 // datagrams
+	sentBytes        atomic.Int64 // bytes in datagrams
+	sentPackets      atomic.Int64
 }
 
 // listen opens a transport; port 0 takes any that is free for both.
@@ -49,7 +49,7 @@
 		}
 		u, err := net.ListenPacket("udp", l.Addr().String())
 		if err == nil {
-			return &transport{udp: u.(*net.UDPConn), tcp: l.(*net.TCPListener), via: via, packets: make(chan *memberlist.Packet, packetsMost),
+			return &transport{udp: u.(*net.UDPConn), tcp: l.(*net.TCPListener), addressOverrides: via, packets: make(chan *memberlist.Packet, packetQueueSize),
 				streams: make(chan net.Conn), log: log}, nil
 		}
 		l.Close()
@@ -70,7 +70,7 @@
 		return nil
 	})
 	g.Go(func() error {
-		buf := make([]byte, packetMost)
+		buf := make([]byte, maxPacketSize)
 		for {
 			n, from, err := t.udp.ReadFromUDP(buf)
 			if errors.Is(err, net.ErrClosed) {
@@ -96,14 +96,14 @@
 				time.Sleep(acceptPause)
 				continue
 			}
-			if t.inbound.Add(1) > inboundMost {
-				t.inbound.Add(-1)
-				t.ended(c, "too-many", nil)
+			if t.pending.Add(1) > maxPendingStreams {
+				t.pending.Add(-1)
+				t.refuse(c, "too-many", nil)
 				continue
 			}
 			g.Go(func() error {
-				defer t.inbound.Add(-1)
-				t.take(ctx, c)
+				defer t.pending.Add(-1)
+				t.dispatch(ctx, c)
 				return nil
 			})
 		}
@@ -111,52 +111,52 @@
 	return g.Wait()
 }
 
-// ended closes a stream and leaves its line.
-func (t *transport) ended(c net.Conn, reason string, err error) {
+// refuse closes a stream and leaves its line.
+func (t *transport) refuse(c net.Conn, reason string, err error) {
 	t.log.Warn("peer stream refused", "reason", reason, "peer", c.RemoteAddr().String(), "err", err)
 	c.Close()
 }
 
-// take finds out whose a stream is, by its first byte.
-func (t *transport) take(ctx context.Context, c net.Conn) {
-	c.SetReadDeadline(time.Now().Add(greetFor))
+// dispatch finds out whose a stream is, by its first byte.
+func (t *transport) dispatch(ctx context.Context, c net.Conn) {
+	c.SetReadDeadline(time.Now().Add(handshakeTimeout))
 	var first [1]byte
 	if _, err := c.Read(first[:]); err != nil {
-		t.ended(c, "silent", err)
+		t.refuse(c, "silent", err)
 		return
 	}
 	c.SetReadDeadline(time.Time{})
 	if first[0] == streamMark {
-		t.own(c)
+		t.handleStream(c)
 		return
 	}
 	select {
-	case t.streams <- &begun{c, first[:]}:
-	case <-time.After(greetFor):
-		t.ended(c, "busy", nil)
+	case t.streams <- &prefixedConn{c, first[:]}:
+	case <-time.After(handshakeTimeout):
+		t.refuse(c, "busy", nil)
 	case <-ctx.Done():
 		c.Close()
 	}
 }
 
-// begun is a connection of which a first part has been read.
-type begun struct {
+// prefixedConn is a connection of which a first part has been read.
+type prefixedConn struct {
 	net.Conn
-	first []byte
+	prefix []byte
 }
 
-func (b *begun) Read(p []byte) (int, error) {
-	if len(b.first) > 0 {
-		n := copy(p, b.first)
-		b.first = b.first[n:]
+func (b *prefixedConn) Read(p []byte) (int, error) {
+	if len(b.prefix) > 0 {
+		n := copy(p, b.prefix)
+		b.prefix = b.prefix[n:]
 		return n, nil
 	}
 	return b.Conn.Read(p)
 }
 
-// to is where a member is reached.
-func (t *transport) to(a memberlist.Address) string {
-	if via := t.via[a.Name]; via != "" {
+// addressOf is where a member is reached.
+func (t *transport) addressOf(a memberlist.Address) string {
+	if via := t.addressOverrides[a.Name]; via != "" {
 		return via
 	}
 	return a.Addr
@@ -185,12 +185,12 @@
 
 // WriteToAddress implements memberlist.NodeAwareTransport.
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	to, err := net.ResolveUDPAddr("udp", t.to(a))
+	to, err := net.ResolveUDPAddr("udp", t.addressOf(a))
 	if err != nil {
 		return time.Time{}, err
 	}
-	t.sent.Add(int64(len(b)))
-	t.sentN.Add(1)
+	t.sentBytes.Add(int64(len(b)))
+	t.sentPackets.Add(1)
 	_, err = t.udp.WriteToUDP(b, to)
 	return time.Now(), err
 }
@@ -205,7 +205,7 @@
 
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
 func (t *transport) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", t.to(a), wait)
+	return net.DialTimeout("tcp", t.addressOf(a), wait)
 }
 
 // StreamCh implements memberlist.Transport.
