control/shared/judge and count: outlier detection and counts by the field's names

Cause: boards, juries, testimonies, fading and hearsay had to be learnt; judge, Hear, look and Read did several jobs each. Change: judge has a Detector with Observe, Broadcast, Receive and SetServers, and evaluates in refresh, limit, apply, sample and evaluate; count has Broadcast, Receive, Known and a history for each source, and Read is estimate and bounds. Tags, JSON keys, kinds' numbers and texts and reason codes are as they were; a field that nothing read (Verdict.at) is gone.

--- a/control/shared/attempts.go
+++ b/control/shared/attempts.go
@@ -36,7 +36,7 @@
 }
 
 func (m *Shared) saw(now int64, server uint64, k judge.Kind) {
-	m.board.Saw(now, server, k)
+	m.board.Observe(now, server, k)
 	m.news = m.news || k == judge.Silent || k == judge.Dead
 }
 
@@ -57,7 +57,7 @@
 			delete(m.tenants, ev.Call)
 		}
 		if m.back(ev.Call) != nil {
-			m.saw(now, ev.Server, judge.Well)
+			m.saw(now, ev.Server, judge.Healthy)
 		}
 	case control.Aborted:
 		delete(m.tenants, ev.Call)
@@ -75,9 +75,9 @@
 		case control.RefusedConn:
 			m.saw(now, ev.Server, judge.Dead)
 		case control.Saturated:
-			m.saw(now, ev.Server, judge.Pressed)
+			m.saw(now, ev.Server, judge.Overloaded)
 		case control.Errored:
-			m.saw(now, ev.Server, judge.Well) // it answers; what it answers is control's concern
+			m.saw(now, ev.Server, judge.Healthy) // it answers; what it answers is control's concern
 		}
 	}
 }
--- a/control/shared/count/config.go
+++ b/control/shared/count/config.go
@@ -1,42 +1,46 @@
 package count
 
-// Config bounds what is kept, and names what the bounds assume.
+const second = int64(1e9)
+
+// Bounds of what is sent and kept.
+const (
+	MaxKeyLength = 48
+	maxKeys      = 64   // of one process
+	maxSources   = 2048 // processes, with those that were replaced within a window
+	// maxJumpSeconds bounds how far one message may raise a count, in seconds at the greatest rate. A corrupt message must
+	// not distort the counts for long.
+	maxJumpSeconds = 3600.0
+	maxUptimeMS    = int64(10 * 366 * 24 * 3600 * 1000) // ten years
+)
+
+// clockDrift is the greatest rate error of a clock, as in package lease.
+const clockDrift = 0.002
+
+// Config bounds what is kept, and states what the bounds of a Reading assume. Zero values stand for the defaults.
 type Config struct {
-	Window int64   // the longest that is asked for, in nanoseconds
-	Every  int64   // between two samples of an instance that are kept apart
-	Delay  int64   // that a message takes at most
-	Rate   float64 // that one instance counts of one key at most, a second
-	// Without leaves a guard out, to show that the checkers notice: Merge. Empty in every build but the lab's.
+	Window         int64   // the longest window that is read, in nanoseconds
+	SampleInterval int64   // the least time between two samples of a process
+	MaxDelay       int64   // how long a message is under way at most
+	MaxRate        float64 // how often a process counts one key at most, per second
+	// Without names one check to leave out (Merge), to test that the lab's checkers notice. It is empty in every build but the
+	// lab's.
 	Without string
 }
 
-// Merge is the guard that keeps what is heard twice from counting twice.
+// Merge is the check that what is received twice does not count twice.
 const Merge = "merge"
 
-const (
-	second = int64(1e9)
-	// keysMost bounds the keys of one instance, KeyLong a key's length, sourcesMost the instances (with those that have been
-	// replaced within a window).
-	keysMost, sourcesMost = 64, 2048
-	// drift is by how much a clock may run fast or slow: as in package lease.
-	drift = 0.002
-	// futureMost bounds how far one message may move a count, in seconds of the greatest rate: a message that is wrong, and
-	// not just late, must not count for a whole season.
-	futureMost = 3600.0
-	upMost     = int64(10 * 366 * 24 * 3600 * 1000) // ten years in milliseconds
-)
-
-func (c *Config) defaults() {
+func (c *Config) setDefaults() {
 	if c.Window <= 0 {
 		c.Window = 10 * second
 	}
-	if c.Every <= 0 {
-		c.Every = second / 4
+	if c.SampleInterval <= 0 {
+		c.SampleInterval = second / 4
 	}
-	if c.Delay <= 0 {
-		c.Delay = 2 * second
+	if c.MaxDelay <= 0 {
+		c.MaxDelay = 2 * second
 	}
-	if c.Rate <= 0 {
-		c.Rate = 2000
+	if c.MaxRate <= 0 {
+		c.MaxRate = 2000
 	}
 }
--- a/control/shared/count/count_test.go
+++ b/control/shared/count/count_test.go
@@ -24,7 +24,7 @@
 
 func TestBoundsHoldAndNothingCountsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Config{Window: 10e9, Delay: 2e9, Rate: 100}
+		c := Config{Window: 10e9, MaxDelay: 2e9, MaxRate: 100}
 		type process struct {
 			set *Set
 			truth
@@ -54,7 +54,7 @@
 			now += rapid.Int64Range(10e6, 300e6).Draw(t, "gap")
 			for k := 0; k < len(mail); k++ {
 				if mail[k].at <= now {
-					reader.Hear(mail[k].at, mail[k].m) // the events of one step are all before the next
+					reader.Receive(mail[k].at, mail[k].m) // the events of one step are all before the next
 					came = append(came, mail[k].m)
 					mail = append(mail[:k], mail[k+1:]...)
 					k--
@@ -70,26 +70,26 @@
 				reader.Add(key, 1)
 				own.at = append(own.at, now)
 			case 5, 6, 7:
-				m := p.set.Tell(now)
+				m := p.set.Broadcast(now)
 				most := int64(8e9) // held up in a frozen process, say: only the quickest has to be quick
 				if !p.quick {
 					most, p.quick = 2e9-400e6, true
 				}
 				mail = append(mail, letter{now + rapid.Int64Range(0, most).Draw(t, "delay"), m})
-				reader.Tell(now)
+				reader.Broadcast(now)
 			case 8: // it starts anew, with nothing or an old folder: there is nothing in it
 				live = append(live[:k], live[k+1:]...)
 				begin(p.set.own.Name)
 			case 9:
 				if len(came) > 0 { // an old message comes again, however late
-					reader.Hear(now, came[rapid.IntRange(0, len(came)-1).Draw(t, "old")])
+					reader.Receive(now, came[rapid.IntRange(0, len(came)-1).Draw(t, "old")])
 				}
 			}
 			window := rapid.Int64Range(1e9, 10e9).Draw(t, "window")
 			r := reader.Read(now, key, window)
 			real := own.in(now-window, now)
 			for _, p := range all {
-				if h := reader.sources[p.set.own]; h != nil && h.settled && now-last(reader, p.set.own) <= reader.silence() {
+				if h := reader.sources[p.set.own]; h != nil && h.settled && now-last(reader, p.set.own) <= reader.silenceTimeout() {
 					real += p.in(now-window, now)
 				}
 			}
@@ -106,7 +106,7 @@
 }
 
 func TestAFleetIsReadWithinItsAge(t *testing.T) {
-	c := Config{Window: 10e9, Delay: 1e9, Rate: 50}
+	c := Config{Window: 10e9, MaxDelay: 1e9, MaxRate: 50}
 	now := int64(0)
 	var all []*Set
 	for k := range 20 {
@@ -117,9 +117,9 @@
 		for k, s := range all {
 			s.Add(key, 1) // 200 a second, all together
 			if now/100e6%5 == int64(k)%5 {
-				m := s.Tell(now)
+				m := s.Broadcast(now)
 				for _, other := range all {
-					other.Hear(now+20e6, m)
+					other.Receive(now+20e6, m)
 				}
 			}
 		}
@@ -138,24 +138,24 @@
 
 func TestUnfitMessagesChangeNothing(t *testing.T) {
 	s := New(Config{}, Source{"a", 1}, 0)
-	s.Hear(1e9, Message{From: Source{"a", 1}, Counts: map[string]int64{key: 9}}) // its own name and epoch
-	s.Hear(1e9, Message{From: Source{"b", 2}, Up: -5, Counts: map[string]int64{key: 9}})
-	s.Hear(1e9, Message{From: Source{"b", 3}, Up: 10, Counts: map[string]int64{key: 1 << 60, "x": -4}})
+	s.Receive(1e9, Message{From: Source{"a", 1}, Counts: map[string]int64{key: 9}}) // its own name and epoch
+	s.Receive(1e9, Message{From: Source{"b", 2}, UptimeMS: -5, Counts: map[string]int64{key: 9}})
+	s.Receive(1e9, Message{From: Source{"b", 3}, UptimeMS: 10, Counts: map[string]int64{key: 1 << 60, "x": -4}})
 	if r := s.Read(1e9, key, 1e9); r.Value != 0 || r.Least != 0 {
 		t.Errorf("%+v", r)
 	}
-	s.Hear(1e9, Message{From: Source{"c", 1}, Up: 100, Counts: map[string]int64{key: 7}})
+	s.Receive(1e9, Message{From: Source{"c", 1}, UptimeMS: 100, Counts: map[string]int64{key: 7}})
 	if r := s.Read(1e9, key, 1e9); r.Of != 1 || r.Value != 7 {
 		t.Errorf("its age is sure at once: %+v", r)
 	}
-	s.Hear(4e9, Message{From: Source{"c", 1}, Up: 200, Counts: map[string]int64{key: 3}}) // no process goes back
-	if got := s.All(4e9); got[len(got)-1].Counts[key] != 7 {
+	s.Receive(4e9, Message{From: Source{"c", 1}, UptimeMS: 200, Counts: map[string]int64{key: 3}}) // no process goes back
+	if got := s.Known(4e9); got[len(got)-1].Counts[key] != 7 {
 		t.Errorf("a count went back: %+v", got)
 	}
 	for k := range 3000 {
-		s.Hear(2e9, Message{From: Source{"many", uint64(k)}, Up: 1})
+		s.Receive(2e9, Message{From: Source{"many", uint64(k)}, UptimeMS: 1})
 	}
-	if len(s.sources) > sourcesMost {
+	if len(s.sources) > maxSources {
 		t.Errorf("%d sources kept", len(s.sources))
 	}
 }
--- a/control/shared/count/reading.go
+++ b/control/shared/count/reading.go
@@ -9,83 +9,106 @@
 	"strings"
 )
 
-// Reading is a count of the fleet over a window. A process of which nothing was heard a Config.Delay ago is in the value
-// alone: its first messages may have waited in another that passed them on, so that nothing is sure of their age.
+// Reading is a count of the fleet over a window. A process that was first heard of less than Config.MaxDelay ago is
+// included in the estimate but not in the bounds: its first messages may have been delayed, so their age is not certain.
 type Reading struct {
-	Value float64 `json:"value"`  // the likeliest
-	Least int64   `json:"least"`  // surely counted in the window by the processes that it is about
-	Most  int64   `json:"most"`   // by them, at most
-	AgeMS int64   `json:"age_ms"` // of what was heard last from the one that has been quiet for longest
-	Of    int     `json:"of"`     // processes that it is about, this one among them
+	Value float64 `json:"value"`  // the estimate
+	Least int64   `json:"least"`  // certainly counted in the window, by the processes included
+	Most  int64   `json:"most"`   // the most that they can have counted
+	AgeMS int64   `json:"age_ms"` // of the newest message of the process that has been silent for the longest time
+	Of    int     `json:"of"`     // the number of processes included, this one among them
 }
 
 // Read reads a key over a window that ends now.
 func (s *Set) Read(now int64, key string, window int64) (r Reading) {
 	window = min(window, s.cfg.Window)
-	from := now - window
 	for id, h := range s.sources {
-		delay, last := s.cfg.Delay, h.samples[len(h.samples)-1]
-		total := last.counts[key]
+		age := now - h.last().at
 		if id == s.own {
-			delay, total, last.at = 0, s.counts[key], now
+			age = 0
 		}
-		age := now - last.at
-		if age > s.silence() {
+		if age > s.silenceTimeout() {
 			continue
 		}
-		if h.settled {
-			r.Of++
-			r.AgeMS = max(r.AgeMS, age/1e6)
-		}
-		// A sample shows its process as it was when it was sent: not later than it came, and not more than the delay before.
-		// So what it had counted when the window began is before at least and after at most, and likely guess.
-		all := h.samples
-		next := sort.Search(len(all), func(k int) bool { return all[k].at > from })
-		was, before := sample{at: h.began}, int64(0)
-		if next > 0 {
-			was = all[next-1]
-			before = was.counts[key]
-		}
-		guess := float64(before)
-		switch {
-		case next < len(all) && was.at <= from:
-			guess += float64(all[next].counts[key]-before) * float64(from-was.at) / float64(all[next].at-was.at)
-		case next == len(all) && id != s.own: // nothing was heard since
-			guess = float64(total)
-		}
-		after := total
-		if sure := sort.Search(len(all), func(k int) bool { return all[k].at-delay >= from }); sure < len(all) {
-			after = min(after, all[sure].counts[key])
-		}
-		if h.began-delay-1e6 >= from {
-			after = 0 // its process had not begun
-		}
-		if r.Value += float64(total) - guess; !h.settled {
+		total, before := s.estimate(id, h, key, now-window)
+		r.Value += float64(total) - before
+		if !h.settled {
 			continue
 		}
-		r.Least += total - min(after, total)
-		r.Most += total - before
-		if id != s.own {
-			r.Most += int64(math.Ceil(s.cfg.Rate * float64(min(age+delay, window)) / 1e9))
+		r.Of++
+		r.AgeMS = max(r.AgeMS, age/1e6)
+		least, most := s.bounds(id, h, key, now-window, total)
+		r.Least += least
+		r.Most += most
+		if id != s.own { // and what it can have counted since its newest message was sent
+			r.Most += int64(math.Ceil(s.cfg.MaxRate * float64(min(age+s.cfg.MaxDelay, window)) / 1e9))
 		}
 	}
 	return r
 }
 
+// estimate gives the newest count of a source, and the likeliest one at the time from, interpolated between samples.
+func (s *Set) estimate(id Source, h *history, key string, from int64) (total int64, before float64) {
+	total = h.last().counts[key]
+	if id == s.own {
+		total = s.counts[key]
+	}
+	earlier, next := h.around(from)
+	count := earlier.counts[key]
+	before = float64(count)
+	switch {
+	case next < len(h.samples) && earlier.at <= from:
+		later := h.samples[next]
+		before += float64(later.counts[key]-count) * float64(from-earlier.at) / float64(later.at-earlier.at)
+	case next == len(h.samples) && id != s.own: // nothing was received since
+		before = float64(total)
+	}
+	return total, before
+}
+
+// bounds gives the least and the most that a source has counted between the time from and its newest message. A sample
+// shows the source as it was when its message was sent: not later than it arrived, and at most the delay before.
+func (s *Set) bounds(id Source, h *history, key string, from, total int64) (least, most int64) {
+	delay := s.cfg.MaxDelay
+	if id == s.own {
+		delay = 0
+	}
+	after := total // the most that it can have counted by the time from
+	certain := sort.Search(len(h.samples), func(k int) bool { return h.samples[k].at-delay >= from })
+	if certain < len(h.samples) {
+		after = min(after, h.samples[certain].counts[key])
+	}
+	if h.startedAt-delay-1e6 >= from {
+		after = 0 // its process had not started
+	}
+	earlier, _ := h.around(from)
+	return total - min(after, total), total - earlier.counts[key]
+}
+
+// around gives the last sample at or before a time, and the index of the first one after it. Before the first sample the
+// counts were zero when the process started.
+func (h *history) around(at int64) (earlier sample, next int) {
+	next = sort.Search(len(h.samples), func(k int) bool { return h.samples[k].at > at })
+	if next == 0 {
+		return sample{at: h.startedAt}, 0
+	}
+	return h.samples[next-1], next
+}
+
 // Known is what a process is known to have counted since its start.
 type Known struct {
 	Source
 	Counts map[string]int64 `json:"counts"`
-	AgeMS  int64            `json:"age_ms"` // of the news
+	AgeMS  int64            `json:"age_ms"` // of its newest message
 }
 
-// All tells what is known of each process that readings are about, the newest news only, in the order of names.
-func (s *Set) All(now int64) (all []Known) {
+// Known gives the newest counts of each process that readings include, ordered by name and epoch.
+func (s *Set) Known(now int64) (all []Known) {
 	for id, h := range s.sources {
-		last := h.samples[len(h.samples)-1]
+		last := h.last()
 		if id == s.own {
 			last = sample{now, s.counts}
-		} else if !h.settled || now-last.at > s.silence() {
+		} else if !h.settled || now-last.at > s.silenceTimeout() {
 			continue
 		}
 		all = append(all, Known{id, maps.Clone(last.counts), (now - last.at) / 1e6})
@@ -96,17 +119,19 @@
 	return all
 }
 
-// Keys lists the keys with a prefix that any process known has counted.
+// Keys lists the keys with a prefix that any known process has counted.
 func (s *Set) Keys(prefix string) []string {
-	seen := map[string]bool{}
-	for _, h := range s.sources {
-		for k := range h.samples[len(h.samples)-1].counts {
-			seen[k] = seen[k] || strings.HasPrefix(k, prefix)
+	found := map[string]bool{}
+	add := func(counts map[string]int64) {
+		for key := range counts {
+			if strings.HasPrefix(key, prefix) {
+				found[key] = true
+			}
 		}
 	}
-	for k := range s.counts {
-		seen[k] = seen[k] || strings.HasPrefix(k, prefix)
+	add(s.counts)
+	for _, h := range s.sources {
+		add(h.last().counts)
 	}
-	maps.DeleteFunc(seen, func(_ string, is bool) bool { return !is })
-	return slices.Sorted(maps.Keys(seen))
+	return slices.Sorted(maps.Keys(found))
 }
--- a/control/shared/judge/config.go
+++ b/control/shared/judge/config.go
@@ -1,48 +1,52 @@
 package judge
 
-// Config are the figures; zero ones have the defaults.
+const second = int64(1e9)
+
+// The defaults of Config.
+const (
+	// defaultRetention is somewhat longer than callers wait, so that a server that recovers is tried again within that.
+	defaultRetention = 6 * second
+	// With one answer in fifty lost, five bad reports of six come about by chance once in 60 million.
+	defaultSampleSize      = 6
+	defaultBadShare        = 0.8
+	defaultMinBad          = 2
+	defaultMaxAvoidedShare = 0.25
+	defaultOwnEvidenceTime = 2 * second
+)
+
+// Config holds the parameters of outlier detection; zero values stand for the defaults.
 type Config struct {
-	Fade    int64   // that a report lasts, in nanoseconds
-	Jury    int     // the youngest reports that decide, of so many machines
-	Needed  float64 // of these, the part that has to be bad
-	Least   int     // bad ones at least, whatever the jury
-	LeftOut float64 // part of the listed servers that hearsay may keep calls from, one at least
-	OwnFor  int64   // that good evidence of one's own keeps hearsay off
-	// Without leaves a guard out, to show that the checkers notice: Witnesses. Empty in every build but the lab's.
+	Retention       int64   // for how long a report counts, in nanoseconds
+	SampleSize      int     // how many of the youngest reports decide, each from another machine
+	BadShare        float64 // the part of them that must be bad
+	MinBad          int     // the least number of bad ones, however small the sample
+	MaxAvoidedShare float64 // the part of the listed servers that may be avoided; at least one server
+	OwnEvidenceTime int64   // for how long an instance's own good observation overrides the others' reports
+	// Without names one check to leave out (Witnesses), to test that the lab's checkers notice. It is empty in every build
+	// but the lab's.
 	Without string
 }
 
-// Witnesses is the guard that one machine's word decides nothing.
+// Witnesses is the check that the reports of one machine decide nothing.
 const Witnesses = "witnesses"
 
-const (
-	second = int64(1e9)
-	// fadeDefault is some way over the patience of a call: a server that comes back is tried again within that.
-	fadeDefault = 6 * second
-	// juryDefault and neededDefault: with one answer in fifty lost, five bad of six come about once in 60 million.
-	juryDefault, neededDefault, leastDefault = 6, 0.8, 2
-	leftOutDefault                           = 0.25
-	ownDefault                               = 2 * second
-)
-
-func (c *Config) defaults() {
-	set := func(x *int64, d int64) {
-		if *x <= 0 {
-			*x = d
-		}
+func (c *Config) setDefaults() {
+	if c.Retention <= 0 {
+		c.Retention = defaultRetention
+	}
+	if c.OwnEvidenceTime <= 0 {
+		c.OwnEvidenceTime = defaultOwnEvidenceTime
 	}
-	set(&c.Fade, fadeDefault)
-	set(&c.OwnFor, ownDefault)
-	if c.Jury <= 0 {
-		c.Jury = juryDefault
+	if c.SampleSize <= 0 {
+		c.SampleSize = defaultSampleSize
 	}
-	if c.Needed <= 0 {
-		c.Needed = neededDefault
+	if c.BadShare <= 0 {
+		c.BadShare = defaultBadShare
 	}
-	if c.Least <= 0 {
-		c.Least = leastDefault
+	if c.MinBad <= 0 {
+		c.MinBad = defaultMinBad
 	}
-	if c.LeftOut <= 0 {
-		c.LeftOut = leftOutDefault
+	if c.MaxAvoidedShare <= 0 {
+		c.MaxAvoidedShare = defaultMaxAvoidedShare
 	}
 }
--- a/control/shared/judge/judge_test.go
+++ b/control/shared/judge/judge_test.go
@@ -9,25 +9,25 @@
 )
 
 // fleet is a few boards on machines of their own that hear each other.
-func fleet(n int, servers ...uint64) (all []*Board) {
+func fleet(n int, servers ...uint64) (all []*Detector) {
 	for k := range n {
 		b := New(Config{}, fmt.Sprint("n", k), fmt.Sprint("m", k), uint64(k), nil)
-		b.Listed(servers)
+		b.SetServers(servers)
 		all = append(all, b)
 	}
 	return all
 }
 
-func gossip(now int64, all []*Board) {
+func gossip(now int64, all []*Detector) {
 	for _, b := range all {
-		m := b.Tell(now)
+		m := b.Broadcast(now)
 		for _, o := range all {
-			o.Hear(now+10e6, m)
+			o.Receive(now+10e6, m)
 		}
 	}
 }
 
-func avoiding(now int64, all []*Board, server uint64) (n int) {
+func avoiding(now int64, all []*Detector, server uint64) (n int) {
 	for _, b := range all {
 		if is, _ := b.Avoid(now, server); is {
 			n++
@@ -40,19 +40,19 @@
 	all := fleet(12, 1, 2, 3, 4)
 	now := int64(100e9)
 	for k, b := range all { // well to all, a moment ago
-		b.Saw(now-int64(k)*100e6, 1, Well)
+		b.Observe(now-int64(k)*100e6, 1, Healthy)
 	}
 	gossip(now, all)
 	now += 3e9 // own evidence is no longer fresh
 	for _, b := range all[:4] {
-		b.Saw(now, 1, Silent)
+		b.Observe(now, 1, Silent)
 		now += 50e6
 	}
 	gossip(now, all)
 	if n := avoiding(now+20e6, all, 1); n != 0 {
 		t.Fatalf("%d avoid it with 4 of 6 against it", n)
 	}
-	all[4].Saw(now, 1, Silent)
+	all[4].Observe(now, 1, Silent)
 	gossip(now+100e6, all)
 	if n := avoiding(now+200e6, all, 1); n != 12 {
 		t.Fatalf("%d of 12 avoid it", n)
@@ -67,19 +67,19 @@
 	now := int64(100e9)
 	for range 100 {
 		now += 100e6
-		all[0].Saw(now, 1, Dead)
-		m := all[0].Tell(now)
+		all[0].Observe(now, 1, Dead)
+		m := all[0].Broadcast(now)
 		for k := range 5 { // from five instances on its machine
 			m.From = fmt.Sprint("liar", k)
 			for _, b := range all {
-				b.Hear(now, m)
+				b.Receive(now, m)
 			}
 		}
 	}
 	if n := avoiding(now, all, 1); n != 0 {
 		t.Fatalf("%d avoid it on one machine's word", n)
 	}
-	if v := all[3].Verdicts(now); len(v) != 1 || v[0].Reason != Few || len(v[0].Witnesses) != 1 {
+	if v := all[3].Verdicts(now); len(v) != 1 || v[0].Reason != FewObservers || len(v[0].Witnesses) != 1 {
 		t.Errorf("%+v", v)
 	}
 }
@@ -88,9 +88,9 @@
 	all := fleet(7, 1, 2, 3, 4)
 	now := int64(100e9)
 	for _, b := range all[:6] {
-		b.Saw(now, 1, Silent)
+		b.Observe(now, 1, Silent)
 	}
-	all[6].Saw(now-500e6, 1, Well)
+	all[6].Observe(now-500e6, 1, Healthy)
 	gossip(now, all)
 	if is, _ := all[6].Avoid(now+20e6, 1); is {
 		t.Error("avoided by the one whose call has just stood there")
@@ -105,7 +105,7 @@
 	now := int64(100e9)
 	for _, b := range all {
 		for id := uint64(1); id <= 8; id++ {
-			b.Saw(now, id, Dead)
+			b.Observe(now, id, Dead)
 		}
 	}
 	gossip(now, all)
@@ -124,7 +124,7 @@
 	all := fleet(20, 1, 2, 3, 4)
 	now := int64(100e9)
 	for _, b := range all {
-		b.Saw(now, 1, Silent)
+		b.Observe(now, 1, Silent)
 	}
 	gossip(now, all)
 	var when []int64
@@ -148,15 +148,15 @@
 	all := fleet(8, 1, 2, 3, 4)
 	now := int64(100e9)
 	for _, b := range all {
-		b.Saw(now, 1, Dead)
+		b.Observe(now, 1, Dead)
 	}
 	gossip(now, all)
 	if avoiding(now+20e6, all, 1) != 8 {
 		t.Fatal("not avoided")
 	}
 	now += 1e9
-	all[0].Saw(now, 1, Well)
-	all[1].Saw(now, 1, Well)
+	all[0].Observe(now, 1, Healthy)
+	all[1].Observe(now, 1, Healthy)
 	gossip(now, all)
 	if n := avoiding(now+20e6, all, 1); n != 0 {
 		t.Errorf("%d still avoid it", n)
@@ -177,11 +177,11 @@
 			t.Errorf("%v are left out", out)
 		}
 	})
-	b.Listed([]uint64{1, 2, 3, 4})
+	b.SetServers([]uint64{1, 2, 3, 4})
 	now := int64(100e9)
 	tell := func(server uint64, witnesses int) {
 		for k := range witnesses {
-			b.Hear(now, Message{From: fmt.Sprint("n", k), Machine: fmt.Sprint("m", k), Reports: []Report{{Server: server, Kind: Dead, Run: 1}}})
+			b.Receive(now, Message{From: fmt.Sprint("n", k), Machine: fmt.Sprint("m", k), Reports: []Report{{Server: server, Kind: Dead, Run: 1}}})
 		}
 		now += 100e6
 		b.Avoid(now, 1)
@@ -203,7 +203,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ids := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
 		b := New(Config{}, "me", "here", 1, nil)
-		b.Listed(ids)
+		b.SetServers(ids)
 		now := int64(100e9)
 		bad := map[uint64]map[string]int64{}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -212,13 +212,13 @@
 			k := Kind(rapid.IntRange(0, 6).Draw(t, "kind"))
 			if rapid.IntRange(0, 4).Draw(t, "own") == 0 {
 				k = min(k, Cold)
-				b.Saw(now, id, k)
+				b.Observe(now, id, k)
 				note(bad, id, "here", k, now)
 				continue
 			}
 			machine := fmt.Sprint("m", rapid.IntRange(0, 5).Draw(t, "machine"))
 			age := rapid.Int64Range(-10, 8000).Draw(t, "age")
-			b.Hear(now, Message{From: machine + rapid.SampledFrom([]string{"a", "b"}).Draw(t, "instance"), Machine: machine, Reports: []Report{{id, k, age, 1}, {99, Dead, 0, 1}}})
+			b.Receive(now, Message{From: machine + rapid.SampledFrom([]string{"a", "b"}).Draw(t, "instance"), Machine: machine, Reports: []Report{{id, k, age, 1}, {99, Dead, 0, 1}}})
 			if age >= 0 && age <= 6000 {
 				note(bad, id, machine, k, now-age*1e6)
 			}
--- a/control/shared/judge/report.go
+++ b/control/shared/judge/report.go
@@ -1,39 +1,43 @@
 package judge
 
-// Kind is what was seen.
+// Bounds of what is sent and kept.
+const (
+	MaxReports   = 64   // in a message
+	maxObservers = 24   // machines whose reports of one server are kept
+	maxServers   = 1024 // of which reports are kept
+)
+
+// Kind is what an instance saw of a server.
 type Kind uint8
 
-// The kinds. Only Silent and Dead can keep calls away; the others are told to operators, and Cold to budgets.
+// The kinds, by their numbers on the wire. Only Silent and Dead can make a server avoided. Cold is also used for the
+// budgets of cold servers; the others are shown to operators.
 const (
-	Well    Kind = iota // a set-up stood
-	Silent              // no answer in time
-	Dead                // it takes no connection
-	Pressed             // it turned a set-up away, its line being too long
-	Cold                // it stood after it had been dead: a new process
+	Healthy    Kind = iota // a call was established
+	Silent                 // no answer in time
+	Dead                   // it refuses connections
+	Overloaded             // it rejected a call because its queue is too long
+	Cold                   // it was healthy after it had been dead: a new process
 )
 
 func (k Kind) String() string {
 	return [...]string{"well", "silent", "dead", "pressed", "cold"}[min(k, Cold)]
 }
 
+// bad tells whether a report of this kind counts against a server.
 func (k Kind) bad() bool { return k == Silent || k == Dead }
 
-// Report is the newest thing that one instance saw of one server.
+// Report is the newest observation that one instance made of one server.
 type Report struct {
 	Server uint64 `codec:"s"`
 	Kind   Kind   `codec:"k"`
 	AgeMS  int64  `codec:"a"`
-	Run    int    `codec:"r,omitempty"` // of the same kind, without another between
+	Run    int    `codec:"r,omitempty"` // observations of this kind in a row
 }
 
-// Message is what an instance tells of all servers of which it has seen something of late.
+// Message is a health report: what an instance has recently observed of all servers.
 type Message struct {
 	From    string   `codec:"f"`
-	Machine string   `codec:"m"` // instances on one machine are one witness: they share its network
+	Machine string   `codec:"m"` // instances on one machine share its network, and count as one observer
 	Reports []Report `codec:"r"`
 }
-
-const (
-	// ReportsMost bounds a message, witnessesMost what is kept of a server, serversMost the servers.
-	ReportsMost, witnessesMost, serversMost = 64, 24, 1024
-)
--- a/control/shared/judge/verdict.go
+++ b/control/shared/judge/verdict.go
@@ -6,134 +6,163 @@
 	"slices"
 )
 
-// Verdict is what the fleet's reports come to, for one server.
+// refreshInterval is how often verdicts are evaluated while nothing new is known.
+const refreshInterval = second / 20
+
+// Verdict is the result of evaluating the reports on one server.
 type Verdict struct {
 	Server    uint64   `json:"server"`
 	Avoided   bool     `json:"avoided"`
 	Reason    string   `json:"reason"`    // silent, dead, or why it is not avoided
-	Witnesses []string `json:"witnesses"` // whose bad reports it rests on, by instance
-	Against   int      `json:"against"`   // of the jury, those with other news
-	AgeMS     int64    `json:"age_ms"`    // of the youngest of them
-	at        int64
+	Witnesses []string `json:"witnesses"` // the instances whose bad reports it rests on
+	Against   int      `json:"against"`   // the reports of the sample that are good
+	AgeMS     int64    `json:"age_ms"`    // of the youngest report of the sample
 }
 
 // The reasons why a server with bad reports is not avoided.
 const (
-	Few     = "few-witnesses"
-	Own     = "own-evidence"
-	LeftOut = "too-many-left-out"
-	Faded   = "faded"
+	FewObservers   = "few-witnesses"
+	OwnEvidence    = "own-evidence"
+	TooManyAvoided = "too-many-left-out"
+	Expired        = "faded"
 )
 
-const (
-	lookEvery = second / 20
-)
+// Avoid tells whether calls are to be kept from a server, and why.
+func (d *Detector) Avoid(now int64, id uint64) (avoid bool, reason string) {
+	d.refresh(now)
+	if s := d.servers[id]; s != nil && s.verdict.Avoided {
+		return true, s.verdict.Reason
+	}
+	return false, ""
+}
 
-// look makes the verdicts anew.
-func (b *Board) look(now int64) {
-	if !b.dirty && now-b.lookedAt < lookEvery {
+// Verdicts lists the servers that have bad reports, for operators.
+func (d *Detector) Verdicts(now int64) (all []Verdict) {
+	d.refresh(now)
+	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+		if v := d.servers[id].verdict; v.Avoided || len(v.Witnesses) > 0 {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
+// refresh evaluates all servers if something is new or the last evaluation is old.
+func (d *Detector) refresh(now int64) {
+	if !d.dirty && now-d.evaluatedAt < refreshInterval {
 		return
 	}
-	b.lookedAt, b.dirty = now, false
-	var found []Verdict
-	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		s := b.servers[id]
-		s.heard = slices.DeleteFunc(s.heard, func(t testimony) bool { return now-t.at >= b.cfg.Fade })
-		if len(s.heard) > 0 || s.verdict.Avoided {
-			found = append(found, b.judge(now, id, s))
+	d.evaluatedAt, d.dirty = now, false
+	var verdicts []Verdict
+	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+		s := d.servers[id]
+		s.secondHand = slices.DeleteFunc(s.secondHand, func(o observation) bool { return now-o.seenAt >= d.cfg.Retention })
+		if len(s.secondHand) > 0 || s.verdict.Avoided {
+			verdicts = append(verdicts, d.evaluate(now, id, s))
 		}
 	}
-	// The worst first, by how many say so, where not all may be left out.
-	slices.SortStableFunc(found, func(x, y Verdict) int { return cmp.Compare(len(y.Witnesses), len(x.Witnesses)) })
-	most := max(int(b.cfg.LeftOut*float64(b.listed)), 1)
-	var begun []Verdict
-	for _, v := range found {
-		if v.Avoided {
-			if most--; most < 0 {
-				v.Avoided, v.Reason = false, LeftOut
-			}
+	d.limit(verdicts)
+	d.apply(verdicts)
+}
+
+// limit keeps the number of avoided servers within bounds. The servers with the most bad reports come first.
+func (d *Detector) limit(verdicts []Verdict) {
+	slices.SortStableFunc(verdicts, func(x, y Verdict) int { return cmp.Compare(len(y.Witnesses), len(x.Witnesses)) })
+	room := max(int(d.cfg.MaxAvoidedShare*float64(d.listed)), 1)
+	for k := range verdicts {
+		v := &verdicts[k]
+		if !v.Avoided {
+			continue
 		}
-		s := b.servers[v.Server]
-		was := s.verdict.Avoided
-		if s.verdict = v; v.Avoided && !was {
+		if room == 0 {
+			v.Avoided, v.Reason = false, TooManyAvoided
+			continue
+		}
+		room--
+	}
+}
+
+// apply stores the verdicts and reports those that begin or end. The ends are reported first, so that at no moment more
+// servers seem avoided than may be.
+func (d *Detector) apply(verdicts []Verdict) {
+	var begun []Verdict
+	for _, v := range verdicts {
+		s := d.servers[v.Server]
+		wasAvoided := s.verdict.Avoided
+		s.verdict = v
+		switch {
+		case v.Avoided && !wasAvoided:
 			begun = append(begun, v)
-		} else if was && !v.Avoided {
-			b.onChange(v)
+		case wasAvoided && !v.Avoided:
+			d.onChange(v)
 		}
 	}
-	for _, v := range begun { // told after those that made room for them
-		b.onChange(v)
+	for _, v := range begun {
+		d.onChange(v)
 	}
 }
 
-// judge has the youngest reports decide on a server. This instance is one of the witnesses.
-func (b *Board) judge(now int64, id uint64, s *server) Verdict {
-	all := slices.Clone(s.heard)
-	if s.seen && now-s.own.at < b.cfg.Fade {
-		all = slices.DeleteFunc(all, func(t testimony) bool { return t.machine == b.machine && t.at <= s.own.at })
-		if !slices.ContainsFunc(all, func(t testimony) bool { return t.machine == b.machine }) {
-			all = append(all, testimony{b.machine, b.name, s.own.kind, s.own.at, s.own.run})
+// sample returns the youngest observations of a server, one for each machine. This instance's own one is among them.
+func (d *Detector) sample(now int64, s *serverState) []observation {
+	all := slices.Clone(s.secondHand)
+	if s.hasOwn && now-s.own.seenAt < d.cfg.Retention {
+		ofThisMachine := func(o observation) bool { return o.machine == d.machine }
+		all = slices.DeleteFunc(all, func(o observation) bool { return ofThisMachine(o) && o.seenAt <= s.own.seenAt })
+		if !slices.ContainsFunc(all, ofThisMachine) {
+			all = append(all, observation{d.machine, d.name, s.own.kind, s.own.seenAt, s.own.streak})
 		}
 	}
-	slices.SortFunc(all, func(x, y testimony) int { return cmp.Or(cmp.Compare(y.at, x.at), cmp.Compare(x.machine, y.machine)) })
-	jury := all[:min(len(all), b.cfg.Jury)]
-	v := Verdict{Server: id, Reason: Few, at: now}
-	kinds := map[Kind]int{}
-	for _, t := range jury {
-		if !t.kind.bad() {
+	slices.SortFunc(all, func(x, y observation) int {
+		return cmp.Or(cmp.Compare(y.seenAt, x.seenAt), cmp.Compare(x.machine, y.machine))
+	})
+	return all[:min(len(all), d.cfg.SampleSize)]
+}
+
+// evaluate decides on one server by a sample of the observations of it.
+func (d *Detector) evaluate(now int64, id uint64, s *serverState) Verdict {
+	sample := d.sample(now, s)
+	v := Verdict{Server: id, Reason: FewObservers}
+	count := map[Kind]int{}
+	for _, o := range sample {
+		if !o.kind.bad() {
 			v.Against++
 			continue
 		}
-		kinds[t.kind]++
-		v.Witnesses = append(v.Witnesses, t.from)
+		count[o.kind]++
+		v.Witnesses = append(v.Witnesses, o.from)
 	}
-	if len(jury) > 0 {
-		v.AgeMS = (now - jury[0].at) / 1e6
+	if len(sample) > 0 {
+		v.AgeMS = (now - sample[0].seenAt) / 1e6
 	}
-	bad := len(v.Witnesses)
-	if b.cfg.Without == Witnesses {
-		jury, v.Against = jury[:bad], 0
-		b.cfg.Least = 1
+	bad, minBad := len(v.Witnesses), d.cfg.MinBad
+	if d.cfg.Without == Witnesses {
+		sample, v.Against, minBad = sample[:bad], 0, 1
 	}
-	guilty := bad >= b.cfg.Least && float64(bad) >= b.cfg.Needed*float64(len(jury))
+	outlier := bad >= minBad && float64(bad) >= d.cfg.BadShare*float64(len(sample))
 	switch {
-	case guilty && s.seen && !s.own.kind.bad() && now-s.own.at < b.cfg.OwnFor:
-		v.Reason = Own
-	case guilty:
+	case outlier && s.hasOwn && !s.own.kind.bad() && now-s.own.seenAt < d.cfg.OwnEvidenceTime:
+		v.Reason = OwnEvidence
+	case outlier:
 		v.Avoided, v.Reason = true, Silent.String()
-		if kinds[Dead] > kinds[Silent] {
+		if count[Dead] > count[Silent] {
 			v.Reason = Dead.String()
 		}
-		if now >= s.again { // the evidence is news: what comes after it is a time of this instance's own
-			s.again = now + b.cfg.Fade
-			s.until = jury[0].at + b.cfg.Fade + b.rng.Int64N(b.cfg.Fade)
-		}
-		s.until = max(s.until, jury[0].at)
-	case s.verdict.Avoided && v.Against == 0 && now < s.until: // it has faded, and nobody has seen anything better
+		d.extendAvoidance(now, s, sample[0].seenAt)
+	case s.verdict.Avoided && v.Against == 0 && now < s.avoidedUntil: // the evidence has expired, and there is no better news
 		v = s.verdict
-		v.Against, v.at = 0, now
+		v.Against = 0
 	case bad == 0 && v.Against == 0:
-		v.Reason = Faded
+		v.Reason = Expired
 	}
 	return v
 }
 
-// Avoid tells whether calls are to be kept from a server on hearsay, and why.
-func (b *Board) Avoid(now int64, id uint64) (bool, string) {
-	b.look(now)
-	if s := b.servers[id]; s != nil && s.verdict.Avoided {
-		return true, s.verdict.Reason
-	}
-	return false, ""
-}
-
-// Verdicts lists those servers of which something bad is said, for operators.
-func (b *Board) Verdicts(now int64) (all []Verdict) {
-	b.look(now)
-	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		if v := b.servers[id].verdict; v.Avoided || len(v.Witnesses) > 0 {
-			all = append(all, v)
-		}
+// extendAvoidance sets how long a verdict outlasts its evidence, of which newest is the time of the youngest. The random
+// time is drawn once in a retention time, so that instances try the server again at different times.
+func (d *Detector) extendAvoidance(now int64, s *serverState, newest int64) {
+	if now >= s.nextDrawAt {
+		s.nextDrawAt = now + d.cfg.Retention
+		s.avoidedUntil = newest + d.cfg.Retention + d.rng.Int64N(d.cfg.Retention)
 	}
-	return all
+	s.avoidedUntil = max(s.avoidedUntil, newest)
 }
--- a/control/shared/message.go
+++ b/control/shared/message.go
@@ -39,10 +39,10 @@
 		}
 	}
 	if msg.Count != nil {
-		m.count.Hear(now, *msg.Count)
+		m.count.Receive(now, *msg.Count)
 	}
 	if msg.Judge != nil {
-		m.board.Hear(now, *msg.Judge)
+		m.board.Receive(now, *msg.Judge)
 	}
 	return out
 }
@@ -61,11 +61,11 @@
 	every := tellEvery * int64(max(1, (members+tellFor-1)/tellFor))
 	var msg Message
 	if now-m.countAt >= every {
-		c := m.count.Tell(now)
+		c := m.count.Broadcast(now)
 		msg.Count, m.countAt = &c, now
 	}
 	if now-m.judgeAt >= every || m.news && now-m.judgeAt >= newsEvery {
-		if j := m.board.Tell(now); len(j.Reports) > 0 {
+		if j := m.board.Broadcast(now); len(j.Reports) > 0 {
 			msg.Judge = &j
 		}
 		m.judgeAt, m.news = now, false
--- a/control/shared/servers.go
+++ b/control/shared/servers.go
@@ -32,5 +32,5 @@
 		}
 	}
 	m.serving = len(ids)
-	m.board.Listed(ids)
+	m.board.SetServers(ids)
 }
--- a/control/shared/shared.go
+++ b/control/shared/shared.go
@@ -31,7 +31,7 @@
 	aim     int64
 	lease   *lease.Node
 	count   *count.Set
-	board   *judge.Board
+	board   *judge.Detector
 	servers map[uint64]*listed
 	serving int
 	out     map[string]*attempt
--- a/control/shared/status.go
+++ b/control/shared/status.go
@@ -55,7 +55,7 @@
 // Look gives all of it.
 func (m *Shared) Look(now int64) Look {
 	l := Look{State: m.state, SinceNS: m.since, Allocator: m.lease.Leader(now), Reigns: m.lease.IsLeader(now), Leases: m.lease.Leases(now),
-		Verdicts: m.board.Verdicts(now), Known: m.count.All(now)}
+		Verdicts: m.board.Verdicts(now), Known: m.count.Known(now)}
 	for _, key := range m.count.Keys("") {
 		l.Counts = append(l.Counts, Counted{key, m.count.Read(now, key, totalsOver)})
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -45,7 +45,7 @@
 	if !m.tells {
 		return nil
 	}
-	return []shared.Out{{Message: shared.Message{Count: &count.Message{From: count.Source{Name: m.name, Epoch: 1}, Up: 1}}}}
+	return []shared.Out{{Message: shared.Message{Count: &count.Message{From: count.Source{Name: m.name, Epoch: 1}, UptimeMS: 1}}}}
 }
 
 func (m *module) Hear(_ int64, msg shared.Message) []shared.Out {
