control/shared: attempts, cold budgets and broadcasts by the field's names

Cause: told, back, look, wants, news and fading did not say what they are; See, Tick and New did several jobs each. Change: unexported names say what they hold; Tick's broadcast, the outcome of a call and a failed attempt are functions of their own. Exported names, tags, JSON keys, codes and the numbers' formulas are as they were.

--- a/control/shared/attempts.go
+++ b/control/shared/attempts.go
@@ -5,79 +5,35 @@
 	"masthill/control/shared/judge"
 )
 
-// attempt is a set-up without its answer.
-type attempt struct {
-	server uint64
-	at     int64
-	told   bool // as silent
-}
+// silentShare is the part of the shortest aim after which an unanswered attempt is reported as silence of its server.
+const silentShare = 0.75
 
-const (
-	// silentAfter is the part of the shortest aim after which a set-up without an answer is bad news of its server.
-	silentAfter = 0.75
-	// callsMost bounds the calls and set-ups that are followed; beyond it they go unseen.
-	callsMost = 1 << 15
-)
-
-// look finds the set-ups that have had no answer for long.
-func (m *Shared) look(now int64) {
-	for len(m.line) > 0 {
-		a := m.out[m.line[0]]
-		if a != nil && !a.told {
-			if float64(now-a.at) < silentAfter*float64(m.aim) {
-				return
-			}
-			a.told = true
-			m.saw(now, a.server, judge.Silent)
-		}
-		m.line = m.line[1:]
-	}
-	m.line = nil
-}
+// maxCalls bounds the calls and attempts that are tracked; the ones beyond it are ignored.
+const maxCalls = 1 << 15
 
-func (m *Shared) saw(now int64, server uint64, k judge.Kind) {
-	m.board.Observe(now, server, k)
-	m.news = m.news || k == judge.Silent || k == judge.Dead
-}
-
-func (m *Shared) back(call string) *attempt {
-	a := m.out[call]
-	delete(m.out, call)
-	return a
+// attempt is an attempt to set a call up at a server that has had no answer yet.
+type attempt struct {
+	server         uint64
+	sentAt         int64
+	reportedSilent bool
 }
 
 // See implements join.Module.
 func (m *Shared) See(now int64, ev control.Event) {
 	switch ev.Kind {
 	case control.Members:
-		m.members(ev)
+		m.setServers(ev)
 	case control.Stands:
-		if t, ok := m.tenants[ev.Call]; ok {
-			m.count.Add("p/"+t, 1)
-			delete(m.tenants, ev.Call)
-		}
-		if m.back(ev.Call) != nil {
-			m.saw(now, ev.Server, judge.Healthy)
+		m.countOutcome("p/", ev.Call)
+		if m.finishAttempt(ev.Call) != nil {
+			m.observe(now, ev.Server, judge.Healthy)
 		}
 	case control.Aborted:
-		delete(m.tenants, ev.Call)
-		m.back(ev.Call)
+		delete(m.callTenants, ev.Call)
+		m.finishAttempt(ev.Call)
 	case control.Returned:
-		a := m.back(ev.Call)
-		if a == nil {
-			return
-		}
-		switch ev.Outcome {
-		case control.Overdue:
-			if !a.told {
-				m.saw(now, ev.Server, judge.Silent)
-			}
-		case control.RefusedConn:
-			m.saw(now, ev.Server, judge.Dead)
-		case control.Saturated:
-			m.saw(now, ev.Server, judge.Overloaded)
-		case control.Errored:
-			m.saw(now, ev.Server, judge.Healthy) // it answers; what it answers is control's concern
+		if a := m.finishAttempt(ev.Call); a != nil {
+			m.observeFailure(now, ev, a)
 		}
 	}
 }
@@ -86,17 +42,71 @@
 func (m *Shared) Did(now int64, a control.Action) {
 	switch a.Kind {
 	case control.Send:
-		if budget, _, ok := m.cold(now, a.Server); ok {
+		if budget, _, ok := m.coldBudget(now, a.Server); ok {
 			m.lease.Take(now, budget)
 		}
-		if len(m.out) < callsMost {
-			m.out[a.Call] = &attempt{server: a.Server, at: now}
-			m.line = append(m.line, a.Call)
-		}
+		m.beginAttempt(now, a.Call, a.Server)
 	case control.Refuse, control.Fail:
-		if t, ok := m.tenants[a.Call]; ok {
-			m.count.Add("l/"+t, 1)
-			delete(m.tenants, a.Call)
+		m.countOutcome("l/", a.Call)
+	}
+}
+
+// countOutcome counts the end of a call for its tenant, once, under a key with the given prefix.
+func (m *Shared) countOutcome(prefix, call string) {
+	if t, ok := m.callTenants[call]; ok {
+		m.count.Add(prefix+t, 1)
+		delete(m.callTenants, call)
+	}
+}
+
+func (m *Shared) beginAttempt(now int64, call string, server uint64) {
+	if len(m.attempts) < maxCalls {
+		m.attempts[call] = &attempt{server: server, sentAt: now}
+		m.attemptOrder = append(m.attemptOrder, call)
+	}
+}
+
+// finishAttempt removes the attempt of a call; nil when there is none.
+func (m *Shared) finishAttempt(call string) *attempt {
+	a := m.attempts[call]
+	delete(m.attempts, call)
+	return a
+}
+
+// observeFailure tells the detector what a failed attempt shows of its server.
+func (m *Shared) observeFailure(now int64, ev control.Event, a *attempt) {
+	switch ev.Outcome {
+	case control.Overdue:
+		if !a.reportedSilent {
+			m.observe(now, ev.Server, judge.Silent)
 		}
+	case control.RefusedConn:
+		m.observe(now, ev.Server, judge.Dead)
+	case control.Saturated:
+		m.observe(now, ev.Server, judge.Overloaded)
+	case control.Errored:
+		m.observe(now, ev.Server, judge.Healthy) // the server answers; what it answers is package control's concern
 	}
 }
+
+// reportSilent finds the attempts that have been unanswered for long.
+func (m *Shared) reportSilent(now int64) {
+	for len(m.attemptOrder) > 0 {
+		a := m.attempts[m.attemptOrder[0]]
+		if a != nil && !a.reportedSilent {
+			if float64(now-a.sentAt) < silentShare*float64(m.shortestAim) {
+				return
+			}
+			a.reportedSilent = true
+			m.observe(now, a.server, judge.Silent)
+		}
+		m.attemptOrder = m.attemptOrder[1:]
+	}
+	m.attemptOrder = nil
+}
+
+// observe records an observation of a server. Bad ones are broadcast early.
+func (m *Shared) observe(now int64, server uint64, k judge.Kind) {
+	m.detector.Observe(now, server, k)
+	m.urgent = m.urgent || k == judge.Silent || k == judge.Dead
+}
--- /dev/null
+++ b/control/shared/average.go
@@ -0,0 +1,24 @@
+package shared
+
+import "math"
+
+// decayTime is the time constant of a decayedAverage.
+const decayTime = 4 * float64(second)
+
+// decayedAverage is a count whose parts decay exponentially with their age.
+type decayedAverage struct {
+	value float64
+	at    int64
+}
+
+func (a *decayedAverage) read(now int64) float64 {
+	return a.value * math.Exp(-float64(max(now-a.at, 0))/decayTime)
+}
+
+func (a *decayedAverage) add(now int64, n float64) { a.value, a.at = a.read(now)+n, max(now, a.at) }
+
+// rate is the average number per second, of a count that began at the time since.
+func (a *decayedAverage) rate(now, since int64) float64 {
+	covered := decayTime * (1 - math.Exp(-float64(max(now-since, second))/decayTime))
+	return a.read(now) * float64(second) / covered
+}
--- a/control/shared/message.go
+++ b/control/shared/message.go
@@ -6,72 +6,77 @@
 	"masthill/control/shared/lease"
 )
 
-// Message is one message between instances: a lease's, or what an instance has to tell all.
+const (
+	// broadcastInterval is how often an instance broadcasts its counts and its health report in a fleet of fullRateMembers at
+	// most. In a larger fleet it does so less often, so that the traffic of one instance stays the same: some 130 datagrams a
+	// second. Gossiping the messages from member to member would cost more at every size up to 1,000, and take longer.
+	broadcastInterval = second / 2
+	fullRateMembers   = 64
+	// urgentInterval is the least time between two health reports when there is bad news.
+	urgentInterval = second / 5
+)
+
+// Message is one message between instances: a message of package lease to one of them, or a broadcast.
 type Message struct {
 	Lease *lease.Message `codec:"l,omitempty"`
 	Count *count.Message `codec:"c,omitempty"`
 	Judge *judge.Message `codec:"j,omitempty"`
 }
 
-// Out is a message to a member, or to all where To is empty.
+// Out is a message and the name of its receiver; an empty name stands for all other members.
 type Out struct {
 	To string
 	Message
 }
 
-const (
-	// tellEvery is how often an instance tells all others its counts and what it saw, in a fleet of tellFor members at most;
-	// larger ones tell more rarely, so that what each says and hears stays the same: some 130 datagrams a second. Passing
-	// news on from member to member would cost more than that at every size up to 1,000, and be later. newsEvery is the least time between two tellings that
-	// bad news asks for.
-	tellEvery = second / 2
-	tellFor   = 64
-	newsEvery = second / 5
-)
+func outgoingLease(o lease.Outgoing) Out { return Out{o.To, Message{Lease: &o.Message}} }
 
-// Hear takes a message of another instance, and gives the answers.
-func (m *Shared) Hear(now int64, msg Message) (out []Out) {
-	m.heardAt = max(m.heardAt, now)
-	m.turn(now)
+// Hear takes a message of another instance, and returns the messages to send in answer.
+func (m *Shared) Hear(now int64, msg Message) (outgoing []Out) {
+	m.lastHeardAt = max(m.lastHeardAt, now)
+	m.updateState(now)
 	if msg.Lease != nil {
 		for _, o := range m.lease.Receive(now, *msg.Lease) {
-			out = append(out, leased(o))
+			outgoing = append(outgoing, outgoingLease(o))
 		}
 	}
 	if msg.Count != nil {
 		m.count.Receive(now, *msg.Count)
 	}
 	if msg.Judge != nil {
-		m.board.Receive(now, *msg.Judge)
+		m.detector.Receive(now, *msg.Judge)
 	}
-	return out
+	return outgoing
 }
 
-func leased(o lease.Outgoing) Out { return Out{o.To, Message{Lease: &o.Message}} }
-
-// Tick does what is due and gives what is to be said. It wants to be called about ten times a second; members is how many
-// there are, as far as is known.
-func (m *Shared) Tick(now int64, members int) (out []Out) {
-	m.turn(now)
-	m.look(now)
-	m.wants(now)
+// Tick does what is due, and returns the messages to send. It should be called about ten times a second. members is the
+// number of members as far as it is known.
+func (m *Shared) Tick(now int64, members int) (outgoing []Out) {
+	m.updateState(now)
+	m.reportSilent(now)
+	m.requestBudgets(now)
 	for _, o := range m.lease.Tick(now) {
-		out = append(out, leased(o))
+		outgoing = append(outgoing, outgoingLease(o))
 	}
-	every := tellEvery * int64(max(1, (members+tellFor-1)/tellFor))
-	var msg Message
-	if now-m.countAt >= every {
-		c := m.count.Broadcast(now)
-		msg.Count, m.countAt = &c, now
+	if msg := m.broadcast(now, members); msg.Count != nil || msg.Judge != nil {
+		outgoing = append(outgoing, Out{"", msg})
 	}
-	if now-m.judgeAt >= every || m.news && now-m.judgeAt >= newsEvery {
-		if j := m.board.Broadcast(now); len(j.Reports) > 0 {
-			msg.Judge = &j
-		}
-		m.judgeAt, m.news = now, false
+	return outgoing
+}
+
+// broadcast makes the message for all members, with the parts that are due.
+func (m *Shared) broadcast(now int64, members int) (msg Message) {
+	interval := broadcastInterval * int64(max(1, (members+fullRateMembers-1)/fullRateMembers))
+	if now-m.countSentAt >= interval {
+		counts := m.count.Broadcast(now)
+		msg.Count = &counts
+		m.countSentAt = now
 	}
-	if msg.Count != nil || msg.Judge != nil {
-		out = append(out, Out{"", msg})
+	if now-m.reportSentAt >= interval || m.urgent && now-m.reportSentAt >= urgentInterval {
+		if report := m.detector.Broadcast(now); len(report.Reports) > 0 {
+			msg.Judge = &report
+		}
+		m.reportSentAt, m.urgent = now, false
 	}
-	return out
+	return msg
 }
--- a/control/shared/servers.go
+++ b/control/shared/servers.go
@@ -1,36 +1,37 @@
 package shared
 
-import (
-	"masthill/control"
-)
+import "masthill/control"
 
-type listed struct {
-	in      bool
-	readyAt int64
-	coldAt  int64 // when it was first taken for cold on somebody's word; 0: it was not
+// serverEntry is a server of the list.
+type serverEntry struct {
+	serving     bool
+	readyAt     int64
+	foundColdAt int64 // when a report first showed it to be cold; 0: none did
 }
 
-// members takes the list.
-func (m *Shared) members(ev control.Event) {
+// setServers takes the servers' list, or changes of it.
+func (m *Shared) setServers(ev control.Event) {
 	if ev.Full {
 		clear(m.servers)
 	}
 	for _, e := range ev.Entries {
+		if e.State == control.Out {
+			delete(m.servers, e.Server)
+			continue
+		}
 		s := m.servers[e.Server]
 		if s == nil || s.readyAt != e.ReadyAt {
-			s = &listed{readyAt: e.ReadyAt}
+			s = &serverEntry{readyAt: e.ReadyAt}
 			m.servers[e.Server] = s
 		}
-		if s.in = e.State == control.In; e.State == control.Out {
-			delete(m.servers, e.Server)
-		}
+		s.serving = e.State == control.In
 	}
 	var ids []uint64
 	for id, s := range m.servers {
-		if s.in {
+		if s.serving {
 			ids = append(ids, id)
 		}
 	}
-	m.serving = len(ids)
-	m.board.SetServers(ids)
+	m.servingCount = len(ids)
+	m.detector.SetServers(ids)
 }
--- a/control/shared/shared.go
+++ b/control/shared/shared.go
@@ -1,7 +1,9 @@
-// Package shared is what instances that may talk decide together: budgets that they share as leases (package lease), counts
-// of the whole fleet (package count) and judgements on servers (package judge). It joins the core through package join like
-// any other module, and is as pure: it is told the time and what the others said, and gives what is to be said to them.
-// Without anybody to hear it, it falls back to floors and to its own evidence.
+// Package shared makes the decisions that the instances of a fleet make together: rate budgets that they share by leases
+// (package lease), counts of the whole fleet (package count) and the detection of failing servers (package judge).
+//
+// It takes part in the core through package join, as any other decision module, and is as pure: callers pass in the time
+// and the messages of other instances, and send the messages it returns. Without other instances it falls back to the
+// floors of the budgets and to its own observations.
 package shared
 
 import (
@@ -11,62 +13,76 @@
 	"masthill/control/shared/lease"
 )
 
-// The codes of rulings and states.
+// The codes of the module's states and of its reasons to keep a call from a server.
 const (
-	Together = "together" // others are heard
-	Alone    = "alone"    // nobody is
+	Together = "together" // other instances are heard
+	Alone    = "alone"    // no other instance is heard
 	ColdCap  = "cold-budget"
-	Hearsay  = "hearsay-" // with the verdict's reason behind it
+	Hearsay  = "hearsay-" // followed by the reason of the verdict
 )
 
 const (
 	second = int64(1e9)
-	// aloneAfter is how long nobody may have been heard for this instance to be alone.
-	aloneAfter = 5 * second
+	// aloneTimeout is for how long no other instance must have been heard for this one to be alone.
+	aloneTimeout = 5 * second
 )
 
-// Shared is the state of the module.
+// Shared is the module.
 type Shared struct {
-	cfg     Config
-	aim     int64
-	lease   *lease.Node
-	count   *count.Set
-	board   *judge.Detector
-	servers map[uint64]*listed
-	serving int
-	out     map[string]*attempt
-	line    []string // calls of out in the order of sending
-	tenants map[string]string
-	known   map[string]bool // members and numbers that are counted by name
-	arrived fading
-	countAt int64 // told
-	judgeAt int64
-	news    bool // bad, that has not been told
-	heardAt int64
-	began   int64
-	since   int64
-	state   string
+	cfg         Config
+	shortestAim int64 // of all classes of calls
+	startedAt   int64
+	state       string
+	since       int64 // of the state
+	lastHeardAt int64
+
+	lease    *lease.Node
+	count    *count.Set
+	detector *judge.Detector
+
+	servers      map[uint64]*serverEntry
+	servingCount int
+
+	attempts     map[string]*attempt // by call
+	attemptOrder []string            // the calls of attempts, in the order of sending
+	callTenants  map[string]string   // of the calls whose outcome is not counted yet
+	countedKeys  map[string]bool     // the tenants ("t/") and numbers ("n/") that are counted one by one
+	arrivals     decayedAverage
+
+	countSentAt  int64
+	reportSentAt int64
+	urgent       bool // a bad observation has not been broadcast yet
 }
 
-// New makes the module for a process that starts at a time.
+// New makes the module for a process that starts at now.
 func New(c Config, seed uint64, now int64, on Events) *Shared {
 	c.Lease.Most = max(c.Lease.Most, 1)
-	m := &Shared{cfg: c, aim: c.Control.Classes[0].Aim, servers: map[uint64]*listed{}, out: map[string]*attempt{}, tenants: map[string]string{},
-		known: map[string]bool{}, began: now, since: now, state: Alone, heardAt: now - aloneAfter}
-	for _, g := range c.Control.Classes {
-		m.aim = min(m.aim, g.Aim)
+	m := &Shared{
+		cfg:         c,
+		shortestAim: c.Control.Classes[0].Aim,
+		startedAt:   now,
+		state:       Alone,
+		since:       now,
+		lastHeardAt: now - aloneTimeout,
+		lease:       lease.New(c.Lease, lease.ID{Name: c.Name, Epoch: c.Epoch}, seed, now, on.Claim),
+		count:       count.New(c.Count, count.Source{Name: c.Name, Epoch: c.Epoch}, now),
+		detector:    judge.New(c.Judge, c.Name, c.Machine, seed, on.Verdict),
+		servers:     map[uint64]*serverEntry{},
+		attempts:    map[string]*attempt{},
+		callTenants: map[string]string{},
+		countedKeys: map[string]bool{},
+	}
+	for _, class := range c.Control.Classes {
+		m.shortestAim = min(m.shortestAim, class.Aim)
 	}
-	m.lease = lease.New(c.Lease, lease.ID{Name: c.Name, Epoch: c.Epoch}, seed, now, on.Claim)
 	if on.Reign != nil {
 		m.lease.OnLeader(on.Reign)
 	}
-	m.count = count.New(c.Count, count.Source{Name: c.Name, Epoch: c.Epoch}, now)
-	m.board = judge.New(c.Judge, c.Name, c.Machine, seed, on.Verdict)
-	for _, t := range c.Tenants {
-		m.known["t/"+t] = true
+	for _, tenant := range c.Tenants {
+		m.countedKeys["t/"+tenant] = true
 	}
-	for _, n := range c.Numbers {
-		m.known["n/"+n] = true
+	for _, number := range c.Numbers {
+		m.countedKeys["n/"+number] = true
 	}
 	return m
 }
@@ -74,9 +90,10 @@
 // Name implements join.Module.
 func (m *Shared) Name() string { return "shared" }
 
-func (m *Shared) turn(now int64) {
+// updateState decides whether this instance is alone.
+func (m *Shared) updateState(now int64) {
 	state := Together
-	if now-m.heardAt >= aloneAfter {
+	if now-m.lastHeardAt >= aloneTimeout {
 		state = Alone
 	}
 	if state != m.state {
@@ -84,34 +101,35 @@
 	}
 }
 
-// Admit implements join.Module: it counts, and admits all.
+// Admit implements join.Module. It counts each new call once, and admits all.
 func (m *Shared) Admit(now int64, c join.Call) join.Ruling {
 	if c.Asked > 0 {
 		return join.Ruling{}
 	}
-	m.arrived.add(now, 1)
-	t := c.Tenant
-	if !m.known["t/"+t] {
-		t = ""
+	m.arrivals.add(now, 1)
+	tenant := c.Tenant
+	if !m.countedKeys["t/"+tenant] {
+		tenant = ""
 	}
-	m.count.Add("o/"+t, 1)
-	if m.known["n/"+c.Key] {
+	m.count.Add("o/"+tenant, 1)
+	if m.countedKeys["n/"+c.Key] {
 		m.count.Add("n/"+c.Key, 1)
 	}
-	if len(m.tenants) < callsMost {
-		m.tenants[c.ID] = t
+	if len(m.callTenants) < maxCalls {
+		m.callTenants[c.ID] = tenant
 	}
 	return join.Ruling{}
 }
 
-// Room implements join.Module.
-func (m *Shared) Room(now int64, server uint64) (bool, string) {
+// Room implements join.Module. It keeps calls from servers that the detector avoids, and from cold servers whose budget is
+// used up.
+func (m *Shared) Room(now int64, server uint64) (ok bool, reason string) {
 	if m.cfg.Judgements {
-		if avoid, why := m.board.Avoid(now, server); avoid {
+		if avoid, why := m.detector.Avoid(now, server); avoid {
 			return false, Hearsay + why
 		}
 	}
-	if budget, _, ok := m.cold(now, server); ok && !m.lease.Available(now, budget) {
+	if budget, _, cold := m.coldBudget(now, server); cold && !m.lease.Available(now, budget) {
 		return false, ColdCap
 	}
 	return true, ""
--- a/control/shared/shared_test.go
+++ b/control/shared/shared_test.go
@@ -98,7 +98,7 @@
 		}
 	})
 	// Twice its planned 10 a second, in a capacity of 0.31 and more with each step of 15/8 s.
-	most := 4 * coldPart * (0.31 + 2*0.69/8) * planned / servers
+	most := 4 * coldRateFactor * (0.31 + 2*0.69/8) * planned / servers
 	if float64(sent) > most+12 || float64(sent) < most*0.4 {
 		t.Errorf("%d sent in 4 s, and the budget is %.1f", sent, most)
 	}
--- a/control/shared/status.go
+++ b/control/shared/status.go
@@ -14,36 +14,36 @@
 	"masthill/control/shares"
 )
 
-// totalsOver is the window of the totals by member: short, as who goes by it is late by as much.
-const totalsOver = 2 * second
+// totalsWindow is the window of the totals by tenant. It is short, because decisions by the totals lag by as much.
+const totalsWindow = 2 * second
 
-// Totals implements shares.Fleet: what the whole fleet was offered, placed and lost of late, in calls a second. Not ok
-// while nobody is heard.
+// Totals implements shares.Fleet: what the whole fleet was offered, placed and lost recently, in calls per second. It is not
+// ok while no other instance is heard.
 func (m *Shared) Totals(now int64) (all shares.Totals, ok bool) {
 	if m.state != Together {
 		return all, false
 	}
 	all = shares.Totals{Offered: map[string]float64{}, Placed: map[string]float64{}, Lost: map[string]float64{}}
-	for prefix, into := range map[string]map[string]float64{"o/": all.Offered, "p/": all.Placed, "l/": all.Lost} {
+	for prefix, totals := range map[string]map[string]float64{"o/": all.Offered, "p/": all.Placed, "l/": all.Lost} {
 		for _, key := range m.count.Keys(prefix) {
-			r := m.count.Read(now, key, totalsOver)
-			into[strings.TrimPrefix(key, prefix)] = r.Value * 1e9 / float64(totalsOver)
+			r := m.count.Read(now, key, totalsWindow)
+			totals[strings.TrimPrefix(key, prefix)] = r.Value * 1e9 / float64(totalsWindow)
 		}
 	}
 	return all, true
 }
 
-// Look is what operators and checkers are told.
+// Look is the module's state for operators and the lab's checkers.
 type Look struct {
 	State     string           `json:"state"`
 	SinceNS   int64            `json:"since_ns"`
-	Allocator string           `json:"allocator"`
-	Reigns    bool             `json:"reigns"` // this instance hands the parts out
+	Allocator string           `json:"allocator"` // the leader
+	Reigns    bool             `json:"reigns"`    // this instance is the leader
 	Leases    []lease.Held     `json:"leases"`
 	Counts    []Counted        `json:"counts"`
 	Verdicts  []judge.Verdict  `json:"verdicts"`
 	Known     []count.Known    `json:"known"`
-	Booked    map[string]int64 `json:"booked,omitempty"` // at the allocator, in thousandths a second
+	Booked    map[string]int64 `json:"booked,omitempty"` // reserved by the leader, by budget, in thousandths of a call per second
 }
 
 // Counted is one count over a window.
@@ -52,12 +52,19 @@
 	count.Reading
 }
 
-// Look gives all of it.
+// Look describes the module's state.
 func (m *Shared) Look(now int64) Look {
-	l := Look{State: m.state, SinceNS: m.since, Allocator: m.lease.Leader(now), Reigns: m.lease.IsLeader(now), Leases: m.lease.Leases(now),
-		Verdicts: m.board.Verdicts(now), Known: m.count.Known(now)}
+	l := Look{
+		State:     m.state,
+		SinceNS:   m.since,
+		Allocator: m.lease.Leader(now),
+		Reigns:    m.lease.IsLeader(now),
+		Leases:    m.lease.Leases(now),
+		Verdicts:  m.detector.Verdicts(now),
+		Known:     m.count.Known(now),
+	}
 	for _, key := range m.count.Keys("") {
-		l.Counts = append(l.Counts, Counted{key, m.count.Read(now, key, totalsOver)})
+		l.Counts = append(l.Counts, Counted{key, m.count.Read(now, key, totalsWindow)})
 	}
 	if l.Reigns {
 		l.Booked = map[string]int64{}
@@ -74,14 +81,14 @@
 	if m.state == Alone {
 		s.Reason, s.Out = "nobody-heard", "a message of any member"
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(m.servers), cmp.Compare) {
-		if ok, why := m.Room(now, id); !ok {
+	for _, id := range slices.Sorted(maps.Keys(m.servers)) {
+		if ok, reason := m.Room(now, id); !ok {
 			s.Capped++
-			s.Parts = append(s.Parts, join.Part{Server: id, State: "capped", Reason: why})
+			s.Parts = append(s.Parts, join.Part{Server: id, State: "capped", Reason: reason})
 		}
 	}
-	if held := m.lease.Leases(now); len(held) > 0 {
-		s.Out = cmp.Or(s.Out, fmt.Sprintf("%d budgets held", len(held)))
+	if leases := m.lease.Leases(now); len(leases) > 0 {
+		s.Out = cmp.Or(s.Out, fmt.Sprintf("%d budgets held", len(leases)))
 	}
 	return s
 }
