--- a/internal/peers/broadcast.go
+++ b/internal/peers/broadcast.go
@@ -9,20 +9,24 @@
 	"masthill/control/shared"
 )
 
-// envelope is a message and whom it is for, or from whom.
+// outboundQueueSize bounds the batches of messages that wait to be sent.
+const outboundQueueSize = 2048
+
+// envelope is an encoded message on its way to or from the module.
 type envelope struct {
-	to        string
+	to        string // the receiver; empty: all members
 	payload   []byte
-	createdAt time.Time // it was made, or read
+	createdAt time.Time // when it was encoded or received
 }
 
-// enqueue takes what the module has to say; it is called on the core's goroutine and never blocks.
-func (p *Peers) enqueue(out []shared.Out) {
-	if len(out) == 0 {
+// enqueue queues the module's messages for sending. It is called on the core's goroutine and never blocks: a batch that
+// does not fit is dropped.
+func (p *Peers) enqueue(outgoing []shared.Out) {
+	if len(outgoing) == 0 {
 		return
 	}
-	batch := make([]envelope, 0, len(out))
-	for _, o := range out {
+	batch := make([]envelope, 0, len(outgoing))
+	for _, o := range outgoing {
 		b, err := Encode(o.Message)
 		if err == nil {
 			batch = append(batch, envelope{o.To, b, time.Now()})
@@ -35,34 +39,40 @@
 	}
 }
 
-// sendLoop sends datagrams: to one member, or to all.
+// sendLoop sends the queued messages until ctx ends.
 func (p *Peers) sendLoop(ctx context.Context) {
 	for {
-		var batch []envelope
 		select {
 		case <-ctx.Done():
 			return
-		case batch = <-p.outbound:
+		case batch := <-p.outbound:
+			p.sendBatch(batch)
 		}
-		to := p.peerAddresses()
-		for _, m := range batch {
-			if time.Since(m.createdAt) > maxMessageAge {
-				p.dropped.Add(1)
+	}
+}
+
+// sendBatch sends each message as a datagram to its receiver, or to all members. Messages that waited for too long are
+// dropped.
+func (p *Peers) sendBatch(batch []envelope) {
+	peers := p.peerAddresses()
+	for _, m := range batch {
+		if time.Since(m.createdAt) > maxMessageAge {
+			p.dropped.Add(1)
+			continue
+		}
+		for _, peer := range peers {
+			if m.to != "" && m.to != peer.Name {
 				continue
 			}
-			for _, a := range to {
-				if m.to == "" || m.to == a.Name {
-					if err := p.list.Load().SendToAddress(a, m.payload); err != nil {
-						p.dropped.Add(1)
-					}
-				}
+			if err := p.list.Load().SendToAddress(peer, m.payload); err != nil {
+				p.dropped.Add(1)
 			}
 		}
 	}
 }
 
-// peerAddresses are those of the other members. They are kept from the library's events: what its Members gives changes under
-// the reader's hands.
+// peerAddresses lists the addresses of the other members that are alive. They are kept from the library's events, because
+// the nodes that its Members method returns change while they are read.
 func (p *Peers) peerAddresses() (all []memberlist.Address) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -1,17 +1,19 @@
 package peers
 
-import (
-	"github.com/hashicorp/go-msgpack/v2/codec"
-)
+import "github.com/hashicorp/go-msgpack/v2/codec"
 
-// handle is the form of messages: MessagePack, as the membership library's own.
+// maxInitialLength bounds what is allocated for a slice or map before its elements are read, whatever length the message
+// claims.
+const maxInitialLength = 1024
+
+// handle configures the encoding of messages: MessagePack, as in the membership library.
 var handle = func() *codec.MsgpackHandle {
 	h := &codec.MsgpackHandle{}
-	h.MaxInitLen = 1024 // what a message claims to hold is believed as far as this
+	h.MaxInitLen = maxInitialLength
 	return h
 }()
 
-// Encode gives a message's bytes.
+// Encode encodes a message.
 func Encode(v any) (b []byte, err error) {
 	err = codec.NewEncoderBytes(&b, handle).Encode(v)
 	return b, err
--- a/internal/peers/delegate.go
+++ b/internal/peers/delegate.go
@@ -7,60 +7,70 @@
 	"github.com/hashicorp/memberlist"
 )
 
-// delegate is what the library calls; none of it may block.
+// delegate has the callbacks of the membership library. None of them may block.
 type delegate Peers
 
+// NodeMeta implements memberlist.Delegate: what this member publishes about itself.
 func (d *delegate) NodeMeta(int) []byte {
 	d.mu.Lock()
-	m := d.self
+	info := d.self
 	d.mu.Unlock()
-	b, _ := Encode(m)
+	b, _ := Encode(info)
 	return b
 }
 
+// NotifyMsg implements memberlist.Delegate: a message of another member.
 func (d *delegate) NotifyMsg(b []byte) {
 	d.received.Add(1)
 	select {
-	case d.inbound <- []envelope{{payload: append([]byte(nil), b...), createdAt: time.Now()}}:
+	case d.inbound <- envelope{payload: append([]byte(nil), b...), createdAt: time.Now()}:
 	default:
 		d.dropped.Add(1)
 	}
 }
 
-func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil } // what is for all is sent to all
+// GetBroadcasts implements memberlist.Delegate. Nothing is gossiped: broadcasts are sent to each member directly.
+func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
 
+// LocalState implements memberlist.Delegate.
 func (d *delegate) LocalState(bool) []byte { return nil }
 
+// MergeRemoteState implements memberlist.Delegate.
 func (d *delegate) MergeRemoteState([]byte, bool) {}
 
-// NotifyAlive refuses whoever is no instance of this program.
+// NotifyAlive implements memberlist.AliveDelegate: it rejects nodes that are no instances of this program.
 func (d *delegate) NotifyAlive(n *memberlist.Node) error {
-	var m memberInfo
-	if err := decode(n.Meta, &m); err != nil || m.Epoch == 0 || len(n.Name) > MaxNameLength {
+	var info memberInfo
+	if err := decode(n.Meta, &info); err != nil || info.Epoch == 0 || len(n.Name) > MaxNameLength {
 		return errors.New("no member's description")
 	}
 	return nil
 }
 
+// NotifyJoin implements memberlist.EventDelegate.
 func (d *delegate) NotifyJoin(n *memberlist.Node) { (*Peers)(d).memberChanged(n, Alive) }
 
+// NotifyUpdate implements memberlist.EventDelegate.
 func (d *delegate) NotifyUpdate(n *memberlist.Node) { (*Peers)(d).memberChanged(n, Alive) }
 
+// NotifyLeave implements memberlist.EventDelegate.
 func (d *delegate) NotifyLeave(n *memberlist.Node) { (*Peers)(d).memberChanged(n, Gone) }
 
-// NotifyConflict takes that two processes have one name. The one that started later gives way: it says nothing to anybody
-// until the name is free, so that it takes no part in any decision.
+// NotifyConflict implements memberlist.ConflictDelegate: two processes use the same name. The one that started later gives
+// way. It sends nothing and takes part in no decision until the name is free.
 func (d *delegate) NotifyConflict(known, other *memberlist.Node) {
 	p := (*Peers)(d)
-	var m memberInfo
-	if decode(other.Meta, &m) != nil || m.Epoch == p.options.Epoch {
+	var info memberInfo
+	if decode(other.Meta, &info) != nil || info.Epoch == p.options.Epoch {
 		return
 	}
 	p.log.Error("two processes of one name", "reason", NameTaken, "member", known.Name, "addr", known.Address(), "other", other.Address())
 	if known.Name != p.options.Name {
 		return
 	}
-	if mine := p.self; m.Started < mine.Started || m.Started == mine.Started && m.Epoch < mine.Epoch {
+	own := p.self
+	otherIsFirst := info.Started < own.Started || info.Started == own.Started && info.Epoch < own.Epoch
+	if otherIsFirst {
 		p.mu.Lock()
 		p.nameTakenBy = other.Address()
 		p.recordChange(p.options.Name, Gone, NameTaken)
--- a/internal/peers/events.go
+++ b/internal/peers/events.go
@@ -7,64 +7,89 @@
 )
 
 const (
-	// maxLostMembers bounds the members that are remembered after they are gone, retention how long, and rejoinInterval is how often
-	// some of them, and the seeds, are tried: after a cut two halves do not find each other by themselves.
-	maxLostMembers, retention = 1024, time.Hour
+	maxMembers     = 1024
+	maxLostMembers = 1024 // that are remembered after they have left or gone
+	maxChanges     = 64   // that are kept for operators
 )
 
-// maxMembers is how many members there may be.
-const maxMembers = 1024
-
-// memberChanged takes what the library says of a member.
+// memberChanged takes an event of the membership library: a member is alive with the published metadata, or gone.
 func (p *Peers) memberChanged(n *memberlist.Node, state string) {
-	var m memberInfo
-	if decode(n.Meta, &m) != nil {
+	var info memberInfo
+	if decode(n.Meta, &info) != nil {
 		return
 	}
-	if m.Leaving && state == Gone {
+	if info.Leaving && state == Gone {
 		state = Left
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.members[n.Name]
-	now := &Member{Name: n.Name, Addr: n.Address(), Site: m.Site, Machine: m.Machine, Epoch: m.Epoch, Started: time.UnixMilli(m.Started), Version: m.Version,
-		State: state, Since: time.Now(), Starts: 1, Self: n.Name == p.options.Name}
-	reason := Joined
-	switch {
-	case before == nil && state != Alive:
-		return
-	case before == nil:
-		if len(p.members) >= maxLostMembers+maxMembers {
-			p.evictOldestLost()
-		}
-	case before.Epoch != m.Epoch && state == Alive:
-		reason, now.Starts = Restarted, before.Starts+1
-	case before.State == state:
-		now.Since, now.Starts = before.Since, before.Starts
-		p.members[n.Name] = now
+	if before == nil && state != Alive {
 		return
-	default:
+	}
+	if before == nil && len(p.members) >= maxMembers+maxLostMembers {
+		p.evictOldestLost()
+	}
+	now := &Member{
+		Name:    n.Name,
+		Addr:    n.Address(),
+		Site:    info.Site,
+		Machine: info.Machine,
+		Epoch:   info.Epoch,
+		Started: time.UnixMilli(info.Started),
+		Version: info.Version,
+		State:   state,
+		Since:   time.Now(),
+		Starts:  1,
+		Self:    n.Name == p.options.Name,
+	}
+	reason := changeReason(before, now)
+	if before != nil {
 		now.Starts = before.Starts
-		if reason = Returned; state != Alive {
-			reason = state
-		}
+	}
+	switch reason {
+	case Restarted:
+		now.Starts++
+	case unchanged:
+		now.Since = before.Since
 	}
 	p.members[n.Name] = now
-	if !now.Self {
-		p.recordChange(n.Name, state, reason)
-		if state != Alive || reason == Restarted {
-			p.group.Go(func() error { p.sessions.closeMember(n.Name); return nil }) // closes sockets, which the library must not wait for
-		}
+	if now.Self || reason == unchanged {
+		return
+	}
+	p.recordChange(n.Name, state, reason)
+	if state != Alive || reason == Restarted {
+		// Closing sockets may take time, and the library must not wait for it.
+		p.group.Go(func() error { p.sessions.closeMember(n.Name); return nil })
+	}
+}
+
+// unchanged is the reason code of an event that changes no state; it is never shown.
+const unchanged = ""
+
+// changeReason tells why a member's state changes.
+func changeReason(before, now *Member) string {
+	switch {
+	case before == nil:
+		return Joined
+	case before.Epoch != now.Epoch && now.State == Alive:
+		return Restarted
+	case before.State == now.State:
+		return unchanged
+	case now.State == Alive:
+		return Returned
 	}
+	return now.State
 }
 
-// recordChange logs and keeps a change.
+// recordChange logs a change and keeps it for operators. The caller holds the lock.
 func (p *Peers) recordChange(name, state, reason string) {
 	p.log.Info("member", "name", name, "state", state, "reason", reason)
 	p.changes = append(p.changes, Change{time.Now(), name, state, reason})
 	p.changes = p.changes[max(0, len(p.changes)-maxChanges):]
 }
 
+// evictOldestLost forgets the member that has not been alive for the longest time. The caller holds the lock.
 func (p *Peers) evictOldestLost() {
 	oldest := ""
 	for name, m := range p.members {
--- a/internal/peers/framing.go
+++ b/internal/peers/framing.go
@@ -6,24 +6,22 @@
 	"io"
 )
 
-const (
-	// MaxMessageSize bounds one message of an ordered stream, maxQueuedBytes the bytes that wait for a peer: a peer that takes less
-	// than this in writeTimeout is let go.
-	MaxMessageSize, maxQueuedBytes = 64 << 10, 1 << 20
-)
+// MaxMessageSize bounds one message of a stream.
+const MaxMessageSize = 64 << 10
 
-// writeText writes a short text behind its length.
+// writeText writes a short text with its length in one byte before it.
 func writeText(w io.Writer, s string) error {
 	_, err := w.Write(append([]byte{byte(len(s))}, s...))
 	return err
 }
 
-func readText(r io.Reader, most int) (string, error) {
+// readText reads a text that writeText wrote, of maxLength bytes at most.
+func readText(r io.Reader, maxLength int) (string, error) {
 	var n [1]byte
 	if _, err := io.ReadFull(r, n[:]); err != nil {
 		return "", err
 	}
-	if int(n[0]) > most {
+	if int(n[0]) > maxLength {
 		return "", fmt.Errorf("a name of %d bytes", n[0])
 	}
 	b := make([]byte, n[0])
@@ -31,7 +29,7 @@
 	return string(b), err
 }
 
-// WriteMessage writes one message of a stream, behind its length.
+// WriteMessage writes one message to a stream, with its length in four bytes before it.
 func WriteMessage(w io.Writer, b []byte) error {
 	if len(b) > MaxMessageSize {
 		return fmt.Errorf("a message of %d bytes", len(b))
@@ -41,7 +39,7 @@
 	return err
 }
 
-// ReadMessage reads one message.
+// ReadMessage reads a message that WriteMessage wrote.
 func ReadMessage(r io.Reader) ([]byte, error) {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
--- a/internal/peers/join.go
+++ b/internal/peers/join.go
@@ -12,69 +12,87 @@
 )
 
 const (
+	// rejoinInterval is how often rejoinAttempts of the lost members and seeds are tried: after a partition its sides do not
+	// find each other by themselves.
 	rejoinInterval = 3 * time.Second
 	rejoinAttempts = 3
+	// firstRejoin is the first interval while no other member is found; it grows to rejoinInterval.
+	firstRejoin = 200 * time.Millisecond
+	// retention is for how long lost members are tried.
+	retention = time.Hour
+	// seedsOneIn is how rarely the seeds are tried while other members are alive, in case there are two fleets that never met.
+	seedsOneIn = 8
 )
 
-// joinLoop finds the others: by the seeds and what was remembered at first, and again while there are members that are gone
-// or nobody is there.
+// joinLoop looks for other members until ctx ends: first by the seeds and the saved addresses, and again while there are
+// lost members or no others.
 func (p *Peers) joinLoop(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(p.options.Epoch, 0x6a6f696e))
-	known := p.loadMembers()
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = 200*time.Millisecond, rejoinInterval
-	remembered := time.Now()
+	saved := p.loadMembers()
+	savedAt := time.Now()
+	interval := backoff.NewExponentialBackOff()
+	interval.InitialInterval, interval.MaxInterval = firstRejoin, rejoinInterval
 	for {
-		p.mu.Lock()
-		alive := 0
-		var lost []string
-		for name, m := range p.members {
-			switch {
-			case m.State == Alive:
-				alive++
-			case m.State == Gone && time.Since(m.Since) < retention:
-				lost = append(lost, name+"/"+m.Addr)
-			}
-		}
-		taken := p.nameTakenBy
-		p.mu.Unlock()
-		slices.Sort(lost)
-		to := lost
-		if alive <= 1 || taken != "" || rng.IntN(8) == 0 { // the seeds now and then, in case of two fleets that never met
-			to = append(append(to, p.options.Seeds...), known...)
+		alive, candidates := p.rejoinCandidates()
+		nameTaken := p.nameTaken()
+		if alive <= 1 || nameTaken || rng.IntN(seedsOneIn) == 0 {
+			candidates = append(append(candidates, p.options.Seeds...), saved...)
 		}
-		rng.Shuffle(len(to), func(a, b int) { to[a], to[b] = to[b], to[a] })
-		for _, addr := range to[:min(len(to), rejoinAttempts)] {
-			if ctx.Err() != nil {
-				return
-			}
-			if p.isOther(addr) {
-				p.list.Load().Join([]string{addr})
-			}
+		rng.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
+		p.join(ctx, candidates[:min(len(candidates), rejoinAttempts)])
+		if ctx.Err() != nil {
+			return
 		}
+		wait := rejoinInterval
 		if alive > 1 {
-			pause.Reset()
-			if time.Since(remembered) > rejoinInterval {
-				remembered = time.Now()
+			interval.Reset()
+			if time.Since(savedAt) > rejoinInterval {
+				savedAt = time.Now()
 				p.saveMembers()
 			}
-		}
-		wait := rejoinInterval
-		if alive <= 1 {
-			wait = pause.NextBackOff()
+		} else {
+			wait = interval.NextBackOff()
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(wait):
 		}
-		if taken != "" {
+		if nameTaken {
 			p.recheckName()
 		}
 	}
 }
 
-// isOther tells whether an address is another's: an instance does not join itself.
+// rejoinCandidates counts the members that are alive, this one too, and lists those that were lost recently.
+func (p *Peers) rejoinCandidates() (alive int, lost []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, m := range p.members {
+		switch {
+		case m.State == Alive:
+			alive++
+		case m.State == Gone && time.Since(m.Since) < retention:
+			lost = append(lost, name+"/"+m.Addr)
+		}
+	}
+	slices.Sort(lost)
+	return alive, lost
+}
+
+// join tries addresses one after the other. What comes of it is seen in the members.
+func (p *Peers) join(ctx context.Context, addrs []string) {
+	for _, addr := range addrs {
+		if ctx.Err() != nil {
+			return
+		}
+		if p.isOther(addr) {
+			p.list.Load().Join([]string{addr})
+		}
+	}
+}
+
+// isOther tells whether an address, with or without a name, is not this instance's own.
 func (p *Peers) isOther(addr string) bool {
 	if _, bare, ok := strings.Cut(addr, "/"); ok {
 		addr = bare
@@ -82,14 +100,14 @@
 	return addr != p.Addr() && addr != p.options.Advertise
 }
 
-// recheckName asks whether the other process of this one's name is still there.
+// recheckName checks whether the other process with this instance's name still answers; if not, the name is free.
 func (p *Peers) recheckName() {
 	p.mu.Lock()
-	taken := p.nameTakenBy
+	other := p.nameTakenBy
 	p.mu.Unlock()
-	udp, err := net.ResolveUDPAddr("udp", taken)
+	addr, err := net.ResolveUDPAddr("udp", other)
 	if err == nil {
-		_, err = p.list.Load().Ping(p.options.Name, udp)
+		_, err = p.list.Load().Ping(p.options.Name, addr)
 	}
 	if err != nil {
 		p.mu.Lock()
--- a/internal/peers/keyring.go
+++ b/internal/peers/keyring.go
@@ -1,13 +1,11 @@
 package peers
 
-import (
-	"slices"
-)
+import "slices"
 
-// Keys changes the keys while the fleet runs: the first seals from now on, all of them open.
+// Keys replaces the encryption keys while the fleet runs: from now on the first one encrypts, and all of them decrypt.
 func (p *Peers) Keys(keys [][]byte) error {
-	for _, k := range keys {
-		if err := p.ring.AddKey(k); err != nil {
+	for _, key := range keys {
+		if err := p.ring.AddKey(key); err != nil {
 			return err
 		}
 	}
@@ -15,7 +13,8 @@
 		return err
 	}
 	for _, old := range p.ring.GetKeys() {
-		if !slices.ContainsFunc(keys, func(k []byte) bool { return slices.Equal(k, old) }) {
+		kept := slices.ContainsFunc(keys, func(key []byte) bool { return slices.Equal(key, old) })
+		if !kept {
 			p.ring.RemoveKey(old)
 		}
 	}
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -7,30 +7,30 @@
 )
 
 const (
-	suspectTimeout = 3 * time.Second // a member tells its counts twice a second, in large fleets more rarely
-	// fullRateMembers is up to how many members each tells the others its counts twice a second; larger fleets do it more rarely.
+	// suspectTimeout is how long an alive member may be silent. Members broadcast their counts twice a second in a fleet of
+	// fullRateMembers at most, and less often in larger ones.
+	suspectTimeout  = 3 * time.Second
 	fullRateMembers = 64
-	maxChanges      = 64 // that are kept for operators
 )
 
 // Member states.
 const (
 	Alive   = "alive"
-	Suspect = "suspect" // nothing of it has been heard of late
-	Left    = "left"    // on purpose
-	Gone    = "gone"    // it is taken for dead, or cut off
+	Suspect = "suspect" // alive, but nothing has been received from it recently
+	Left    = "left"    // shut down on purpose
+	Gone    = "gone"    // dead or unreachable
 )
 
 // Reason codes of changes.
 const (
 	Joined    = "joined"
-	Returned  = "returned"   // after it had left or gone, with the same process
-	Restarted = "restarted"  // a new process
-	NameTaken = "name-taken" // another process has this one's name
+	Returned  = "returned"   // the same process is back after it had left or gone
+	Restarted = "restarted"  // a new process of the same name
+	NameTaken = "name-taken" // another process uses this instance's name
 	NameFree  = "name-free"
 )
 
-// Member is one instance as this one sees it.
+// Member is an instance as this one sees it.
 type Member struct {
 	Name    string    `json:"name"`
 	Addr    string    `json:"addr"`
@@ -45,7 +45,7 @@
 	Self    bool      `json:"self,omitempty"`
 }
 
-// Change is one change of a member.
+// Change is a change of a member's state.
 type Change struct {
 	At     time.Time `json:"at"`
 	Name   string    `json:"name"`
@@ -53,27 +53,27 @@
 	Reason string    `json:"reason"`
 }
 
-// memberInfo is what a member tells of itself.
+// memberInfo is what a member publishes about itself, as the membership library's node metadata.
 type memberInfo struct {
 	Site    string `codec:"s"`
 	Machine string `codec:"m"`
 	Epoch   uint64 `codec:"e"`
 	Started int64  `codec:"t"` // Unix milliseconds
 	Version string `codec:"v"`
-	Leaving bool   `codec:"l"` // the library's own word for it does not reach its events
+	Leaving bool   `codec:"l"` // the library's events do not tell a member that leaves from one that dies
 }
 
-// Members lists the members, those that are gone with them.
+// Members lists all known members by name, those that have left or gone too.
 func (p *Peers) Members() (all []Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	quiet := suspectTimeout * time.Duration(1+len(p.members)/fullRateMembers)
+	timeout := suspectTimeout * time.Duration(1+len(p.members)/fullRateMembers)
 	for name, m := range p.members {
-		one := *m
-		if one.State == Alive && !one.Self && time.Since(p.lastHeard[name]) > quiet && time.Since(one.Since) > quiet {
-			one.State = Suspect
+		member := *m
+		if m.State == Alive && !m.Self && time.Since(p.lastHeard[name]) > timeout && time.Since(m.Since) > timeout {
+			member.State = Suspect
 		}
-		all = append(all, one)
+		all = append(all, member)
 	}
 	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/internal/peers/config.go
+++ b/internal/peers/memberlist.go
@@ -11,34 +11,50 @@
 	"github.com/hashicorp/memberlist"
 )
 
-const (
-	clusterLabel = "masthill"
-)
+// clusterLabel marks all datagrams and streams of the membership library. It must not be empty: see streamMark.
+const clusterLabel = "masthill"
 
+// memberlistConfig is the configuration of the membership library.
 func (p *Peers) memberlistConfig() *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Transport, c.Keyring, c.Label = p.options.Name, p.transport, p.ring, clusterLabel
-	c.GossipVerifyIncoming, c.GossipVerifyOutgoing = true, true
+	c.Name = p.options.Name
+	c.Label = clusterLabel
+	c.Transport = p.transport
+	c.Keyring = p.ring
+	c.GossipVerifyIncoming = true
+	c.GossipVerifyOutgoing = true
+
 	own := p.transport.addr()
 	c.BindAddr, c.BindPort = own.IP.String(), own.Port
 	if host, port, err := net.SplitHostPort(p.options.Advertise); err == nil {
 		c.AdvertiseAddr = host
 		c.AdvertisePort, _ = strconv.Atoi(port)
 	}
-	c.ProbeInterval, c.ProbeTimeout = 500*time.Millisecond, 200*time.Millisecond
-	c.GossipInterval, c.GossipNodes = 200*time.Millisecond, 3
-	c.PushPullInterval, c.TCPTimeout = 15*time.Second, 2*time.Second
+
+	c.ProbeInterval = 500 * time.Millisecond
+	c.ProbeTimeout = 200 * time.Millisecond
+	c.GossipInterval = 200 * time.Millisecond
+	c.GossipNodes = 3
+	c.PushPullInterval = 15 * time.Second
+	c.TCPTimeout = 2 * time.Second
 	c.EnableCompression = false // messages are short
 	c.UDPBufferSize = 1400
 	c.DeadNodeReclaimTime = 5 * time.Second // a name may come back at another address
-	c.Delegate, c.Events, c.Conflict, c.Alive = (*delegate)(p), (*delegate)(p), (*delegate)(p), (*delegate)(p)
+
+	callbacks := (*delegate)(p)
+	c.Delegate = callbacks
+	c.Events = callbacks
+	c.Conflict = callbacks
+	c.Alive = callbacks
 	c.Logger = stdlog.New(logWriter{p.log}, "", 0)
 	return c
 }
 
-// logWriter passes the library's lines on: what it warns of is told as what it is, the rest at debug.
+// logWriter passes the library's log lines on: its errors at level info, as they are no faults of this program, and the
+// rest at level debug.
 type logWriter struct{ log *slog.Logger }
 
+// Write implements io.Writer.
 func (w logWriter) Write(b []byte) (int, error) {
 	text := strings.TrimSpace(string(b))
 	if strings.Contains(text, "[ERR]") {
--- a/internal/peers/options.go
+++ b/internal/peers/options.go
@@ -6,25 +6,28 @@
 	"masthill/control/shared"
 )
 
-// Module is the decision module that talks; it is called on the core's goroutine alone.
+// Module is the decision module whose messages are carried. It is called on the core's goroutine alone.
 type Module interface {
+	// Tick does what is due, and returns the messages to send.
 	Tick(now int64, members int) []shared.Out
+	// Hear takes a message of another member, and returns the messages to send in answer.
 	Hear(now int64, m shared.Message) []shared.Out
 }
 
-// Options is what a membership is made from.
+// Options is what New needs to know.
 type Options struct {
 	Name, Site, Machine, Version string
-	Epoch                        uint64
+	Epoch                        uint64            // drawn at random at each start
 	Listen                       string            // host:port for datagrams and streams
-	Advertise                    string            // what others are told; empty: the same
+	Advertise                    string            // the address that other members are told; empty: Listen
 	Seeds                        []string          // host:port, or name/host:port
-	Via                          map[string]string // other addresses for some members, by name
-	Keys                         [][]byte          // 16, 24 or 32 bytes; the first seals, all open
-	Remember                     string            // a file for the members' addresses; empty: none
-	Log                          *slog.Logger
+	Via                          map[string]string // addresses that replace the advertised ones of some members, by name
+	Keys                         [][]byte          // of 16, 24 or 32 bytes; the first one encrypts, all of them decrypt
+	Remember                     string            // the file that keeps the members' addresses; empty: none is kept
+	Log                          *slog.Logger      // nil: nothing is logged
 	Module                       Module
-	// Do has the core run something without waiting for it; false: it has too much to do, and will not.
+	// Do runs a function on the core's goroutine without waiting for it. It returns false if the core is too busy, and then
+	// drops the function.
 	Do       func(f func(now int64)) bool
-	Handlers map[string]Handler // of streams, by kind
+	Handlers map[string]Handler // of the streams that other members open, by kind
 }
--- a/internal/peers/ordered.go
+++ b/internal/peers/ordered.go
@@ -10,13 +10,14 @@
 	"masthill/internal/logs"
 )
 
-var (
-	// ErrSlowPeer tells that a peer took too little and is not waited for.
-	ErrSlowPeer = errors.New("peer let go")
-)
+// maxQueuedBytes bounds the bytes that wait for one peer.
+const maxQueuedBytes = 1 << 20
+
+// ErrSlowPeer means that a peer read too slowly, so that its stream was ended.
+var ErrSlowPeer = errors.New("peer let go")
 
-// Ordered is an ordered stream to a member that is never waited for: what is put into it is sent in order, and a peer that
-// takes too little is let go, with all that waits for it.
+// Ordered is a stream of messages to a member whose writer never blocks. Messages are sent in order. If the peer reads too
+// slowly the stream ends, and the messages that wait for it are dropped.
 type Ordered struct {
 	mu    sync.Mutex
 	queue [][]byte
@@ -25,8 +26,8 @@
 	err   error
 }
 
-// Put hands over a message; it never blocks. An error tells that the stream is over: what was put before may not have
-// arrived, and whoever needs it to sends it anew over another stream.
+// Put queues a message; it never blocks. An error means that the stream has ended: messages that were put before may not
+// have arrived, and must be sent again over another stream if they are needed.
 func (o *Ordered) Put(b []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -45,7 +46,7 @@
 	return nil
 }
 
-// run sends until the stream or ctx ends.
+// run sends the queued messages until the stream or ctx ends.
 func (o *Ordered) run(ctx context.Context, open func() (net.Conn, error)) error {
 	c, err := open()
 	if err == nil {
@@ -54,18 +55,14 @@
 		defer stop()
 	}
 	for err == nil {
-		o.mu.Lock()
-		batch := o.queue
-		o.queue, err = nil, o.err
-		o.mu.Unlock()
+		var batch [][]byte
+		batch, err = o.takeQueue()
 		for _, b := range batch {
 			if err == nil {
 				c.SetWriteDeadline(time.Now().Add(writeTimeout))
 				err = WriteMessage(c, b)
 			}
-			o.mu.Lock()
-			o.bytes -= len(b)
-			o.mu.Unlock()
+			o.release(len(b))
 		}
 		if err == nil && len(batch) == 0 {
 			select {
@@ -75,20 +72,41 @@
 			}
 		}
 	}
+	return o.end(err)
+}
+
+// takeQueue takes all queued messages. Their bytes count as queued until they are released.
+func (o *Ordered) takeQueue() ([][]byte, error) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
+	batch := o.queue
+	o.queue = nil
+	return batch, o.err
+}
+
+// release gives the room of a message back that was sent or dropped.
+func (o *Ordered) release(bytes int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.bytes -= bytes
+}
+
+// end drops the queue and keeps the first error, which it returns. A write timeout counts as ErrSlowPeer.
+func (o *Ordered) end(err error) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.err == nil {
 		o.err = err
-		var late net.Error
-		if errors.As(err, &late) && late.Timeout() {
+		var netErr net.Error
+		if errors.As(err, &netErr) && netErr.Timeout() {
 			o.err = ErrSlowPeer
 		}
 	}
-	o.queue, err = nil, o.err
-	o.mu.Unlock()
-	return err
+	o.queue = nil
+	return o.err
 }
 
-// Ordered opens an ordered stream of a kind to a member. It is over with an error of Put.
+// Ordered opens an ordered stream of a kind to a member. Put returns an error once it has ended.
 func (p *Peers) Ordered(name, kind string) *Ordered {
 	o := &Ordered{wake: make(chan struct{}, 1)}
 	if p.list.Load() == nil {
@@ -103,6 +121,7 @@
 	return o
 }
 
+// endReason is the reason code of a stream's end.
 func endReason(err error) string {
 	switch {
 	case errors.Is(err, ErrSlowPeer):
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,7 +1,9 @@
-// Package peers makes an instance a member of its fleet: it knows who else is there, carries what control/shared has to say
-// and brings what the others say, and gives ordered streams between two members. Membership is the library's (memberlist:
-// SWIM with Lifeguard, datagrams and streams encrypted by the fleet's keys). Nothing of a peer is ever waited for by the
-// core: what it says comes through a bounded queue, and what does not fit is dropped, as a network drops it.
+// Package peers makes an instance a member of its fleet. It keeps the list of members, carries the messages of package
+// control/shared between them as datagrams, and offers ordered streams between two members.
+//
+// Membership is that of the memberlist library (SWIM with Lifeguard), with datagrams and streams encrypted by the fleet's
+// keys. The core never waits for a peer: messages pass through bounded queues, and what does not fit is dropped, as a
+// network drops it.
 package peers
 
 import (
@@ -18,37 +20,40 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	// inboundQueueSize and outboundQueueSize bound the messages on their way to the module and from it.
-	inboundQueueSize, outboundQueueSize = 512, 2048
-	leaveTimeout                        = 500 * time.Millisecond
-)
+// leaveTimeout bounds each of the two steps of leaving: announcing it, and waiting until it has spread.
+const leaveTimeout = 500 * time.Millisecond
 
 // Peers is one instance's membership.
 type Peers struct {
-	options           Options
-	log               *slog.Logger
-	list              atomic.Pointer[memberlist.Memberlist] // nil until Run has begun; what Run sets before is there then, too
-	ring              *memberlist.Keyring
-	transport         *transport
-	sessions          *sessionPool
-	inbound, outbound chan []envelope
-	group             *errgroup.Group
-	ctx               context.Context
+	options   Options
+	log       *slog.Logger
+	ring      *memberlist.Keyring
+	transport *transport
+	sessions  *sessionPool
+	inbound   chan envelope
+	outbound  chan []envelope
+
+	// list is nil until Run has started. Whoever finds it set may use group and ctx, which Run sets before.
+	list  atomic.Pointer[memberlist.Memberlist]
+	group *errgroup.Group
+	ctx   context.Context
 
 	mu          sync.Mutex
 	members     map[string]*Member
-	lastHeard   map[string]time.Time // a member was heard
+	lastHeard   map[string]time.Time // when a member's counts were last received
 	changes     []Change
 	self        memberInfo
-	nameTakenBy string // by whom this one's name is taken; empty: by nobody
-	startedAt   time.Time
+	nameTakenBy string // the address of another process with this instance's name; empty: there is none
 
-	received, dropped, undecodable atomic.Int64
-	lastTickAt, resumedAt          atomic.Int64 // the last tick, and the first one after a standstill, Unix nanoseconds
+	received    atomic.Int64
+	dropped     atomic.Int64
+	undecodable atomic.Int64
+
+	lastTickAt atomic.Int64 // Unix nanoseconds, as is resumedAt
+	resumedAt  atomic.Int64 // the first tick after a pause of this process
 }
 
-// New opens the address. Nobody is told anything before Run.
+// New opens the address. Nothing is sent before Run.
 func New(o Options) (*Peers, error) {
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
@@ -61,19 +66,39 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Peers{options: o, log: o.Log, ring: ring, transport: t, inbound: make(chan []envelope, inboundQueueSize), outbound: make(chan []envelope, outboundQueueSize), members: map[string]*Member{}, lastHeard: map[string]time.Time{},
-		startedAt: time.Now()}
-	p.self = memberInfo{Site: o.Site, Machine: o.Machine, Epoch: o.Epoch, Started: p.startedAt.UnixMilli(), Version: o.Version}
-	p.sessions = &sessionPool{name: o.Name, ring: ring, log: o.Log, handlers: o.Handlers, byMember: map[string]*yamux.Session{}}
-	p.sessions.dial = p.dial
+	p := &Peers{
+		options:   o,
+		log:       o.Log,
+		ring:      ring,
+		transport: t,
+		inbound:   make(chan envelope, inboundQueueSize),
+		outbound:  make(chan []envelope, outboundQueueSize),
+		members:   map[string]*Member{},
+		lastHeard: map[string]time.Time{},
+		self: memberInfo{
+			Site:    o.Site,
+			Machine: o.Machine,
+			Epoch:   o.Epoch,
+			Started: time.Now().UnixMilli(),
+			Version: o.Version,
+		},
+	}
+	p.sessions = &sessionPool{
+		name:     o.Name,
+		ring:     ring,
+		log:      o.Log,
+		handlers: o.Handlers,
+		dial:     p.dial,
+		byMember: map[string]*yamux.Session{},
+	}
 	t.handleStream = p.sessions.accept
 	return p, nil
 }
 
-// Addr is the address where this member is reached.
+// Addr is the address on which this member listens.
 func (p *Peers) Addr() string { return p.transport.addr().String() }
 
-// Run is a member until ctx ends, and leaves then.
+// Run is a member of the fleet until ctx ends, and then leaves it.
 func (p *Peers) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -89,12 +114,19 @@
 	}
 	p.list.Store(list)
 	p.lastTickAt.Store(time.Now().UnixNano())
-	g.Go(func() error { p.receiveLoop(work); return nil })
-	g.Go(func() error { p.sendLoop(work); return nil })
-	g.Go(func() error { p.tickLoop(work); return nil })
-	g.Go(func() error { p.joinLoop(work); return nil })
+	for _, loop := range []func(context.Context){p.receiveLoop, p.sendLoop, p.tickLoop, p.joinLoop} {
+		g.Go(func() error { loop(work); return nil })
+	}
 	p.log.Info("member of the fleet", "addr", p.Addr(), "site", p.options.Site, "machine", p.options.Machine, "epoch", strconv.FormatUint(p.options.Epoch, 16))
 	<-ctx.Done()
+	p.leave(list)
+	stop()
+	p.sessions.close()
+	return g.Wait()
+}
+
+// leave tells the others that this member leaves on purpose, and ends the membership.
+func (p *Peers) leave(list *memberlist.Memberlist) {
 	p.mu.Lock()
 	p.self.Leaving = true
 	p.mu.Unlock()
@@ -102,7 +134,4 @@
 	list.Leave(leaveTimeout)
 	p.saveMembers()
 	list.Shutdown()
-	stop()
-	p.sessions.close()
-	return g.Wait()
 }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -7,39 +7,53 @@
 	"masthill/control/shared"
 )
 
-// maxMessageAge is how old a message may be that is still worth sending, or how long this process may have stood still for
-// what it reads then to be news: what waited in a frozen process tells of a time long past as if it were now.
-const maxMessageAge = time.Second
+const (
+	// inboundQueueSize bounds the messages that wait for the module.
+	inboundQueueSize = 512
+	// maxMessageAge is how old a message may be when it is sent or handed to the module. It is also for how long this process
+	// may have been paused: messages that waited for a paused process describe a time long past as if it were now.
+	maxMessageAge = time.Second
+)
 
-// receiveLoop brings the module what the others say.
+// receiveLoop hands received messages to the module until ctx ends.
 func (p *Peers) receiveLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case one := <-p.inbound:
-			var m shared.Message
-			if err := decode(one[0].payload, &m); err != nil {
-				p.undecodable.Add(1)
-				continue
-			}
-			if p.nameTaken() {
-				continue
-			}
-			if m.Lease == nil && (time.Since(one[0].createdAt) > maxMessageAge || p.justResumed()) {
-				p.dropped.Add(1)
-				continue
-			}
-			if m.Count != nil {
-				p.mu.Lock()
-				if p.members[m.Count.From.Name] != nil {
-					p.lastHeard[m.Count.From.Name] = time.Now()
-				}
-				p.mu.Unlock()
-			}
-			if !p.options.Do(func(now int64) { p.enqueue(p.options.Module.Hear(now, m)) }) {
-				p.dropped.Add(1)
-			}
+		case m := <-p.inbound:
+			p.receive(m)
 		}
 	}
 }
+
+// receive hands a message to the module. Stale ones are dropped, except those of package lease, which are safe at any age.
+func (p *Peers) receive(e envelope) {
+	var m shared.Message
+	if err := decode(e.payload, &m); err != nil {
+		p.undecodable.Add(1)
+		return
+	}
+	if p.nameTaken() {
+		return
+	}
+	if m.Lease == nil && (time.Since(e.createdAt) > maxMessageAge || p.justResumed()) {
+		p.dropped.Add(1)
+		return
+	}
+	if m.Count != nil {
+		p.markHeard(m.Count.From.Name)
+	}
+	if !p.options.Do(func(now int64) { p.enqueue(p.options.Module.Hear(now, m)) }) {
+		p.dropped.Add(1)
+	}
+}
+
+// markHeard notes that a member is being heard.
+func (p *Peers) markHeard(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members[name] != nil {
+		p.lastHeard[name] = time.Now()
+	}
+}
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,34 +16,44 @@
 )
 
 const (
-	// streamMark is the first byte of a stream of this package's own. Those of the membership library begin with its label's
-	// mark, as this package always sets a label.
+	// streamMark is the first byte of this package's own streams. Streams of the membership library begin with another byte,
+	// because they have a label (clusterLabel).
 	streamMark = 'M'
-	// maxRecordSize bounds the text of one sealed record, saltSize a side's part in what a connection's records are bound to.
-	maxRecordSize, saltSize = 16 << 10, 16
-	// handshakeTimeout is how long a new stream may take until both sides have shown that they have a key.
+	// maxRecordSize bounds the plain text of one record.
+	maxRecordSize = 16 << 10
+	// maxRecordOverhead bounds what encryption adds to it.
+	maxRecordOverhead = 64
+	// saltSize is the length of each side's salt.
+	saltSize = 16
+	// handshakeTimeout is how long a new stream may take until both sides have shown that they know a key.
 	handshakeTimeout = 2 * time.Second
 )
 
 var errUnauthenticated = errors.New("a record that no key opens")
 
-// sealedConn is a connection whose records are encrypted and authenticated by the fleet's keys: AES-GCM with random nonces, as
-// the membership library does it with its datagrams. A record is bound to its connection, its direction and its place, so
-// that none can be played again. Any key of the ring opens; the first seals: keys are changed while connections stand.
+// sealedConn is a connection whose records are encrypted and authenticated with the fleet's keys: AES-GCM with random
+// nonces, as in the membership library's datagrams. Each record is bound to its connection, direction and position by
+// additional data (both sides' salts and the record's number), so none can be replayed. The ring's first key encrypts and
+// all of them decrypt, so keys can change while a connection is open.
 type sealedConn struct {
 	net.Conn
-	ring                         *memberlist.Keyring
-	sendBinding, receiveBinding  []byte // what records are bound to, with room for their number
-	unread                       []byte // opened, not yet read
-	writeMu                      sync.Mutex
-	sentRecords, receivedRecords uint64
-	writeCiphers, readCiphers    cipherCache
+	ring *memberlist.Keyring
+
+	writeMu      sync.Mutex
+	sendBinding  []byte // the additional data, with room for the record's number
+	sentRecords  uint64
+	writeCiphers cipherCache
+
+	receiveBinding  []byte
+	receivedRecords uint64
+	readCiphers     cipherCache
+	unread          []byte // decrypted, but not read yet
 }
 
-// cipherCache are those of the keys in use: making one costs more than sealing a short record.
+// cipherCache keeps the ciphers of the keys in use, because making one costs more than encrypting a short record.
 type cipherCache map[string]cipher.AEAD
 
-// maxCiphers bounds them, as keys change: a ring has eight at most.
+// maxCiphers bounds a cipherCache, as keys change. A ring has eight keys at most.
 const maxCiphers = 16
 
 func (c *cipherCache) get(key []byte) (cipher.AEAD, error) {
@@ -60,7 +71,7 @@
 	return a, nil
 }
 
-// seal makes a sealed connection, after both sides have said where they begin.
+// seal exchanges salts with the other side, and makes a sealed connection.
 func seal(c net.Conn, ring *memberlist.Keyring, dialled bool) (*sealedConn, error) {
 	c.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer c.SetDeadline(time.Time{})
@@ -76,10 +87,13 @@
 	if _, err := io.ReadFull(c, theirs); err != nil {
 		return nil, err
 	}
-	s := &sealedConn{Conn: c, ring: ring}
-	s.sendBinding = append(append(append(s.sendBinding, mine...), theirs...), make([]byte, 8)...)
-	s.receiveBinding = append(append(append(s.receiveBinding, theirs...), mine...), make([]byte, 8)...)
-	return s, nil
+	number := make([]byte, 8)
+	return &sealedConn{
+		Conn:           c,
+		ring:           ring,
+		sendBinding:    slices.Concat(mine, theirs, number),
+		receiveBinding: slices.Concat(theirs, mine, number),
+	}, nil
 }
 
 func newGCM(key []byte) (cipher.AEAD, error) {
@@ -127,13 +141,14 @@
 	return n, nil
 }
 
+// readRecord reads and decrypts the next record.
 func (s *sealedConn) readRecord() error {
 	var size [4]byte
 	if _, err := io.ReadFull(s.Conn, size[:]); err != nil {
 		return err
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n > maxRecordSize+64 {
+	if n > maxRecordSize+maxRecordOverhead {
 		return errUnauthenticated
 	}
 	record := make([]byte, n)
--- a/internal/peers/snapshot.go
+++ b/internal/peers/snapshot.go
@@ -7,21 +7,21 @@
 	"github.com/google/renameio/v2"
 )
 
-// saveMembers writes the members' addresses down, for a start at which all seeds are away.
+// saveMembers writes the addresses of the other members to a file, for a start at which no seed answers.
 func (p *Peers) saveMembers() {
 	if p.options.Remember == "" {
 		return
 	}
-	var all []string
+	var addrs []string
 	for _, m := range p.Members() {
 		if !m.Self && m.State != Left {
-			all = append(all, m.Name+"/"+m.Addr)
+			addrs = append(addrs, m.Name+"/"+m.Addr)
 		}
 	}
-	if len(all) == 0 {
-		return // knowing nobody is no news worth keeping
+	if len(addrs) == 0 {
+		return // an older list is worth more than an empty one
 	}
-	b, err := json.Marshal(all)
+	b, err := json.Marshal(addrs)
 	if err == nil {
 		err = renameio.WriteFile(p.options.Remember, b, 0o600)
 	}
@@ -30,7 +30,8 @@
 	}
 }
 
-func (p *Peers) loadMembers() (all []string) {
+// loadMembers reads the addresses that saveMembers wrote. A file that is missing or damaged counts as empty.
+func (p *Peers) loadMembers() (addrs []string) {
 	if p.options.Remember == "" {
 		return nil
 	}
@@ -38,9 +39,9 @@
 	if err != nil {
 		return nil
 	}
-	if json.Unmarshal(b, &all) != nil {
+	if json.Unmarshal(b, &addrs) != nil {
 		p.log.Warn("remembered members left out", "reason", "unreadable", "file", p.options.Remember)
 		return nil
 	}
-	return all[:min(len(all), maxMembers)]
+	return addrs[:min(len(addrs), maxMembers)]
 }
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -5,7 +5,7 @@
 	"strconv"
 )
 
-// Status is what operators are told.
+// Status describes the membership for operators.
 type Status struct {
 	Name     string   `json:"name"`
 	Addr     string   `json:"addr"`
@@ -13,18 +13,27 @@
 	Taken    string   `json:"name_taken_by,omitempty"`
 	Members  []Member `json:"members"`
 	Changes  []Change `json:"changes"`
-	Health   int      `json:"health"` // 0: well; more: this instance itself hears late (Lifeguard's local health)
-	Heard    int64    `json:"heard"`  // messages
+	Health   int      `json:"health"` // Lifeguard's local health: 0 is good, more means that this instance itself receives late
+	Heard    int64    `json:"heard"`  // messages received
 	Dropped  int64    `json:"dropped"`
 	Unread   int64    `json:"unreadable"`
 	SentN    int64    `json:"sent"` // datagrams
 	SentByte int64    `json:"sent_bytes"`
 }
 
-// Status tells what the membership knows.
+// Status describes the membership now.
 func (p *Peers) Status() Status {
-	s := Status{Name: p.options.Name, Addr: p.Addr(), Epoch: strconv.FormatUint(p.options.Epoch, 16), Members: p.Members(), Heard: p.received.Load(),
-		Dropped: p.dropped.Load() + p.transport.dropped.Load(), Unread: p.undecodable.Load(), SentN: p.transport.sentPackets.Load(), SentByte: p.transport.sentBytes.Load()}
+	s := Status{
+		Name:     p.options.Name,
+		Addr:     p.Addr(),
+		Epoch:    strconv.FormatUint(p.options.Epoch, 16),
+		Members:  p.Members(),
+		Heard:    p.received.Load(),
+		Dropped:  p.dropped.Load() + p.transport.dropped.Load(),
+		Unread:   p.undecodable.Load(),
+		SentN:    p.transport.sentPackets.Load(),
+		SentByte: p.transport.sentBytes.Load(),
+	}
 	if list := p.list.Load(); list != nil {
 		s.Health = list.GetHealthScore()
 	}
@@ -34,7 +43,7 @@
 	return s
 }
 
-// aliveMembers is how many members are taken to be there.
+// aliveMembers is the number of members that are alive, this one among them.
 func (p *Peers) aliveMembers() int {
 	if list := p.list.Load(); list != nil {
 		return list.NumMembers()
@@ -42,7 +51,7 @@
 	return 1
 }
 
-// nameTaken tells whether this process has to hold its tongue, its name being another's.
+// nameTaken tells whether another process uses this instance's name, so that this one must send nothing.
 func (p *Peers) nameTaken() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peers/tick.go
+++ b/internal/peers/tick.go
@@ -5,35 +5,40 @@
 	"time"
 )
 
-const (
-	// tickInterval is how often the module does what is due.
-	tickInterval = 100 * time.Millisecond
-)
+// tickInterval is how often the module does what is due.
+const tickInterval = 100 * time.Millisecond
 
-// tickLoop has the module do what is due.
+// tickLoop has the module do what is due until ctx ends.
 func (p *Peers) tickLoop(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-		}
-		if time.Since(time.Unix(0, p.lastTickAt.Load())) > maxMessageAge {
-			p.resumedAt.Store(time.Now().UnixNano())
+		case <-ticker.C:
+			p.tick()
 		}
-		p.lastTickAt.Store(time.Now().UnixNano())
-		if p.nameTaken() {
-			continue
-		}
-		n := p.aliveMembers()
-		p.options.Do(func(now int64) { p.enqueue(p.options.Module.Tick(now, n)) })
 	}
 }
 
-// justResumed tells whether this process has just begun to run again: what it reads then may have waited for it. Frozen, it
-// has no ticks; what the kernel holds for it is read within a moment.
+// tick notes that this process is running, and has the module do what is due.
+func (p *Peers) tick() {
+	if sinceNano(p.lastTickAt.Load()) > maxMessageAge {
+		p.resumedAt.Store(time.Now().UnixNano())
+	}
+	p.lastTickAt.Store(time.Now().UnixNano())
+	if p.nameTaken() {
+		return
+	}
+	members := p.aliveMembers()
+	p.options.Do(func(now int64) { p.enqueue(p.options.Module.Tick(now, members)) })
+}
+
+// justResumed tells whether this process has just continued after a pause, so that what it reads may have waited for it.
+// A paused process has no ticks, and what the kernel has queued for it is read within moments.
 func (p *Peers) justResumed() bool {
-	return time.Since(time.Unix(0, p.lastTickAt.Load())) > maxMessageAge || time.Since(time.Unix(0, p.resumedAt.Load())) < 2*tickInterval
+	return sinceNano(p.lastTickAt.Load()) > maxMessageAge || sinceNano(p.resumedAt.Load()) < 2*tickInterval
 }
+
+func sinceNano(unixNano int64) time.Duration { return time.Since(time.Unix(0, unixNano)) }
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -14,43 +14,52 @@
 )
 
 const (
-	// maxPacketSize is the longest datagram that is read, packetQueueSize how many wait for the membership library; beyond it they
-	// are dropped, as a network drops them.
-	maxPacketSize, packetQueueSize = 64 << 10, 256
-	// maxPendingStreams bounds the streams that others have opened to this instance and that have not yet shown a key.
+	// maxPacketSize is the longest datagram that is read.
+	maxPacketSize = 64 << 10
+	// packetQueueSize bounds the datagrams that wait for the membership library. Further ones are dropped, as a network drops
+	// them.
+	packetQueueSize = 256
+	// maxPendingStreams bounds the incoming connections whose peer has not yet shown that it knows a key.
 	maxPendingStreams = 64
 	// acceptPause is how long after a failed accept the next one is tried.
 	acceptPause = 50 * time.Millisecond
+	// listenAttempts is how often a port is drawn that must be free for both TCP and UDP.
+	listenAttempts = 8
 )
 
-// transport carries the membership library's datagrams and streams, and this package's own streams, over one address. To
-// some members it may go by another address than they tell.
+// transport carries the membership library's datagrams and streams, and this package's own streams, over one address.
 type transport struct {
 	udp              *net.UDPConn
 	tcp              *net.TCPListener
-	addressOverrides map[string]string // by name
+	addressOverrides map[string]string // of members, by name; they replace the advertised ones
 	packets          chan *memberlist.Packet
 	streams          chan net.Conn
-	handleStream     func(net.Conn) // takes a stream of this package's own, after its mark
+	handleStream     func(net.Conn) // takes this package's own streams, after streamMark
 	log              *slog.Logger
 	pending          atomic.Int32
 	dropped          atomic.Int64 // datagrams
-	sentBytes        atomic.Int64 // bytes in datagrams
 	sentPackets      atomic.Int64
+	sentBytes        atomic.Int64
 }
 
-// listen opens a transport; port 0 takes any that is free for both.
+// listen opens a transport. Port 0 stands for any port that is free for both TCP and UDP.
 func listen(addr string, via map[string]string, log *slog.Logger) (*transport, error) {
 	var last error
-	for range 8 {
+	for range listenAttempts {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			return nil, err
 		}
 		u, err := net.ListenPacket("udp", l.Addr().String())
 		if err == nil {
-			return &transport{udp: u.(*net.UDPConn), tcp: l.(*net.TCPListener), addressOverrides: via, packets: make(chan *memberlist.Packet, packetQueueSize),
-				streams: make(chan net.Conn), log: log}, nil
+			return &transport{
+				udp:              u.(*net.UDPConn),
+				tcp:              l.(*net.TCPListener),
+				addressOverrides: via,
+				packets:          make(chan *memberlist.Packet, packetQueueSize),
+				streams:          make(chan net.Conn),
+				log:              log,
+			}, nil
 		}
 		l.Close()
 		last = err
@@ -60,7 +69,7 @@
 
 func (t *transport) addr() *net.TCPAddr { return t.tcp.Addr().(*net.TCPAddr) }
 
-// run reads until ctx ends.
+// run receives datagrams and accepts streams until ctx ends.
 func (t *transport) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -69,55 +78,67 @@
 		t.tcp.Close()
 		return nil
 	})
+	g.Go(func() error { t.readPackets(); return nil })
 	g.Go(func() error {
-		buf := make([]byte, maxPacketSize)
-		for {
-			n, from, err := t.udp.ReadFromUDP(buf)
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			if err != nil || n < 1 {
-				continue
-			}
-			select {
-			case t.packets <- &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: from, Timestamp: time.Now()}:
-			default:
-				t.dropped.Add(1)
-			}
-		}
-	})
-	g.Go(func() error {
-		for {
-			c, err := t.tcp.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			if err != nil {
-				time.Sleep(acceptPause)
-				continue
-			}
-			if t.pending.Add(1) > maxPendingStreams {
-				t.pending.Add(-1)
-				t.refuse(c, "too-many", nil)
-				continue
-			}
+		t.acceptStreams(func(c net.Conn) {
 			g.Go(func() error {
 				defer t.pending.Add(-1)
 				t.dispatch(ctx, c)
 				return nil
 			})
-		}
+		})
+		return nil
 	})
 	return g.Wait()
 }
 
-// refuse closes a stream and leaves its line.
+// readPackets hands datagrams to the membership library until the socket is closed.
+func (t *transport) readPackets() {
+	buf := make([]byte, maxPacketSize)
+	for {
+		n, from, err := t.udp.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n < 1 {
+			continue
+		}
+		select {
+		case t.packets <- &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: from, Timestamp: time.Now()}:
+		default:
+			t.dropped.Add(1)
+		}
+	}
+}
+
+// acceptStreams hands incoming connections to serve until the listener is closed. Each counts as pending, and serve must
+// take it off again. Connections beyond maxPendingStreams are closed.
+func (t *transport) acceptStreams(serve func(net.Conn)) {
+	for {
+		c, err := t.tcp.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		if t.pending.Add(1) > maxPendingStreams {
+			t.pending.Add(-1)
+			t.refuse(c, "too-many", nil)
+			continue
+		}
+		serve(c)
+	}
+}
+
+// refuse closes a stream and logs why.
 func (t *transport) refuse(c net.Conn, reason string, err error) {
 	t.log.Warn("peer stream refused", "reason", reason, "peer", c.RemoteAddr().String(), "err", err)
 	c.Close()
 }
 
-// dispatch finds out whose a stream is, by its first byte.
+// dispatch hands a stream to this package or to the membership library, by its first byte.
 func (t *transport) dispatch(ctx context.Context, c net.Conn) {
 	c.SetReadDeadline(time.Now().Add(handshakeTimeout))
 	var first [1]byte
@@ -139,22 +160,23 @@
 	}
 }
 
-// prefixedConn is a connection of which a first part has been read.
+// prefixedConn is a connection whose first bytes have been read already; it returns them again.
 type prefixedConn struct {
 	net.Conn
 	prefix []byte
 }
 
-func (b *prefixedConn) Read(p []byte) (int, error) {
-	if len(b.prefix) > 0 {
-		n := copy(p, b.prefix)
-		b.prefix = b.prefix[n:]
+// Read implements net.Conn.
+func (c *prefixedConn) Read(p []byte) (int, error) {
+	if len(c.prefix) > 0 {
+		n := copy(p, c.prefix)
+		c.prefix = c.prefix[n:]
 		return n, nil
 	}
-	return b.Conn.Read(p)
+	return c.Conn.Read(p)
 }
 
-// addressOf is where a member is reached.
+// addressOf is the address at which a member is reached.
 func (t *transport) addressOf(a memberlist.Address) string {
 	if via := t.addressOverrides[a.Name]; via != "" {
 		return via
@@ -211,7 +233,7 @@
 // StreamCh implements memberlist.Transport.
 func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
 
-// Shutdown implements memberlist.Transport; run ends with its context.
+// Shutdown implements memberlist.Transport. It also ends reading and accepting; run itself ends with its context.
 func (t *transport) Shutdown() error {
 	t.udp.Close()
 	return t.tcp.Close()
