--- a/lab/rig/budgets.go
+++ b/lab/rig/budgets.go
@@ -8,126 +8,133 @@
 	"masthill/control/shared/lease"
 )
 
-// budgets adds up, at every moment at which something changes, what may be used of each budget's pool.
-func budgets(f *Findings, all []*process, r rules) {
-	type change struct {
-		at    int64
-		who   int // the process
-		claim lease.Claim
-		ends  bool
+// useWindow is the window over which the use of a budget is checked.
+const useWindow = int64(5e9)
+
+// claimChange is the beginning or the end of a claim on a budget.
+type claimChange struct {
+	at      int64
+	process int // its number
+	claim   lease.Claim
+	ends    bool
+}
+
+// checkBudgets adds up what may be used of each budget's pool at every moment at which a claim changes.
+func checkBudgets(f *Findings, all []*process, b bounds) {
+	for budget, changes := range claimChanges(all) {
+		sort.SliceStable(changes, func(i, j int) bool {
+			return changes[i].at < changes[j].at || changes[i].at == changes[j].at && changes[i].ends && !changes[j].ends
+		})
+		inUse := map[int]lease.Claim{}
+		for _, c := range changes {
+			delete(inUse, c.process)
+			if !c.ends && c.claim.Rate > 0 {
+				inUse[c.process] = c.claim
+			}
+			checkPool(f, b, budget, c.at, inUse)
+		}
+		checkUse(f, all, b, budget)
 	}
-	by := map[string][]change{}
+}
+
+// claimChanges lists the changes of claims by budget. A claim ends when the next one replaces it, at its own end or with
+// its process.
+func claimChanges(all []*process) map[string][]claimChange {
+	changes := map[string][]claimChange{}
 	for k, p := range all {
 		last := map[string]int{}
 		for n, c := range p.claims {
 			if before, ok := last[c.Budget]; ok {
-				if b := p.claims[before]; b.Until < c.at { // it had ended by itself
-					by[c.Budget] = append(by[c.Budget], change{b.Until, k, b.Claim, true})
+				if b := p.claims[before]; b.Until < c.at {
+					changes[c.Budget] = append(changes[c.Budget], claimChange{b.Until, k, b.Claim, true})
 				}
 			}
 			last[c.Budget] = n
-			by[c.Budget] = append(by[c.Budget], change{c.at, k, c.Claim, false})
+			changes[c.Budget] = append(changes[c.Budget], claimChange{c.at, k, c.Claim, false})
 		}
-		for name, n := range last {
-			by[name] = append(by[name], change{min(p.claims[n].Until, p.to), k, p.claims[n].Claim, true})
+		for budget, n := range last {
+			changes[budget] = append(changes[budget], claimChange{min(p.claims[n].Until, p.to), k, p.claims[n].Claim, true})
 		}
 	}
-	for name, changes := range by {
-		sort.SliceStable(changes, func(a, b int) bool {
-			return changes[a].at < changes[b].at || changes[a].at == changes[b].at && changes[a].ends && !changes[b].ends
-		})
-		now := map[int]lease.Claim{}
-		for _, c := range changes {
-			if delete(now, c.who); !c.ends && c.claim.Rate > 0 {
-				now[c.who] = c.claim
-			}
-			sum, size, floor := int64(0), int64(0), int64(0)
-			for _, one := range now {
-				sum += one.Rate
-				if one.Size > size {
-					size, floor = one.Size, one.Floor
-				}
-			}
-			pool := size - int64(r.instances)*floor
-			if sum == 0 || pool <= 0 {
-				continue
-			}
-			f.MostInUse = max(f.MostInUse, float64(sum)/float64(pool))
-			if sum > pool {
-				f.found(&f.Overspent, "%s: %d of %d in use at %d by %d", name, sum, pool, c.at, len(now))
-			}
+	return changes
+}
+
+// checkPool checks that the claims in use at a time add up to no more than the budget's pool.
+func checkPool(f *Findings, b bounds, budget string, at int64, inUse map[int]lease.Claim) {
+	sum, size, floor := int64(0), int64(0), int64(0)
+	for _, c := range inUse {
+		sum += c.Rate
+		if c.Size > size {
+			size, floor = c.Size, c.Floor
 		}
-		used(f, all, r, name)
+	}
+	pool := size - int64(b.instances)*floor
+	if sum == 0 || pool <= 0 {
+		return
+	}
+	f.MaxInUse = max(f.MaxInUse, float64(sum)/float64(pool))
+	if sum > pool {
+		f.report(&f.Overspent, "%s: %d of %d in use at %d by %d", budget, sum, pool, at, len(inUse))
 	}
 }
 
-// rivals finds two processes that both held themselves to be the allocator.
-func rivals(f *Findings, all []*process) {
-	type reign struct {
-		from, until int64
-		who         *process
-	}
-	var reigns []reign
-	for _, p := range all {
-		for _, r := range p.reigns {
-			reigns = append(reigns, reign{r[0], min(r[1], p.to), p})
+// use is how much a process used of a budget since its last snapshot.
+type use struct {
+	at, units, size int64
+}
+
+// checkUse checks what was used of a budget in each window.
+func checkUse(f *Findings, all []*process, b bounds, budget string) {
+	uses := budgetUses(all, budget)
+	sum, first := int64(0), 0
+	for k, u := range uses {
+		f.Used += u.units
+		sum += u.units
+		for ; uses[first].at < u.at-useWindow; first++ {
+			sum -= uses[first].units
 		}
-	}
-	sort.Slice(reigns, func(a, b int) bool { return reigns[a].from < reigns[b].from })
-	last := map[*process]int64{}
-	for _, r := range reigns {
-		for who, until := range last {
-			if who != r.who && until > r.from {
-				f.found(&f.Rivals, "%s and %s both hand budgets out at %d", r.who.name, who.name, r.from)
-			}
+		size := int64(0)
+		for _, one := range uses[first : k+1] {
+			size = max(size, one.size)
+		}
+		if limit := useLimit(all, b, size, u.at); float64(sum) > limit {
+			f.report(&f.Overused, "%s: %d used in 5 s, and %.1f are the most", budget, sum, limit)
 		}
-		last[r.who] = max(last[r.who], r.until)
 	}
 }
 
-// used looks at what was used in each window of five seconds.
-func used(f *Findings, all []*process, r rules, name string) {
-	const window = int64(5e9)
-	type step struct {
-		at, n, size int64
-	}
-	var steps []step
+// budgetUses lists the uses of a budget by all processes, in the order of time.
+func budgetUses(all []*process, budget string) (uses []use) {
 	for _, p := range all {
 		before := int64(0)
-		for _, k := range p.looks {
-			for _, h := range k.Leases {
-				if h.Budget == name {
-					n := h.Used - before
-					if before = h.Used; n < 0 { // the budget had been forgotten and came up again
-						n = h.Used
-					}
-					steps = append(steps, step{k.at, n, h.Size})
-					f.Used += n
+		for _, s := range p.snapshots {
+			for _, h := range s.Leases {
+				if h.Budget != budget {
+					continue
+				}
+				units := h.Used - before
+				if units < 0 { // the budget had expired and was requested again
+					units = h.Used
 				}
+				before = h.Used
+				uses = append(uses, use{s.at, units, h.Size})
 			}
 		}
 	}
-	slices.SortFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
-	sum, first := int64(0), 0
-	for k, s := range steps {
-		sum += s.n
-		size := int64(0)
-		for ; steps[first].at < s.at-window; first++ {
-			sum -= steps[first].n
-		}
-		for _, one := range steps[first : k+1] {
-			size = max(size, one.size)
-		}
-		// Looks are half a second apart: what is seen in the window can have been used in that much more. Each process may
-		// have a unit saved up, and begins with a part of one.
-		starts := 0
-		for _, p := range all {
-			if p.from > s.at-2*window && p.from <= s.at {
-				starts++
-			}
-		}
-		if most := float64(size)/1000*(float64(window)/1e9+0.5) + float64(r.instances+starts) + r.burst*float64(size)/1000; float64(sum) > most {
-			f.found(&f.Overused, "%s: %d used in 5 s, and %.1f are the most", name, sum, most)
+	slices.SortFunc(uses, func(a, b use) int { return cmp.Compare(a.at, b.at) })
+	return uses
+}
+
+// useLimit is the most that can be used of a budget in the window that ends at a time. Snapshots are half a second apart,
+// so what they show in the window can have been used in that much more. Each process may have accumulated a unit, and
+// starts with a part of one.
+func useLimit(all []*process, b bounds, size, at int64) float64 {
+	starts := 0
+	for _, p := range all {
+		if p.from > at-2*useWindow && p.from <= at {
+			starts++
 		}
 	}
+	rate := float64(size) / 1000
+	return rate*(float64(useWindow)/1e9+0.5) + float64(b.instances+starts) + b.burst*float64(size)/1000
 }
--- a/lab/rig/claims.go
+++ b/lab/rig/claims.go
@@ -12,9 +12,9 @@
 	"masthill/control/shared/lease"
 )
 
-// The claims of all processes are held against each other. Each line was written when it was claimed, with the time of the
-// process's own steady clock; on one machine these agree.
-type line struct {
+// claimLine is one line of a claims file. It was written when the claim was made, with the time of the process's own steady
+// clock; the processes of one machine agree on it.
+type claimLine struct {
 	At        int64           `json:"at"`
 	Kind      string          `json:"kind"`
 	Claim     json.RawMessage `json:"claim"`
@@ -23,33 +23,34 @@
 	Datagrams int64           `json:"datagrams"`
 }
 
-// look is one look of a process at all that it knows.
-type look struct {
-	at    int64
-	alive int
-	bytes int64
-	grams int64
-	shared.Look
-}
-
 // process is one process and what it claimed.
 type process struct {
-	name     string
-	epoch    uint64
-	from, to int64 // to: its end as the rig knows it
-	claims   []claim
-	reigns   [][2]int64 // from and until
-	looks    []look
-	verdicts []judge.Verdict
+	name        string
+	epoch       uint64
+	from, to    int64 // to is when the rig saw it end
+	claims      []claim
+	leaderTerms [][2]int64 // from and until
+	snapshots   []snapshot
+	verdicts    []judge.Verdict
 }
 
+// claim is what a process may use of a budget from a time on.
 type claim struct {
 	at int64
 	lease.Claim
 }
 
-// read reads the claims of one instance's processes.
-func read(name, file string) (all []*process, err error) {
+// snapshot is all that a process knew at a time.
+type snapshot struct {
+	at        int64
+	alive     int
+	bytes     int64
+	datagrams int64
+	shared.Look
+}
+
+// readClaims reads the claims of one instance's processes. A file that is missing counts as empty.
+func readClaims(name, file string) (all []*process, err error) {
 	f, err := os.Open(file)
 	if os.IsNotExist(err) {
 		return nil, nil
@@ -59,36 +60,16 @@
 	}
 	defer f.Close()
 	r := bufio.NewReaderSize(f, 1<<20)
-	var p *process
+	var current *process
 	for {
 		text, end := r.ReadBytes('\n')
-		var l line
-		if err := json.Unmarshal(bytes.TrimSpace(text), &l); err == nil { // the last line of a killed one may be cut short
-			switch {
-			case l.Kind == "start":
-				var s struct {
-					Epoch uint64 `json:"epoch"`
-				}
-				json.Unmarshal(l.Claim, &s)
-				p = &process{name: name, epoch: s.Epoch, from: l.At, to: math.MaxInt64}
-				all = append(all, p)
-			case p == nil:
-			case l.Kind == "claim":
-				c := claim{at: l.At}
-				json.Unmarshal(l.Claim, &c.Claim)
-				p.claims = append(p.claims, c)
-			case l.Kind == "reign":
-				until := int64(0)
-				json.Unmarshal(l.Claim, &until)
-				p.reigns = append(p.reigns, [2]int64{l.At, until})
-			case l.Kind == "look":
-				k := look{at: l.At, alive: l.Alive, bytes: l.Bytes, grams: l.Datagrams}
-				json.Unmarshal(l.Claim, &k.Look)
-				p.looks = append(p.looks, k)
-			case l.Kind == "verdict":
-				var v judge.Verdict
-				json.Unmarshal(l.Claim, &v)
-				p.verdicts = append(p.verdicts, v)
+		var l claimLine
+		if err := json.Unmarshal(bytes.TrimSpace(text), &l); err == nil { // the last line of a killed process may be incomplete
+			if l.Kind == "start" {
+				current = startedProcess(name, l)
+				all = append(all, current)
+			} else if current != nil {
+				current.add(l)
 			}
 		}
 		if end != nil {
@@ -96,3 +77,34 @@
 		}
 	}
 }
+
+// startedProcess makes a process from its first line.
+func startedProcess(name string, l claimLine) *process {
+	var start struct {
+		Epoch uint64 `json:"epoch"`
+	}
+	json.Unmarshal(l.Claim, &start)
+	return &process{name: name, epoch: start.Epoch, from: l.At, to: math.MaxInt64}
+}
+
+// add adds a further line of the process.
+func (p *process) add(l claimLine) {
+	switch l.Kind {
+	case "claim":
+		c := claim{at: l.At}
+		json.Unmarshal(l.Claim, &c.Claim)
+		p.claims = append(p.claims, c)
+	case "reign":
+		until := int64(0)
+		json.Unmarshal(l.Claim, &until)
+		p.leaderTerms = append(p.leaderTerms, [2]int64{l.At, until})
+	case "look":
+		s := snapshot{at: l.At, alive: l.Alive, bytes: l.Bytes, datagrams: l.Datagrams}
+		json.Unmarshal(l.Claim, &s.Look)
+		p.snapshots = append(p.snapshots, s)
+	case "verdict":
+		var v judge.Verdict
+		json.Unmarshal(l.Claim, &v)
+		p.verdicts = append(p.verdicts, v)
+	}
+}
--- a/lab/rig/counts.go
+++ b/lab/rig/counts.go
@@ -2,80 +2,104 @@
 
 import (
 	"sort"
+
+	"masthill/control/shared/count"
 )
 
-// counts holds what each process said of another's counts against what that one itself had counted by then.
-func counts(f *Findings, all []*process, r rules) {
-	type id struct {
-		name  string
-		epoch uint64
-	}
-	truth := map[id]*process{}
+// readingWindow is the window of the readings that processes write down, in nanoseconds.
+const readingWindow = int64(2e9)
+
+// processes finds the process that a count is of.
+type processes map[count.Source]*process
+
+// checkCounts compares what each process said of another's counts with what that process itself had counted by then.
+func checkCounts(f *Findings, all []*process, b bounds) {
+	bySource := processes{}
 	for _, p := range all {
-		truth[id{p.name, p.epoch}] = p
+		bySource[count.Source{Name: p.name, Epoch: p.epoch}] = p
 	}
-	// own is what a process had counted at a look of its own, before a time and after it; later is not known of one that
-	// has ended.
-	own := func(p *process, at int64, key string) (before, after int64, known bool) {
-		k := sort.Search(len(p.looks), func(k int) bool { return p.looks[k].at > at })
-		if k > 0 {
-			before = ownCount(&p.looks[k-1], p, key)
-		}
-		if k < len(p.looks) {
-			return before, ownCount(&p.looks[k], p, key), true
+	for _, p := range all {
+		for n := range p.snapshots {
+			s := &p.snapshots[n]
+			checkKnown(f, bySource, p, s, b.maxDelay)
+			checkReadings(f, bySource, p, s)
 		}
-		return before, 0, false
 	}
-	for _, p := range all {
-		for n := range p.looks {
-			k := &p.looks[n]
-			for _, s := range k.Known {
-				of := truth[id{s.Name, s.Epoch}]
-				if of == nil || of == p {
-					continue
-				}
-				for key, said := range s.Counts {
-					f.Counts++
-					if _, after, known := own(of, k.at, key); known && said > after {
-						f.found(&f.OutOfBound, "%s says that %s counted %d of %s, and it was %d", p.name, s.Name, said, key, after)
-					}
-					if before, _, _ := own(of, k.at-s.AgeMS*1e6-r.delay, key); said < before {
-						f.found(&f.OutOfBound, "%s says that %s counted %d of %s, and it had been %d", p.name, s.Name, said, key, before)
-					}
-				}
+}
+
+// checkKnown checks the counts that a process knew of others: no more than they had counted, and no less than they had
+// counted when the news was sent.
+func checkKnown(f *Findings, bySource processes, p *process, s *snapshot, maxDelay int64) {
+	for _, known := range s.Known {
+		source := bySource[known.Source]
+		if source == nil || source == p {
+			continue
+		}
+		for key, value := range known.Counts {
+			f.Counts++
+			if _, after, ok := source.counted(s.at, key); ok && value > after {
+				f.report(&f.OutOfBound, "%s says that %s counted %d of %s, and it was %d", p.name, known.Name, value, key, after)
 			}
-			for _, c := range k.Counts {
-				least, most, sure := int64(0), int64(0), true
-				for _, s := range k.Known {
-					of := truth[id{s.Name, s.Epoch}]
-					if of == nil {
-						sure = false
-						continue
-					}
-					from, to := k.at-2e9, k.at
-					before, next, _ := own(of, from, c.Key)
-					until, after, known := own(of, to, c.Key)
-					if !known {
-						sure = false
-					}
-					least, most = least+max(until-next, 0), most+after-before
-				}
-				f.Counts++
-				if sure && c.Least > most {
-					f.found(&f.OutOfBound, "%s: %s at least %d, and it was %d at most", p.name, c.Key, c.Least, most)
-				}
-				if sure && c.Most < least {
-					f.found(&f.OutOfBound, "%s: %s at most %d, and it was %d at least", p.name, c.Key, c.Most, least)
-				}
+			if before, _, _ := source.counted(s.at-known.AgeMS*1e6-maxDelay, key); value < before {
+				f.report(&f.OutOfBound, "%s says that %s counted %d of %s, and it had been %d", p.name, known.Name, value, key, before)
 			}
 		}
 	}
 }
 
-func ownCount(k *look, p *process, key string) int64 {
-	for _, s := range k.Known {
-		if s.Name == p.name && s.Epoch == p.epoch {
-			return s.Counts[key]
+// checkReadings checks the bounds that a process gave for the whole fleet's counts over a window.
+func checkReadings(f *Findings, bySource processes, p *process, s *snapshot) {
+	for _, reading := range s.Counts {
+		f.Counts++
+		least, most, certain := countedInWindow(bySource, s, reading.Key)
+		if certain && reading.Least > most {
+			f.report(&f.OutOfBound, "%s: %s at least %d, and it was %d at most", p.name, reading.Key, reading.Least, most)
+		}
+		if certain && reading.Most < least {
+			f.report(&f.OutOfBound, "%s: %s at most %d, and it was %d at least", p.name, reading.Key, reading.Most, least)
+		}
+	}
+}
+
+// countedInWindow gives bounds of what the processes that a snapshot knows really counted in its window. It is not certain
+// if one of them left no snapshot of its own after it.
+func countedInWindow(bySource processes, s *snapshot, key string) (least, most int64, certain bool) {
+	certain = true
+	for _, known := range s.Known {
+		source := bySource[known.Source]
+		if source == nil {
+			certain = false
+			continue
+		}
+		beforeStart, afterStart, _ := source.counted(s.at-readingWindow, key)
+		beforeEnd, afterEnd, ok := source.counted(s.at, key)
+		if !ok {
+			certain = false
+		}
+		least += max(beforeEnd-afterStart, 0)
+		most += afterEnd - beforeStart
+	}
+	return least, most, certain
+}
+
+// counted gives what a process had counted itself at its last snapshot before a time and at its first one after it. The
+// latter is not ok if the process has ended before.
+func (p *process) counted(at int64, key string) (before, after int64, ok bool) {
+	next := sort.Search(len(p.snapshots), func(k int) bool { return p.snapshots[k].at > at })
+	if next > 0 {
+		before = p.ownCount(&p.snapshots[next-1], key)
+	}
+	if next < len(p.snapshots) {
+		return before, p.ownCount(&p.snapshots[next], key), true
+	}
+	return before, 0, false
+}
+
+// ownCount is what a snapshot of a process says of its own count.
+func (p *process) ownCount(s *snapshot, key string) int64 {
+	for _, known := range s.Known {
+		if known.Name == p.name && known.Epoch == p.epoch {
+			return known.Counts[key]
 		}
 	}
 	return 0
--- a/lab/rig/fault.go
+++ b/lab/rig/fault.go
@@ -4,7 +4,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -12,159 +11,128 @@
 	"masthill/lab/standin"
 )
 
-func (w *run) until(at time.Duration) bool {
-	select {
-	case <-w.ctx.Done():
-		return false
-	case <-time.After(time.Until(w.began.Add(at))):
-		return true
-	}
-}
-
-// driveEvery is how often the links are set by the faults of the moment.
-const driveEvery = 50 * time.Millisecond
-
-// drive sets the links, and notes how late the rig itself runs.
-func (w *run) drive() {
-	for n := 1; ; n++ {
-		if !w.until(time.Duration(n) * driveEvery) {
-			return
-		}
-		now := time.Since(w.began)
-		w.mu.Lock()
-		w.r.LateMS = max(w.r.LateMS, float64((now-time.Duration(n)*driveEvery).Microseconds())/1000)
-		w.mu.Unlock()
-		for pair, l := range w.links {
-			l.set(w.way(now, pair[0], pair[1]))
-		}
-	}
-}
-
-// way adds up what goes wrong between two instances at a time.
-func (w *run) way(now time.Duration, from, to int) (way Way) {
-	for _, f := range w.faults {
-		if now < f.At || now >= f.At+f.For {
-			continue
-		}
-		a, b := slices.Contains(f.Who, from), slices.Contains(f.Who, to)
-		switch f.Kind {
-		case "cut":
-			way.Cut = way.Cut || a != b
-		case "flap":
-			way.Cut = way.Cut || a != b && now%time.Second < time.Second/2
-		case "between":
-			way.Cut = way.Cut || a && b
-		case "oneway":
-			way.Cut = way.Cut || b && !a
-		case "halfopen":
-			way.HalfOpen = way.HalfOpen || b
-		case "noise":
-			if a || b {
-				way.Loss, way.Twice = max(way.Loss, f.Loss), max(way.Twice, f.Twice)
-				way.Delay, way.Jitter, way.PerSec = max(way.Delay, f.Delay), max(way.Jitter, f.Jitter), f.PerSec
-			}
-		}
-	}
-	return way
-}
+const (
+	// thawTime is how long a process that was paused gets before callers may expect answers.
+	thawTime = 500 * time.Millisecond
+	// leaveNotice is how long after a restart begins its callers notice that the instance leaves.
+	leaveNotice = 200 * time.Millisecond
+	// firstCrash is when the first server crashes, if servers do.
+	firstCrash = 2 * time.Second
+	// A server's start shows in an instance's list after minListDelay, and a random time up to listJitter more.
+	minListDelay = 200 * time.Millisecond
+	listJitter   = 800 * time.Millisecond
+)
 
-// strike has one fault happen to processes or servers, and records it.
-func (w *run) strike(f Fault) {
-	if !w.until(f.At) {
+// playFault has one fault happen to its targets, and records it. Faults of links happen in driveLinks.
+func (w *run) playFault(f Fault) {
+	if !w.sleepUntil(f.At) {
 		return
 	}
-	from := time.Since(w.began)
-	var all sync.WaitGroup
-	for _, k := range f.Who {
-		all.Go(func() { w.struck(f, k) })
+	from := time.Since(w.startedAt)
+	var targets sync.WaitGroup
+	for _, k := range f.Targets {
+		targets.Go(func() { w.strike(f, k) })
 	}
 	if f.Kind != "restart" {
-		w.until(f.At + f.For)
+		w.sleepUntil(f.At + f.For)
 	}
-	all.Wait()
+	targets.Wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Now().After(w.calm) {
-		w.calm = time.Now()
+	if time.Now().After(w.lastFaultEnd) {
+		w.lastFaultEnd = time.Now()
 	}
-	w.r.Faults = append(w.r.Faults, Struck{f, from.Seconds(), time.Since(w.began).Seconds()})
+	w.result.Faults = append(w.result.Faults, FaultRecord{f, from.Seconds(), time.Since(w.startedAt).Seconds()})
 }
 
-func (w *run) struck(f Fault, k int) {
+// strike has a fault happen to one server or instance.
+func (w *run) strike(f Fault, k int) {
 	switch f.Kind {
 	case "silent":
 		w.servers[k].Silence(true)
-		w.until(f.At + f.For)
+		w.sleepUntil(f.At + f.For)
 		w.servers[k].Silence(false)
-		w.cold(k, time.Now())
-		return
+		w.announceStart(k, time.Now())
 	case "slow":
-		w.servers[k].Slow(f.Times)
-		w.until(f.At + f.For)
+		w.servers[k].Slow(f.Slowdown)
+		w.sleepUntil(f.At + f.For)
 		w.servers[k].Slow(1)
-		return
-	case "freeze", "kill", "wipe", "oldcopy", "restart":
-	default:
-		return
+	case "freeze":
+		w.interrupt(k, func() { w.pause(f, k) })
+	case "kill", "wipe", "oldcopy", "restart":
+		w.interrupt(k, func() { w.restart(f, k) })
 	}
+}
+
+// interrupt runs a fault of an instance's process, unless another one is under way there.
+func (w *run) interrupt(k int, fault func()) {
 	w.mu.Lock()
-	busy := w.down[k]
-	w.down[k] = true
+	busy := w.interrupted[k]
+	w.interrupted[k] = true
 	w.mu.Unlock()
 	if busy {
 		return
 	}
 	defer func() {
 		w.mu.Lock()
-		delete(w.down, k)
+		delete(w.interrupted, k)
 		w.mu.Unlock()
 	}()
+	fault()
+}
+
+// pause stops a process for a while.
+func (w *run) pause(f Fault, k int) {
 	i := w.instances[k]
-	if f.Kind == "freeze" {
-		w.crowd.Frozen(i.Name)
-		i.Signal(syscall.SIGSTOP)
-		w.until(f.At + f.For)
-		i.Signal(syscall.SIGCONT)
-		if w.until(f.At + f.For + 500*time.Millisecond) {
-			w.crowd.Thawed(i.Name)
-		}
-		return
+	w.callers.Frozen(i.Name)
+	i.Signal(syscall.SIGSTOP)
+	w.sleepUntil(f.At + f.For)
+	i.Signal(syscall.SIGCONT)
+	if w.sleepUntil(f.At + f.For + thawTime) {
+		w.callers.Thawed(i.Name)
 	}
-	copied := filepath.Join(w.Dir, i.Name+".old")
+}
+
+// restart ends a process, by request or by force, and starts another with the directory as it is, an empty one or an old
+// copy.
+func (w *run) restart(f Fault, k int) {
+	i := w.instances[k]
+	graceful := f.Kind == "restart"
+	oldCopy := filepath.Join(w.Dir, i.Name+".old")
 	if f.Kind == "oldcopy" {
-		os.RemoveAll(copied)
-		os.CopyFS(copied, os.DirFS(i.Dir))
-		w.until(f.At + f.For/2)
+		os.RemoveAll(oldCopy)
+		os.CopyFS(oldCopy, os.DirFS(i.Dir))
+		w.sleepUntil(f.At + f.For/2)
 	}
-	if f.Kind == "restart" {
-		time.AfterFunc(200*time.Millisecond, func() { w.crowd.Leave(i.Name) })
+	if graceful {
+		time.AfterFunc(leaveNotice, func() { w.callers.Leave(i.Name) })
 	} else {
-		w.crowd.Killed(i.Name)
+		w.callers.Killed(i.Name)
 	}
-	err := i.Stop(f.Kind != "restart")
-	w.ended(k, time.Now())
+	err := i.Stop(!graceful)
+	w.recordEnd(k, time.Now())
 	switch f.Kind {
 	case "wipe":
-		empty(i.Dir)
+		clearDir(i.Dir)
 	case "oldcopy":
-		empty(i.Dir)
-		os.CopyFS(i.Dir, os.DirFS(copied))
+		clearDir(i.Dir)
+		os.CopyFS(i.Dir, os.DirFS(oldCopy))
 	}
-	if f.Kind != "restart" {
-		w.until(f.At + f.For)
+	if !graceful {
+		w.sleepUntil(f.At + f.For)
 	}
 	if err == nil && w.ctx.Err() == nil {
-		err = w.up(k)
+		err = w.startInstance(k)
 	}
 	if err != nil && w.ctx.Err() == nil {
 		w.mu.Lock()
-		w.r.Errors = append(w.r.Errors, err.Error())
+		w.result.Errors = append(w.result.Errors, err.Error())
 		w.mu.Unlock()
 	}
 }
 
-// empty clears a folder.
-func empty(dir string) {
+// clearDir empties a directory, but for symbolic links.
+func clearDir(dir string) {
 	entries, _ := os.ReadDir(dir)
 	for _, e := range entries {
 		if e.Type()&fs.ModeSymlink == 0 {
@@ -173,24 +141,24 @@
 	}
 }
 
-// colds has servers crash and start anew, one after the other.
-func (w *run) colds() {
+// crashServers has servers crash and start anew, one after the other.
+func (w *run) crashServers() {
 	for n := 0; ; n++ {
-		if !w.until(2*time.Second + time.Duration(n)*w.Plan.Cold) {
+		if !w.sleepUntil(firstCrash + time.Duration(n)*w.Plan.Cold) {
 			return
 		}
 		k := n % w.Plan.Servers
-		w.cold(k, w.servers[k].Crash())
+		w.announceStart(k, w.servers[k].Crash())
 	}
 }
 
-// cold has the lists tell that a server started anew.
-func (w *run) cold(k int, started time.Time) {
+// announceStart has the lists show that a server has started anew.
+func (w *run) announceStart(k int, startedAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for n, name := range w.names {
-		late := 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(800*time.Millisecond)))
-		w.lists[n].Change(standin.EntryOf(w.servers[k], name, "SERVING", started), late)
+		delay := minListDelay + time.Duration(w.rng.Int64N(int64(listJitter)))
+		w.lists[n].Change(standin.EntryOf(w.servers[k], name, "SERVING", startedAt), delay)
 	}
-	w.coldS = append(w.coldS, w.servers[k].ID)
+	w.coldServers = append(w.coldServers, w.servers[k].ID)
 }
--- a/lab/rig/link.go
+++ b/lab/rig/link.go
@@ -11,39 +11,40 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Way is what goes wrong on the way from one instance to another. The zero Way is well.
-type Way struct {
-	Cut      bool          // nothing passes; connections stay open and silent
-	HalfOpen bool          // connections are taken and never served
-	Loss     float64       // part of the datagrams
-	Twice    float64       // part of them that come twice
-	Delay    time.Duration // of each datagram, and of each piece of a stream
-	Jitter   time.Duration // more, drawn anew for each datagram: they come in another order
-	PerSec   int           // bytes of a stream, a second; 0: as they come
+// LinkState is what is wrong with a link from one instance to another. The zero state is a good link.
+type LinkState struct {
+	Cut            bool          // nothing passes; connections stay open and silent
+	HalfOpen       bool          // connections are accepted and never served
+	Loss           float64       // the part of the datagrams that is lost
+	Duplicate      float64       // the part of the others that arrives twice
+	Delay          time.Duration // of each datagram, and of each piece of a stream
+	Jitter         time.Duration // the most that is added to it, drawn for each datagram, so that they are reordered
+	BytesPerSecond int           // of a stream; 0: unlimited
 }
 
 const (
-	// holdMost bounds the datagrams under way on one link, pieceMost a piece of a stream.
-	holdMost  = 4096
-	pieceMost = 16 << 10
-	// stallStep is how often a stream looks whether a cut has healed.
-	stallStep = 20 * time.Millisecond
+	// maxInFlight bounds the delayed datagrams of one link.
+	maxInFlight = 4096
+	// maxChunk bounds one piece of a stream.
+	maxChunk = 16 << 10
+	// stallInterval is how often a stream checks whether a cut has ended.
+	stallInterval = 20 * time.Millisecond
 )
 
-// link is the way from one instance to another, with an address of its own for datagrams and streams.
+// link is the way from one instance to another. It has an address of its own, and forwards datagrams and streams.
 type link struct {
 	from, to string
 	udp      *net.UDPConn
 	tcp      net.Listener
-	target   string // of the instance behind it
-	back     *link  // the other direction, which what a stream brings back goes by
-
-	mu   sync.Mutex
-	rng  *rand.Rand
-	way  Way
-	open int
-	sent int // datagrams that came, and those that were passed on
-	gone int
+	target   string // the address of the instance that it leads to
+	reverse  *link  // the other direction, by which the answers of a stream go
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	current  LinkState
+	inFlight int
+	received int // datagrams
+	lost     int // of those
 }
 
 // newLink opens a link on an address of its own.
@@ -62,46 +63,46 @@
 
 func (l *link) addr() string { return l.tcp.Addr().String() }
 
-func (l *link) set(w Way) {
+func (l *link) setState(s LinkState) {
 	l.mu.Lock()
-	l.way = w
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	l.current = s
 }
 
-func (l *link) now() Way {
+func (l *link) state() LinkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.way
+	return l.current
 }
 
-// draw decides on one datagram: how often it is passed on, and after what.
-func (l *link) draw() (waits []time.Duration) {
+// schedule decides what happens to one datagram: it is forwarded once after each of the delays.
+func (l *link) schedule() (delays []time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent++
-	w := l.way
-	if w.Cut || l.open > holdMost || l.rng.Float64() < w.Loss {
-		l.gone++
+	l.received++
+	s := l.current
+	if s.Cut || l.inFlight > maxInFlight || l.rng.Float64() < s.Loss {
+		l.lost++
 		return nil
 	}
-	n := 1
-	if l.rng.Float64() < w.Twice {
-		n = 2
+	copies := 1
+	if l.rng.Float64() < s.Duplicate {
+		copies = 2
 	}
-	for range n {
-		wait := w.Delay
-		if w.Jitter > 0 {
-			wait += time.Duration(l.rng.Int64N(int64(w.Jitter)))
+	for range copies {
+		delay := s.Delay
+		if s.Jitter > 0 {
+			delay += time.Duration(l.rng.Int64N(int64(s.Jitter)))
 		}
-		waits = append(waits, wait)
+		delays = append(delays, delay)
 	}
-	return waits
+	return delays
 }
 
-// run passes on until ctx ends.
+// run forwards until ctx ends.
 func (l *link) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	to, err := net.ResolveUDPAddr("udp", l.target)
+	target, err := net.ResolveUDPAddr("udp", l.target)
 	if err != nil {
 		return err
 	}
@@ -111,55 +112,65 @@
 		l.tcp.Close()
 		return nil
 	})
+	g.Go(func() error { l.forwardDatagrams(target); return nil })
 	g.Go(func() error {
-		buf := make([]byte, 64<<10)
 		for {
-			n, _, err := l.udp.ReadFromUDP(buf)
+			c, err := l.tcp.Accept()
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			if err != nil {
 				continue
 			}
-			for _, wait := range l.draw() {
-				if wait <= 0 {
-					l.udp.WriteToUDP(buf[:n], to)
-					continue
-				}
-				b := append([]byte(nil), buf[:n]...)
-				l.mu.Lock()
-				l.open++
-				l.mu.Unlock()
-				time.AfterFunc(wait, func() {
-					l.udp.WriteToUDP(b, to)
-					l.mu.Lock()
-					l.open--
-					l.mu.Unlock()
-				})
-			}
+			g.Go(func() error { l.forwardStream(ctx, c); return nil })
 		}
 	})
-	g.Go(func() error {
-		for {
-			c, err := l.tcp.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			if err != nil {
+	return g.Wait()
+}
+
+// forwardDatagrams forwards datagrams until the socket is closed.
+func (l *link) forwardDatagrams(target *net.UDPAddr) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := l.udp.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		for _, delay := range l.schedule() {
+			if delay <= 0 {
+				l.udp.WriteToUDP(buf[:n], target)
 				continue
 			}
-			g.Go(func() error { l.stream(ctx, c); return nil })
+			l.sendLater(append([]byte(nil), buf[:n]...), target, delay)
 		}
+	}
+}
+
+// sendLater forwards a datagram after a delay.
+func (l *link) sendLater(b []byte, target *net.UDPAddr, delay time.Duration) {
+	l.addInFlight(1)
+	time.AfterFunc(delay, func() {
+		l.udp.WriteToUDP(b, target)
+		l.addInFlight(-1)
 	})
-	return g.Wait()
 }
 
-// stream passes a connection on. While the way is cut it is taken and stays silent, as on a network that drops everything.
-func (l *link) stream(ctx context.Context, c net.Conn) {
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
-	if !l.passes(ctx) {
+func (l *link) addInFlight(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight += n
+}
+
+// forwardStream forwards a connection in both directions. While the link is cut the connection is accepted and stays silent,
+// as on a network that drops everything.
+func (l *link) forwardStream(ctx context.Context, near net.Conn) {
+	defer near.Close()
+	stopNear := context.AfterFunc(ctx, func() { near.Close() })
+	defer stopNear()
+	if !l.waitUntilOpen(ctx) {
 		return
 	}
 	d := net.Dialer{Timeout: time.Second}
@@ -168,54 +179,63 @@
 		return
 	}
 	defer far.Close()
-	halt := context.AfterFunc(ctx, func() { far.Close() })
-	defer halt()
+	stopFar := context.AfterFunc(ctx, func() { far.Close() })
+	defer stopFar()
 	var both sync.WaitGroup
-	both.Go(func() { l.pump(ctx, far, c); far.Close() })
-	both.Go(func() { l.back.pump(ctx, c, far); c.Close() })
+	both.Go(func() { l.copyStream(ctx, far, near); far.Close() })
+	both.Go(func() { l.reverse.copyStream(ctx, near, far); near.Close() })
 	both.Wait()
 }
 
-// passes waits until the way is not cut.
-func (l *link) passes(ctx context.Context) bool {
+// waitUntilOpen waits until the link is not cut; false when ctx ends before.
+func (l *link) waitUntilOpen(ctx context.Context) bool {
 	for {
-		if w := l.now(); !w.Cut && !w.HalfOpen {
+		if s := l.state(); !s.Cut && !s.HalfOpen {
 			return true
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, stallInterval) {
 			return false
-		case <-time.After(stallStep):
 		}
 	}
 }
 
-func (l *link) pump(ctx context.Context, to, from net.Conn) {
-	buf := make([]byte, pieceMost)
+// copyStream copies one direction of a stream, with the link's delays.
+func (l *link) copyStream(ctx context.Context, to, from net.Conn) {
+	buf := make([]byte, maxChunk)
 	for {
-		n, err := from.Read(buf)
+		n, readErr := from.Read(buf)
 		if n > 0 {
-			if !l.passes(ctx) {
+			if !l.waitUntilOpen(ctx) {
 				return
 			}
-			w := l.now()
-			wait := w.Delay
-			if w.PerSec > 0 {
-				wait += time.Duration(float64(n) / float64(w.PerSec) * float64(time.Second))
-			}
-			if wait > 0 {
-				select {
-				case <-ctx.Done():
-					return
-				case <-time.After(wait):
-				}
+			if delay := l.state().chunkDelay(n); delay > 0 && !sleep(ctx, delay) {
+				return
 			}
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
 		}
-		if err != nil {
+		if readErr != nil {
 			return
 		}
 	}
 }
+
+// chunkDelay is how long a piece of a stream is under way.
+func (s LinkState) chunkDelay(bytes int) time.Duration {
+	delay := s.Delay
+	if s.BytesPerSecond > 0 {
+		delay += time.Duration(float64(bytes) / float64(s.BytesPerSecond) * float64(time.Second))
+	}
+	return delay
+}
+
+// sleep waits; false when ctx ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/lab/rig/network.go
@@ -0,0 +1,62 @@
+package rig
+
+import (
+	"slices"
+	"time"
+)
+
+// driveInterval is how often the links are set by the faults of the moment.
+const driveInterval = 50 * time.Millisecond
+
+// driveLinks sets the links until the run ends, and records how late the rig itself runs.
+func (w *run) driveLinks() {
+	for n := 1; ; n++ {
+		due := time.Duration(n) * driveInterval
+		if !w.sleepUntil(due) {
+			return
+		}
+		now := time.Since(w.startedAt)
+		w.mu.Lock()
+		w.result.LateMS = max(w.result.LateMS, float64((now-due).Microseconds())/1000)
+		w.mu.Unlock()
+		for pair, l := range w.links {
+			l.setState(w.linkState(now, pair[0], pair[1]))
+		}
+	}
+}
+
+// linkState adds up the faults of a link at a time.
+func (w *run) linkState(now time.Duration, from, to int) (state LinkState) {
+	for _, f := range w.faults {
+		if now < f.At || now >= f.At+f.For {
+			continue
+		}
+		fromHit, toHit := slices.Contains(f.Targets, from), slices.Contains(f.Targets, to)
+		switch f.Kind {
+		case "cut":
+			state.Cut = state.Cut || fromHit != toHit
+		case "flap":
+			state.Cut = state.Cut || fromHit != toHit && now%time.Second < time.Second/2
+		case "between":
+			state.Cut = state.Cut || fromHit && toHit
+		case "oneway":
+			state.Cut = state.Cut || toHit && !fromHit
+		case "halfopen":
+			state.HalfOpen = state.HalfOpen || toHit
+		case "noise":
+			if fromHit || toHit {
+				state.addNoise(f)
+			}
+		}
+	}
+	return state
+}
+
+// addNoise adds a fault of kind noise: the worse of two values counts.
+func (s *LinkState) addNoise(f Fault) {
+	s.Loss = max(s.Loss, f.Loss)
+	s.Duplicate = max(s.Duplicate, f.Duplicate)
+	s.Delay = max(s.Delay, f.Delay)
+	s.Jitter = max(s.Jitter, f.Jitter)
+	s.BytesPerSecond = f.BytesPerSecond
+}
--- a/lab/rig/plot.go
+++ b/lab/rig/plot.go
@@ -8,7 +8,7 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Plot draws the served share by second, and a bar for each fault.
+// Plot draws the served share by second, and a bar for each fault, into a file.
 func Plot(r *Result, file string) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "served, and what went wrong", "s", "served share"
--- a/lab/rig/result.go
+++ b/lab/rig/result.go
@@ -7,6 +7,13 @@
 	"masthill/lab/check"
 )
 
+// The bounds that claims are checked with. They are the defaults of the settings that the rig leaves out.
+const (
+	maxMessageDelay = 2 * time.Second
+	leaseBurst      = 0.5
+	maxAvoidedShare = 0.25
+)
+
 // Result is what a run showed.
 type Result struct {
 	Seed      uint64  `json:"seed"`
@@ -17,72 +24,94 @@
 	Served    float64 `json:"served_share"`
 	check.Broken
 	Findings
-	CPUCall  float64   `json:"cpu_us_per_call"` // processor time of all instances, over the callers' calls
-	ColdWait float64   `json:"cold_wait_max_ms"`
-	Refusal  float64   `json:"refusal_point_ms"`
-	FellOver bool      `json:"fell_over"`
-	BySecond []float64 `json:"served_by_second"`
-	Faults   []Struck  `json:"faults"`
-	Errors   []string  `json:"errors,omitempty"`
-	LateMS   float64   `json:"ran_late_ms"`
+	CPUCall  float64       `json:"cpu_us_per_call"` // processor time of all instances
+	ColdWait float64       `json:"cold_wait_max_ms"`
+	Refusal  float64       `json:"refusal_point_ms"` // the wait at which servers begin to reject calls
+	FellOver bool          `json:"fell_over"`        // a server was overloaded for good
+	BySecond []float64     `json:"served_by_second"`
+	Faults   []FaultRecord `json:"faults"`
+	Errors   []string      `json:"errors,omitempty"`
+	LateMS   float64       `json:"ran_late_ms"` // by how much the rig itself was late at most
 }
 
-// Bad tells whether anything did not hold.
+// Bad tells whether the run showed any fault of the program.
 func (r *Result) Bad() bool { return r.Broken.Any() || r.Findings.Any() || len(r.Errors) > 0 }
 
-// Struck is a fault as it happened.
-type Struck struct {
+// FaultRecord is a fault and when it happened.
+type FaultRecord struct {
 	Fault
 	FromS float64 `json:"from_s"`
 	ToS   float64 `json:"to_s"`
 }
 
-// sum reads the claims and makes the figures.
-func (w *run) sum(end time.Time) error {
-	r := w.r
+// summarize completes the result after all processes have ended.
+func (w *run) summarize(end time.Time) error {
+	r := w.result
 	r.Broken, _, _ = w.ledger.Result()
-	results := w.crowd.Results()
-	r.Calls = len(results)
-	seconds := int(w.Plan.For/time.Second) + 1
-	r.BySecond = make([]float64, seconds)
-	of := make([]int, seconds)
-	for _, o := range results {
-		r.Served += o.Worth / float64(r.Calls)
-		if k := int(o.At / time.Second); k < seconds {
-			r.BySecond[k] += o.Worth
-			of[k]++
-		}
-	}
-	for k := range of {
-		r.BySecond[k] /= float64(max(of[k], 1))
-	}
+	w.sumCalls()
 	for _, i := range w.instances {
 		r.CPUCall += float64(i.CPU().Microseconds()) / float64(max(r.Calls, 1))
 	}
 	for _, s := range w.servers {
-		worst, fallen, _, _ := s.Look()
+		longestWait, fallen, _, _ := s.Look()
 		r.FellOver = r.FellOver || fallen
-		if slices.Contains(w.coldS, s.ID) {
-			r.ColdWait = max(r.ColdWait, float64(worst.Microseconds())/1000)
+		if slices.Contains(w.coldServers, s.ID) {
+			r.ColdWait = max(r.ColdWait, float64(longestWait.Microseconds())/1000)
 		}
 	}
 	if w.Plain {
 		return nil
 	}
-	var all []*process
+	processes, err := w.readProcesses()
+	if err != nil {
+		return err
+	}
+	r.Findings = *checkClaims(processes, bounds{
+		instances:       w.Plan.Instances,
+		servers:         w.Plan.Servers,
+		machineOf:       w.machines,
+		maxDelay:        int64(maxMessageDelay),
+		burst:           leaseBurst,
+		maxAvoidedShare: maxAvoidedShare,
+		lastFaultEnd:    w.lastFaultEnd.UnixNano(),
+		end:             end.UnixNano(),
+	})
+	return nil
+}
+
+// sumCalls counts the calls and the share that was served, of all and by second.
+func (w *run) sumCalls() {
+	r := w.result
+	calls := w.callers.Results()
+	r.Calls = len(calls)
+	seconds := int(w.Plan.For/time.Second) + 1
+	r.BySecond = make([]float64, seconds)
+	count := make([]int, seconds)
+	for _, call := range calls {
+		r.Served += call.Worth / float64(r.Calls)
+		if k := int(call.At / time.Second); k < seconds {
+			r.BySecond[k] += call.Worth
+			count[k]++
+		}
+	}
+	for k := range count {
+		r.BySecond[k] /= float64(max(count[k], 1))
+	}
+}
+
+// readProcesses reads the claims of all processes, and adds when each process ended.
+func (w *run) readProcesses() (all []*process, err error) {
 	for k, name := range w.names {
-		of, err := read(name, w.claims(k))
+		processes, err := readClaims(name, w.claimsFile(k))
 		if err != nil {
-			return err
+			return nil, err
 		}
-		for n, p := range of {
-			if n < len(w.ends[name]) {
-				p.to = w.ends[name][n]
+		for n, p := range processes {
+			if n < len(w.processEnds[name]) {
+				p.to = w.processEnds[name][n]
 			}
 		}
-		all = append(all, of...)
+		all = append(all, processes...)
 	}
-	r.Findings = *examine(all, rules{instances: w.Plan.Instances, servers: w.Plan.Servers, machine: w.machines, delay: int64(2 * time.Second), burst: 0.5,
-		leftOut: 0.25, calmFrom: w.calm.UnixNano(), end: end.UnixNano()})
-	return nil
+	return all, nil
 }
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -1,7 +1,7 @@
-// Package rig runs real processes of the program as one fleet on loopback, with links of its own between any two of them,
-// and breaks things: links by direction, processes, their folders, session servers. What goes wrong is a file or drawn from
-// a seed; every fault is recorded. Each process writes down what it claims, and a checker holds the claims against each
-// other; callers and servers keep a ledger of the calls.
+// Package rig tests a fleet of real processes of the program on loopback while things fail: the links between any two of
+// them by direction, the processes, their directories and the servers. The faults are read from a file or drawn from a
+// seed, and each is recorded. Every process writes down what it claims, a checker compares the claims with each other, and
+// callers and servers keep a ledger of the calls.
 package rig
 
 import (
@@ -21,43 +21,44 @@
 	"masthill/lab/standin"
 )
 
-// Options is what a run is made from.
+// Options is what Run needs to know.
 type Options struct {
 	Plan    *Plan
 	Seed    uint64
 	Program string
-	Dir     string   // for the instances' folders and claims
-	Env     []string // of the processes, such as the guard that a broken build leaves out
-	Plain   bool     // instances know nothing of each other: what the same faults do without
+	Dir     string   // for the instances' directories and claims
+	Env     []string // for the processes, such as the check that a mutant leaves out
+	Plain   bool     // the instances know nothing of each other, for comparison
 }
 
-// run is a run under way.
+// run is a run in progress.
 type run struct {
 	Options
 	ctx       context.Context
 	group     *errgroup.Group
 	rng       *rand.Rand
-	r         *Result
+	result    *Result
 	ledger    *check.Ledger
 	params    processor.Params
-	began     time.Time
+	startedAt time.Time
 	names     []string
 	instances []*host.Instance
-	machines  map[string]string
+	machines  map[string]string // by instance
 	lists     []*standin.List
 	servers   []*standin.Server
-	crowd     *standin.Crowd
-	links     map[[2]int]*link
+	callers   *standin.Crowd
+	links     map[[2]int]*link // by the numbers of the two instances
 	faults    []Fault
 
-	mu    sync.Mutex
-	ends  map[string][]int64 // when the processes of an instance ended, in their order
-	down  map[int]bool       // struck by something that takes the process away
-	calm  time.Time          // the last fault is over
-	coldS []string
+	mu           sync.Mutex
+	processEnds  map[string][]int64 // when the processes of an instance ended, in their order
+	interrupted  map[int]bool       // instances that a fault has paused or stopped
+	lastFaultEnd time.Time
+	coldServers  []string // that have started anew
 }
 
-// Run plays a plan. An error is a fault of the rig or of a first start; what the program did wrong is in the result.
+// Run plays a plan. An error means that the rig failed or an instance did not start; what the program did wrong is in the
+// result.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	if _, err := os.Stat(o.Program); err != nil {
 		return nil, fmt.Errorf("the program to run: %w", err)
@@ -65,29 +66,74 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	w := &run{Options: o, ctx: ctx, group: g, rng: rand.New(rand.NewPCG(o.Seed, 0x726967)), links: map[[2]int]*link{}, ends: map[string][]int64{},
-		machines: map[string]string{}, down: map[int]bool{}, r: &Result{Seed: o.Seed, Instances: o.Plan.Instances, Servers: o.Plan.Servers, Plain: o.Plain},
-		ledger: check.New(check.Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second, Slack: 50 * time.Millisecond})}
-	w.faults = o.Plan.draw(o.Seed)
+	w := newRun(ctx, g, o)
 	err := w.play()
 	end := time.Now()
 	for k, i := range w.instances {
 		i.Signal(syscall.SIGCONT)
 		i.Stop(true)
-		w.ended(k, end)
+		w.recordEnd(k, end)
 	}
 	cancel()
-	if waited := g.Wait(); err == nil {
-		err = waited
+	if groupErr := g.Wait(); err == nil {
+		err = groupErr
 	}
 	if err != nil {
 		return nil, err
 	}
-	return w.r, w.sum(end)
+	return w.result, w.summarize(end)
 }
 
-func (w *run) ended(k int, at time.Time) {
+func newRun(ctx context.Context, g *errgroup.Group, o Options) *run {
+	return &run{
+		Options:     o,
+		ctx:         ctx,
+		group:       g,
+		rng:         rand.New(rand.NewPCG(o.Seed, 0x726967)),
+		result:      &Result{Seed: o.Seed, Instances: o.Plan.Instances, Servers: o.Plan.Servers, Plain: o.Plain},
+		ledger:      check.New(check.Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second, Slack: 50 * time.Millisecond}),
+		machines:    map[string]string{},
+		links:       map[[2]int]*link{},
+		faults:      o.Plan.drawFaults(o.Seed),
+		processEnds: map[string][]int64{},
+		interrupted: map[int]bool{},
+	}
+}
+
+// play sets everything up, and plays the calls and faults of the plan.
+func (w *run) play() error {
+	if err := w.setUp(); err != nil {
+		return err
+	}
+	defer w.callers.Close()
+	if err := w.startInstances(); err != nil {
+		return err
+	}
+	w.startedAt = time.Now()
+	w.lastFaultEnd = w.startedAt
+	w.group.Go(func() error { w.driveLinks(); return nil })
+	for _, f := range w.faults {
+		w.group.Go(func() error { w.playFault(f); return nil })
+	}
+	if w.Plan.Cold > 0 {
+		w.group.Go(func() error { w.crashServers(); return nil })
+	}
+	return w.callers.Run(w.ctx, w.Plan.For)
+}
+
+// sleepUntil waits until a time after the start; false when the run ends before.
+func (w *run) sleepUntil(at time.Duration) bool {
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-time.After(time.Until(w.startedAt.Add(at))):
+		return true
+	}
+}
+
+// recordEnd notes when the process of an instance ended.
+func (w *run) recordEnd(k int, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ends[w.names[k]] = append(w.ends[w.names[k]], at.UnixNano())
+	w.processEnds[w.names[k]] = append(w.processEnds[w.names[k]], at.UnixNano())
 }
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -106,7 +106,7 @@
 	if r.Bad() {
 		t.Errorf("%v %v %v", r.Broken, r.Findings, r.Errors)
 	}
-	if r.Calls < 300 || r.Processes != 7 || r.MostInUse < 0.5 || r.Counts < 500 || len(r.Faults) != 6 || r.Converged < 0 {
+	if r.Calls < 300 || r.Processes != 7 || r.MaxInUse < 0.5 || r.Counts < 500 || len(r.Faults) != 6 || r.Converged < 0 {
 		t.Errorf("too little was seen to say so: %d calls, %+v, %d faults", r.Calls, r.Findings, len(r.Faults))
 	}
 	file := filepath.Join(t.TempDir(), "rig.svg")
@@ -166,7 +166,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, b, c := p.draw(7), p.draw(7), p.draw(8)
+	a, b, c := p.drawFaults(7), p.drawFaults(7), p.drawFaults(8)
 	if len(a) < p.Random/2 || len(a) != len(b) || len(a) > 0 && a[0].At != b[0].At || len(c) == len(a) && c[0].For == a[0].For {
 		t.Errorf("%d, %d and %d faults", len(a), len(b), len(c))
 	}
@@ -198,7 +198,7 @@
 	fresh := func(name string, claims ...claim) *process {
 		return &process{name: name, epoch: 1, to: math.MaxInt64, claims: claims}
 	}
-	r := rules{instances: 2, servers: 8, machine: map[string]string{"a": "m1", "b": "m2", "c": "m1"}, delay: 2e9, burst: 0.5, leftOut: 0.25}
+	r := bounds{instances: 2, servers: 8, machineOf: map[string]string{"a": "m1", "b": "m2", "c": "m1"}, maxDelay: 2e9, burst: 0.5, maxAvoidedShare: 0.25}
 	for _, c := range []struct {
 		what string
 		all  []*process
@@ -210,34 +210,34 @@
 		{"both", []*process{fresh("a", holds(1, 3, 8000)), fresh("b", holds(2.9, 5, 1000))}, 1},
 		{"renewed over its end", []*process{fresh("a", holds(1, 3, 8000), holds(2, 4, 8000)), fresh("b", holds(3.5, 5, 1000))}, 1},
 	} {
-		if f := examine(c.all, r); f.Overspent != c.want {
+		if f := checkClaims(c.all, r); f.Overspent != c.want {
 			t.Errorf("%s: %+v", c.what, f)
 		}
 	}
 	killed := fresh("a", holds(1, 9, 8000))
 	killed.to = at(2)
-	if f := examine([]*process{killed, fresh("b", holds(3, 5, 8000))}, r); f.Overspent != 0 {
+	if f := checkClaims([]*process{killed, fresh("b", holds(3, 5, 8000))}, r); f.Overspent != 0 {
 		t.Errorf("a dead one is taken to use its part: %+v", f)
 	}
 	counted := func(name string, said map[string]int64, age int64) *process {
 		p := fresh(name)
 		for n := range 12 {
-			k := look{at: at(float64(n)), alive: 2}
+			k := snapshot{at: at(float64(n)), alive: 2}
 			k.Known = []count.Known{{Source: count.Source{Name: name, Epoch: 1}, Counts: map[string]int64{"o/": int64(10 * n)}}}
 			if said != nil && n == 10 {
 				k.Known = append(k.Known, count.Known{Source: count.Source{Name: "b", Epoch: 1}, Counts: said, AgeMS: age})
 				k.Look.Counts = []shared.Counted{{Key: "o/", Reading: count.Reading{Least: said["least"], Most: 1000}}}
 			}
-			p.looks = append(p.looks, k)
+			p.snapshots = append(p.snapshots, k)
 		}
 		return p
 	}
 	for said, want := range map[[2]int64]int{{100, 0}: 0, {110, 0}: 0, {120, 0}: 1, {70, 0}: 1, {70, 1500}: 0} {
-		if f := examine([]*process{counted("a", map[string]int64{"o/": said[0]}, said[1]), counted("b", nil, 0)}, r); f.OutOfBound != want {
+		if f := checkClaims([]*process{counted("a", map[string]int64{"o/": said[0]}, said[1]), counted("b", nil, 0)}, r); f.OutOfBound != want {
 			t.Errorf("%v: %+v", said, f)
 		}
 	}
-	if f := examine([]*process{counted("a", map[string]int64{"o/": 100, "least": 900}, 0), counted("b", nil, 0)}, r); f.OutOfBound == 0 {
+	if f := checkClaims([]*process{counted("a", map[string]int64{"o/": 100, "least": 900}, 0), counted("b", nil, 0)}, r); f.OutOfBound == 0 {
 		t.Error("a least beyond all that was counted is not found")
 	}
 	judged := func(witnesses ...string) *process {
@@ -245,21 +245,21 @@
 		p.verdicts = []judge.Verdict{{Server: 1, Avoided: true, Witnesses: witnesses}}
 		return p
 	}
-	if f := examine([]*process{judged("a", "b")}, r); f.Unfounded != 0 || f.Verdicts != 1 {
+	if f := checkClaims([]*process{judged("a", "b")}, r); f.Unfounded != 0 || f.Verdicts != 1 {
 		t.Errorf("%+v", f)
 	}
-	if f := examine([]*process{judged("a", "c")}, r); f.Unfounded != 1 {
+	if f := checkClaims([]*process{judged("a", "c")}, r); f.Unfounded != 1 {
 		t.Errorf("two instances on one machine pass for two witnesses: %+v", f)
 	}
 	rival := func(name string, from, until float64) *process {
 		p := fresh(name)
-		p.reigns = [][2]int64{{at(from), at(until)}}
+		p.leaderTerms = [][2]int64{{at(from), at(until)}}
 		return p
 	}
-	if f := examine([]*process{rival("a", 1, 3), rival("b", 3, 5)}, r); f.Rivals != 0 {
+	if f := checkClaims([]*process{rival("a", 1, 3), rival("b", 3, 5)}, r); f.ConcurrentLeaders != 0 {
 		t.Errorf("%+v", f)
 	}
-	if f := examine([]*process{rival("a", 1, 3), rival("b", 2.9, 5)}, r); f.Rivals != 1 {
+	if f := checkClaims([]*process{rival("a", 1, 3), rival("b", 2.9, 5)}, r); f.ConcurrentLeaders != 1 {
 		t.Errorf("two allocators at once are not found: %+v", f)
 	}
 }
--- a/lab/rig/traffic.go
+++ b/lab/rig/traffic.go
@@ -1,35 +1,42 @@
 package rig
 
-// traffic finds when all knew of all, and what a member sends.
-func traffic(f *Findings, all []*process, r rules) {
+// measureTraffic finds when all members knew all after the last fault, and how much a member sends.
+func measureTraffic(f *Findings, all []*process, b bounds) {
 	f.Converged = 0
-	perS, grams, n := 0.0, 0.0, 0
+	bytes, datagrams, measured := 0.0, 0.0, 0
 	for _, p := range all {
-		if len(p.looks) > 1 {
-			a, b := p.looks[0], p.looks[len(p.looks)-1]
-			perS += float64(b.bytes-a.bytes) / float64(b.at-a.at) * 1e9
-			grams += float64(b.grams-a.grams) / float64(b.at-a.at) * 1e9
-			n++
+		if len(p.snapshots) > 1 {
+			first, last := p.snapshots[0], p.snapshots[len(p.snapshots)-1]
+			bytes += float64(last.bytes-first.bytes) / float64(last.at-first.at) * 1e9
+			datagrams += float64(last.datagrams-first.datagrams) / float64(last.at-first.at) * 1e9
+			measured++
 		}
-		if p.to < r.end { // it had ended before
+		if p.to < b.end { // it ended before the run
 			continue
 		}
-		last := int64(-1)
-		for _, k := range p.looks {
-			if k.at < r.calmFrom {
-				continue
-			}
-			if k.alive < r.instances {
-				last = -1
-			} else if last < 0 {
-				last = k.at
-			}
-		}
-		if last < 0 {
+		at := p.convergedAt(b)
+		switch {
+		case at < 0:
 			f.Converged = -1
-		} else if f.Converged >= 0 {
-			f.Converged = max(f.Converged, float64(last-r.calmFrom)/1e9)
+		case f.Converged >= 0:
+			f.Converged = max(f.Converged, float64(at-b.lastFaultEnd)/1e9)
+		}
+	}
+	f.BytesPerSecond = bytes / float64(max(measured, 1))
+	f.DatagramsPerSecond = datagrams / float64(max(measured, 1))
+}
+
+// convergedAt is when a process knew all members for good; -1 if it did not.
+func (p *process) convergedAt(b bounds) int64 {
+	at := int64(-1)
+	for _, s := range p.snapshots {
+		switch {
+		case s.at < b.lastFaultEnd:
+		case s.alive < b.instances:
+			at = -1
+		case at < 0:
+			at = s.at
 		}
 	}
-	f.BytesS, f.DatagramsS = perS/float64(max(n, 1)), grams/float64(max(n, 1))
+	return at
 }
--- /dev/null
+++ b/lab/rig/verdicts.go
@@ -0,0 +1,34 @@
+package rig
+
+import "masthill/control/shared/judge"
+
+// checkVerdicts finds verdicts that rest on the reports of one machine, and processes that avoid too many servers.
+func checkVerdicts(f *Findings, all []*process, b bounds) {
+	for _, p := range all {
+		f.Claims += len(p.claims)
+		avoided := map[uint64]bool{}
+		for _, v := range p.verdicts {
+			delete(avoided, v.Server)
+			if !v.Avoided {
+				continue
+			}
+			f.Verdicts++
+			avoided[v.Server] = true
+			if machinesOf(v, b) < 2 {
+				f.report(&f.Unfounded, "%s avoids %x on the word of %v", p.name, v.Server, v.Witnesses)
+			}
+			if limit := max(int(b.maxAvoidedShare*float64(b.servers)), 1); len(avoided) > limit {
+				f.report(&f.Unfounded, "%s avoids %d of %d servers", p.name, len(avoided), b.servers)
+			}
+		}
+	}
+}
+
+// machinesOf counts the machines of a verdict's observers.
+func machinesOf(v judge.Verdict, b bounds) int {
+	machines := map[string]bool{}
+	for _, observer := range v.Witnesses {
+		machines[b.machineOf[observer]] = true
+	}
+	return len(machines)
+}
