A server's silence outlasts its connection, and its calls are released in time

Ruled out: a release that was heard and went nowhere, one on a connection that this side had closed, a spoilt answer on that connection, the list (told within its time). At fault: Pool.serve and Pool.down. With the connection its silence was forgotten: failed connects began to count anew, had to go on for 2 s, and were looked at only at the growing pauses between connects (1.78 s after the first, then not before 3.8 s).

Change: what is known of a server that takes no connect is one state of its link (silence.go), over all its connections, told the time; the connect that may prove its death comes when it is due and not at the pause. Two tests, over pipes and over real connections, fail without it (9.5 to 12.2 s after the last word for 8 s at most).

--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -46,14 +46,6 @@
 	// byeFor is how long ago a release may have been sent on a connection that ended to be sent again on the next: it may
 	// have been lost on its way, and a call that is released twice is released.
 	byeFor = time.Second
-	// refusedFor is how long an office without a connection must refuse each connect to be taken for dead. One that
-	// drains refuses too, and its connection may have been reset under calls that stand.
-	refusedFor = 2 * time.Second
-	// deafFor is how long an office that refuses connects may say nothing over the connection it has, while the list can't
-	// tell of its end either: a release may have been lost as it stopped, and what has ended must be released within 8 s
-	// (PROTOCOL). Offices that drain say nothing for a while and go on with their calls, so it is not much shorter, and
-	// nothing is done while the list is heard. Every deafStep that is looked at again.
-	deafFor, deafStep = 7 * time.Second, 250 * time.Millisecond
 )
 
 // Core is what this side tells the exchange.
@@ -115,8 +107,9 @@
 	prev    *session // the one before, while attempts are out on it
 	waiting []exchange.Attempt
 	byes    []bye
-	check   bool      // calls stand there and nothing is heard: a connect will tell
-	off     time.Time // since when it has neither a connection nor taken a connect
+	check   bool // calls stand there and nothing is heard: a connect will tell
+	silence silence
+	probe   *time.Timer // the next connect that may prove the server dead; nil: none is due
 }
 
 type bye struct {
@@ -136,7 +129,6 @@
 	ended    chan struct{}
 	heard    time.Time
 	asked    time.Time // when a connect beside it was last refused
-	waits    bool      // for deafFor to pass
 	stale    bool      // silent where an answer was due: new attempts go over a new connection
 	watching bool      // for that
 	answered []answer
@@ -218,6 +210,7 @@
 
 func (p *Pool) drop(l *link) {
 	delete(p.links, l.server)
+	l.cancelProbe()
 	if l.cancel != nil {
 		l.cancel()
 	}
@@ -384,16 +377,21 @@
 		}
 		pause = min(2*pause, redialMost)
 	}
+	var latest *session
 	for ctx.Err() == nil {
+		if latest.hasEnded() {
+			if time.Since(latest.began) > redialMost {
+				pause = redialFirst
+			}
+			latest = nil
+			rest()
+			continue
+		}
 		if s := l.useful(); s != nil {
 			select {
 			case <-ctx.Done():
 			case <-l.kick:
 			case <-s.ended:
-				if time.Since(s.began) > redialMost {
-					pause = redialFirst
-				}
-				rest()
 			}
 			continue
 		}
@@ -405,10 +403,28 @@
 			rest()
 			continue
 		}
-		s := &session{link: l, peer: peer, out: map[string]sent{}, began: time.Now(), ended: make(chan struct{})}
-		s.heard = s.began
+		s := newSession(l, peer)
+		latest = s
 		l.pool.up(s)
-		l.pool.group.Go(func() error { s.serve(ctx); return nil })
+		l.pool.group.Go(func() error { return s.serve(ctx) })
+	}
+}
+
+func newSession(l *link, peer Peer) *session {
+	now := time.Now()
+	return &session{link: l, peer: peer, out: map[string]sent{}, began: now, heard: now, ended: make(chan struct{})}
+}
+
+// hasEnded tells whether there was a connection and it has ended.
+func (s *session) hasEnded() bool {
+	if s == nil {
+		return false
+	}
+	select {
+	case <-s.ended:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -455,57 +471,68 @@
 	return dial(ctx, addr)
 }
 
-// down takes a connect that failed. Refused for a while, with no connection left, tells that no process runs: what
-// stood there is cut. Refused beside an open connection tells nothing of the calls: an office that drains takes no
-// new connections and goes on with what it has, and says so by its reports. Refused again, after no word for deafFor
-// and while the list is not heard, nothing that ends there can be known. Where the connect did not come up and the open connection has long
-// been silent, or there has long been none, the machine has vanished, and what stood there is cut too.
+// down takes a connect that failed. What it proves of the calls there is decided by silence.dead; where it proves nothing
+// yet, the next connect comes when it may.
 func (l *link) down(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
+	now := time.Now()
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	l.pool.mu.Lock()
 	l.fail(control.RefusedConn)
-	gone := false
+	l.silence.connectFailed(now, refused, l.cur != nil)
+	dead := l.silence.dead(now, l.cur != nil, l.pool.Listed())
 	switch s := l.cur; {
-	case s == nil && l.off.IsZero():
-		l.off = time.Now()
 	case s == nil:
-		off := time.Since(l.off)
-		gone = off > silentFor || refused && off > refusedFor
 	case refused: // the machine is there; whether the process is, a connection that was ever heard would tell
-		gone = time.Since(s.heard) >= deafFor && !l.pool.Listed()
-		s.asked, s.stale, l.check = time.Now(), false, false
-		if !gone && !s.waits {
-			s.waits = true
-			time.AfterFunc(deafFor-time.Since(s.heard), s.deaf)
-		}
+		s.asked, s.stale, l.check = now, false, false
 	default:
-		gone = time.Since(s.heard) > silentFor
 		l.check = s.stale // tried again until one of the two connections speaks
 	}
+	if dead {
+		l.cancelProbe()
+	} else {
+		l.probeAt(now)
+	}
 	l.pool.mu.Unlock()
-	l.pool.Log.Warn("office connect failed", "server", l.server, "addr", l.addr, "gone", gone, "err", err)
-	if gone {
+	l.pool.Log.Warn("office connect failed", "server", l.server, "addr", l.addr, "gone", dead, "err", err)
+	if dead {
 		l.pool.Core.Lost(l.server)
 	}
 }
 
-// deaf asks for the connect that tells of an office that has long been silent and refused the last one, as soon as the
-// list is not heard either.
-func (s *session) deaf() {
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	switch left := deafFor - time.Since(s.heard); {
-	case s != s.cur:
-	case left > 0: // it has spoken; the next look at silent offices comes here again
-		s.waits = false
-	case s.pool.Listed():
-		time.AfterFunc(deafStep, s.deaf)
+// probeAt arranges for the connect that may prove the server dead. It does not wait for the growing pause between
+// connects, as clients are owed the release of their calls in a fixed time. Called under the lock.
+func (l *link) probeAt(now time.Time) {
+	l.cancelProbe()
+	wait := l.silence.nextProbe(l.cur != nil).Sub(now)
+	l.probe = time.AfterFunc(max(wait, listStep), l.probeNow)
+}
+
+func (l *link) cancelProbe() {
+	if l.probe != nil {
+		l.probe.Stop()
+		l.probe = nil
+	}
+}
+
+// probeNow connects, or waits on while the server list would tell of the server's end.
+func (l *link) probeNow() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	now := time.Now()
+	switch {
+	case l.probe == nil || l.pool.links[l.server] != l:
+	case !l.silence.failing(): // a connection came up or spoke since
+	case !l.silence.dead(now, l.cur != nil, l.pool.Listed()):
+		l.probeAt(now)
 	default:
-		s.waits, s.stale, s.check = false, true, true
-		s.wake()
+		if l.cur != nil {
+			l.cur.stale = true
+		}
+		l.check = true
+		l.wake()
 	}
 }
 
@@ -516,7 +543,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := s.cur
-	s.cur, s.off = s, time.Time{}
+	s.cur = s
+	s.silence.connected(s.began)
+	s.cancelProbe()
 	if s.prev != nil {
 		s.prev.peer.Close()
 	}
@@ -526,13 +555,17 @@
 	s.flush(s)
 }
 
-func (s *session) serve(ctx context.Context) {
+func (s *session) serve(ctx context.Context) error {
 	p := s.pool
 	defer close(s.ended)
 	reason, err := s.peer.Run(ctx, s)
 	p.mu.Lock()
 	if s.cur == s {
 		s.cur = nil
+		s.silence.disconnected()
+		if s.probe != nil { // it was due for a server with a connection
+			s.probeAt(time.Now())
+		}
 	}
 	if s.prev == s {
 		s.prev = nil
@@ -560,6 +593,7 @@
 	if reason == sip.PeerReset && silent {
 		p.Core.Lost(s.server)
 	}
+	return nil
 }
 
 // hear notes that the office speaks; it gives the attempt of the call that was out on this connection, -1 for
@@ -567,7 +601,9 @@
 func (s *session) hear(id string) int {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
-	if s.heard = time.Now(); s.stale {
+	s.heard = time.Now()
+	s.silence.heardAt(s.heard)
+	if s.stale {
 		s.stale, s.check = false, false
 		s.wake()
 	}
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -249,14 +249,80 @@
 				synctest.Wait()
 			}
 			expect(t, b.told, "lost")
-			took, least := time.Since(began), max(deafFor, unheard)
-			if took < least || took > least+2*deafStep {
+			took, least := time.Since(began), max(unheardFor, unheard)
+			if took < least || took > least+2*listStep {
 				t.Errorf("after %v, want %v", took, least)
 			}
 		})
 	}
 }
 
+// A draining server stopped as a call ended, and refused connects from then on; its connection was reset 4 s later, and
+// with that its silence began anew: failed connects had to go on for 2 s more, at pauses of up to 3 s, and the call was
+// over for 8 s without a release.
+func TestAnEndOfTheConnectionForgetsNoSilence(t *testing.T) {
+	for _, open := range []time.Duration{3500 * time.Millisecond, 5 * time.Second, 7100 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t)
+			server := <-b.dialled
+			go io.Copy(io.Discard, server)
+			time.Sleep(time.Second)
+			io.WriteString(server, "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n")
+			expect(t, b.told, "state [3 -1 -1 -1]")
+			lastWord := time.Now()
+			b.refuse.Store(true)
+			b.reset.Store(true)
+			time.AfterFunc(open, func() { server.Close() })
+			for len(b.told) == 0 && time.Since(lastWord) < 20*time.Second {
+				time.Sleep(500 * time.Millisecond)
+				b.Suspect(10, time.Now().Add(-3*time.Second), true)
+				synctest.Wait()
+			}
+			expect(t, b.told, "lost")
+			if took := time.Since(lastWord); took > 8*time.Second {
+				t.Errorf("connection reset after %v: lost after %v", open, took)
+			}
+		})
+	}
+}
+
+// The same over real connections, where a reset and a refused connect are the kernel's own.
+func TestASilentServerWhoseRealConnectionIsReset(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	core := core{make(chan string, 100)}
+	pool := NewPool(Options{Core: core, Log: netcase.Quiet(), ConnectWait: 500 * time.Millisecond,
+		Dials: map[string]Dial{"": SIP("n0", fields)}})
+	go pool.Run(t.Context())
+	pool.List([]exchange.Office{{Entry: control.Entry{Server: 10}, Addr: listener.Addr().String()}}, true)
+	server, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(server, "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n")
+	expect(t, core.told, "state [3 -1 -1 -1]")
+	lastWord := time.Now()
+	listener.Close()
+	server.(*net.TCPConn).SetLinger(0)
+	time.AfterFunc(7100*time.Millisecond, func() { server.Close() })
+	suspect := time.NewTicker(time.Second)
+	defer suspect.Stop()
+	for {
+		select {
+		case told := <-core.told:
+			if took := time.Since(lastWord); told != "lost" || took > 8*time.Second {
+				t.Errorf("told %q after %v", told, took)
+			}
+			return
+		case <-suspect.C:
+			pool.Suspect(10, time.Now().Add(-3*time.Second), true)
+		}
+	}
+}
+
 // Connections are reset on their way too: taken for the death of the process, 419 standing calls were released on one
 // day. One that was silent is another matter: the machine had vanished and is back.
 func TestAResetIsNotADeath(t *testing.T) {
