--- a/internal/office/silence.go
+++ b/internal/office/silence.go
@@ -3,6 +3,10 @@
 import "time"
 
 const (
+	// silentFor is how long a connection must have been silent for a connect that does not come up to prove
+	// that the machine has vanished: several of the reports that offices send unasked. Callers want the
+	// release within 8 s of the end of their calls.
+	silentFor = 3500 * time.Millisecond
 	// refusedFor is how long a server without a connection must refuse each connect to be taken for dead. One that
 	// drains refuses too, and its connection may have been reset under calls that stand.
 	refusedFor = 2 * time.Second
--- a/internal/office/sip.go
+++ b/internal/office/sip.go
@@ -15,6 +15,15 @@
 	"masthill/internal/sip"
 )
 
+const (
+	// writeFor is the deadline of a write to an office: with the connect time it stays well inside the second
+	// in which a draining office may still get an attempt.
+	writeFor = 300 * time.Millisecond
+	// wholeFor is how long an answer may take from its first byte to its last: many times what the network takes,
+	// and short against the time in which a call wants to stand.
+	wholeFor = 300 * time.Millisecond
+)
+
 // Fields reads load reports: the names that an office uses, in the order of the settings' fields.
 type Fields []string
 
