A slow answer is no mute connection; a report may come over one connection first

Change: the silence that replaces a connection goes by the servers' answer times (RFC 6298: mean and four deviations, 0.25 to 1 s), also where an attempt was called off; a report over the new connection closes the old one if that stays silent 50 ms more. Two tests fail without it; TestAMuteConnectionIsReplaced has only the constant's new name.

--- /dev/null
+++ b/internal/office/delay.go
@@ -0,0 +1,30 @@
+package office
+
+import "time"
+
+const (
+	// silenceLeast and silenceMost bound how long a connection may bring nothing after a set-up went out on it before
+	// it counts as dead: many times what the network takes, and no longer than a call can wait for a second attempt.
+	silenceLeast, silenceMost = 250 * time.Millisecond, time.Second
+	// meanGain, deviationGain and deviationTimes are those of RFC 6298 for the retransmission timer of TCP.
+	meanGain, deviationGain, deviationTimes = 8, 4, 4
+)
+
+// answerDelay estimates how long the servers take to answer a set-up, as RFC 6298 does for a round trip.
+type answerDelay struct{ mean, deviation time.Duration }
+
+// add takes the delay of one answer.
+func (d *answerDelay) add(delay time.Duration) {
+	if d.mean == 0 {
+		d.mean, d.deviation = delay, delay/2
+		return
+	}
+	d.deviation += ((delay - d.mean).Abs() - d.deviation) / deviationGain
+	d.mean += (delay - d.mean) / meanGain
+}
+
+// silence tells how long a connection may bring nothing after a set-up before it counts as dead. Where servers are slow
+// to answer, a silence says less.
+func (d *answerDelay) silence() time.Duration {
+	return min(max(d.mean+deviationTimes*d.deviation, silenceLeast), silenceMost)
+}
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -380,7 +380,7 @@
 		mute := <-b.dialled
 		go io.Copy(io.Discard, mute)
 		b.invite(0)
-		time.Sleep(muteFor + muteEvery)
+		time.Sleep(silenceLeast + muteEvery)
 		b.Invite(exchange.Attempt{ID: "2", Server: 10, Wait: time.Second})
 		office := <-b.dialled
 		r := sip.NewReader(office)
@@ -425,6 +425,68 @@
 	})
 }
 
+// A report goes out on all connections and comes over one of them first. The set-up that was out on the other was cut for
+// that, though its office was only slow.
+func TestAReportThatComesOverTheNewConnectionFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		slow := <-b.dialled
+		go io.Copy(io.Discard, slow)
+		b.invite(0)
+		replacement := <-b.dialled
+		go io.Copy(io.Discard, replacement)
+		time.Sleep(2 * muteEvery)
+		const report = "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n"
+		for _, connection := range []net.Conn{replacement, slow} {
+			if _, err := io.WriteString(connection, report); err != nil {
+				t.Fatal("closed before its report could come:", err)
+			}
+			expect(t, b.told, "state [3 -1 -1 -1]")
+			time.Sleep(reportLag / 5)
+		}
+		time.Sleep(2 * reportLag)
+		if len(b.told) != 0 {
+			t.Errorf("given up though its connection was heard: %s", <-b.told)
+		}
+		io.WriteString(slow, "SIP/2.0 200 OK\r\n"+reply+"Content-Length: 0\r\n\r\n")
+		expect(t, b.told, "stood 9b1f03aa5c7e2d41 0 ")
+	})
+}
+
+// Where set-ups take long, a silence of that length replaces no connection.
+func TestSlowAnswersAreNoMuteConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		delay        time.Duration
+		replaced     bool
+		replacedLast bool
+	}{{"quick", 20 * time.Millisecond, true, true}, {"slow", 230 * time.Millisecond, false, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t)
+				office := <-b.dialled
+				go io.Copy(io.Discard, office)
+				for n := range 5 {
+					b.invite(n)
+					time.Sleep(tc.delay)
+					io.WriteString(office, "SIP/2.0 200 OK\r\n"+reply+"Content-Length: 0\r\n\r\n")
+					expect(t, b.told, fmt.Sprintf("stood 9b1f03aa5c7e2d41 %d ", n))
+					time.Sleep(copyFor)
+				}
+				b.invite(5)
+				time.Sleep(silenceLeast + 2*muteEvery)
+				if got := len(b.dialled) > 0; got != tc.replaced {
+					t.Errorf("replaced %v within the least silence", got)
+				}
+				time.Sleep(silenceMost)
+				if got := len(b.dialled) > 0; got != tc.replacedLast {
+					t.Errorf("replaced %v within the longest silence", got)
+				}
+			})
+		})
+	}
+}
+
 func TestSuspicionEndsWithAnySign(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
--- a/internal/office/pool.go
+++ b/internal/office/pool.go
@@ -33,6 +33,7 @@
 	links map[uint64]*link
 	ctx   context.Context // of Run; nil before
 	group *errgroup.Group
+	delay answerDelay // of all servers: one instance has few calls at each
 }
 
 // NewPool makes a pool; Run starts it.
@@ -164,7 +165,11 @@
 func (p *Pool) Suspect(server uint64, since time.Time, check bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.links[server]; l != nil && l.cur != nil && l.cur.heard.Before(since) && l.cur.asked.Before(since) {
+	l := p.links[server]
+	if l == nil || l.cur == nil || !check && time.Since(since) < p.delay.silence() {
+		return
+	}
+	if l.cur.heard.Before(since) && l.cur.asked.Before(since) {
 		l.cur.stale, l.check = true, l.check || check
 		l.wake()
 	}
--- a/internal/office/session.go
+++ b/internal/office/session.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// muteFor is how long a connection may bring nothing at all after an attempt went out on it: set-ups take a
-	// fraction of that, and reports come beside them. New attempts then go over another connection. Every muteEvery
-	// that is looked at while attempts are out.
-	muteFor, muteEvery = 250 * time.Millisecond, 50 * time.Millisecond
+	// muteEvery is how often connections with attempts out are looked at: one that has brought nothing for
+	// answerDelay.silence is replaced.
+	muteEvery = 50 * time.Millisecond
+	// reportLag is how much later a report may come over one connection than over another of the same server.
+	reportLag = 50 * time.Millisecond
 	// copyFor is how long after an answer a copy of it may still come: it names its call and no attempt, and would end
 	// the next one that is out on the same connection. That long the next one waits, of answersMost calls at most.
 	copyFor, answersMost = 50 * time.Millisecond, 1024
@@ -98,7 +99,7 @@
 		return
 	}
 	for _, a := range s.out {
-		if s == s.cur && s.prev == nil && !s.heard.After(a.at) && time.Since(a.at) >= muteFor && !s.stale {
+		if s == s.cur && s.prev == nil && !s.heard.After(a.at) && time.Since(a.at) >= s.pool.delay.silence() && !s.stale {
 			s.stale, s.check = true, true
 			s.wake()
 		}
@@ -188,17 +189,28 @@
 		return -1
 	}
 	delete(s.out, id)
+	s.pool.delay.add(time.Since(a.at))
 	s.note(id)
 	s.spent()
 	return a.n
 }
 
-// outlive ends the connection before, where it is still silent: what came over this one was due there too.
+// outlive ends the connection before, where it stays silent: what came over this one was due there too, though perhaps
+// a moment later.
 func (s *session) outlive() {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
 	if old := s.prev; old != nil && old != s && old.stale && old.heard.Before(s.began) {
-		old.peer.Close()
+		time.AfterFunc(reportLag, func() { old.endUnlessHeard(s.began) })
+	}
+}
+
+// endUnlessHeard closes a connection that has brought nothing since.
+func (s *session) endUnlessHeard(since time.Time) {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	if s.heard.Before(since) {
+		s.peer.Close()
 	}
 }
 
