Unused credit for a cold server lapses, so that a pause cannot break its budget

Cause: an instance saved up to one whole credit for a cold server, however small its part. Its first credit is drawn at random, so the sum held from the first second on; but after a few seconds without calls every instance held a whole one. With more instances than the server bears in a window, the calls that then came at once went beyond N + 2 root N + 2.

Change: a whole credit that stays unused lapses after coldKept of the warmth and of the instance's part of a window has been earned beyond it; the phase is kept, so that the pace while calls come is as before.

TestFailureMarkEndsByOneTrial set a credit of 1 and left the time from which it grows at a second ago; it now sets both, with the same checks.

--- a/control/calls.go
+++ b/control/calls.go
@@ -50,10 +50,9 @@
 			return
 		}
 	}
-	if s := c.draw(cl); s != nil && c.send(cl, s) {
-		return
+	if s := c.draw(cl); s == nil || !c.send(cl, s) {
+		c.hold(cl)
 	}
-	c.hold(cl)
 }
 
 // hold gives a call its one later try, x after the latest scheduled one (x from now if none is held), while
--- a/control/cold.go
+++ b/control/cold.go
@@ -1,5 +1,7 @@
 package control
 
+import "math"
+
 // Cold servers: what one bears, and what this front may send there.
 
 // warmth is the part of its capacity that a server is taken to have at present: from cold_from upward, since
@@ -17,8 +19,9 @@
 // coldRoom tells whether a cold server may get one more send from this front. Each front earns credit at its
 // part of the server's present capacity and pays one for a send; the first credit is drawn at random, so that
 // fronts with a part far below one send a window spread out and together keep the budget, also when many
-// servers return at once. A front that has borne nothing yet goes by its own calls offered. Harm: fronts
-// whose calls shifted to this server only now are held to what they bore before.
+// servers return at once. A whole credit that stays unused lapses, the sooner the more calls the front has, or
+// all fronts would hold one after a pause. One that has borne nothing yet goes by its own calls offered. Harm:
+// fronts whose calls shifted to this server only now are held to what they bore before.
 func (c *Controller) coldRoom(s *server) bool {
 	w := c.warmth(s)
 	if w >= 1 {
@@ -27,8 +30,12 @@
 	pace := min(coldPace, coldPart*c.set.FallMultiple) * min(c.fair(s), w*c.top) // whatever is reported
 	pace = max(pace, coldLeast*w*c.rate(&c.offered)/max(c.listed, 1))
 	window := float64(c.set.FallWindow) / float64(second)
-	s.credit = min(s.credit+pace*float64(c.now-s.creditAt)/float64(second), max(1, pace*window/coldBurst))
-	s.creditAt = c.now
+	s.credit, s.creditAt = s.credit+pace*float64(c.now-s.creditAt)/float64(second), c.now
+	if kept := coldKept * (w + pace*window); kept < 1 {
+		s.credit -= max(math.Ceil(s.credit-1-kept), 0)
+	} else {
+		s.credit = min(s.credit, max(1, pace*window/coldBurst))
+	}
 	return s.credit >= 1
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -76,8 +76,8 @@
 	// coldPace and coldPart bound sends to a cold server: a multiple of its present fair part, and the part
 	// of the fall budget used at most, as repeats and rejected work count there too. coldLeast is the part of
 	// the offered calls by which a front goes before it has borne any; coldBurst, as a divisor, the part of a
-	// window's budget that unused credit may save up.
-	coldPace, coldPart, coldLeast, coldBurst = 1.4, 0.6, 0.8, 4
+	// window's budget that unused credit may save up; coldKept, how much more is earned before a whole one lapses.
+	coldPace, coldPart, coldLeast, coldBurst, coldKept = 1.4, 0.6, 0.8, 4, 0.3
 	// bornSpan is the averaging time of the load borne by warm servers, from which capacity is guessed.
 	// unitSpan is how slowly the most of it is forgotten: longer than a server is slow, drains or warms.
 	bornSpan, unitSpan = 8 * float64(second), 60 * float64(second)
@@ -198,13 +198,11 @@
 			c.report(s, ev.Report)
 		}
 	case Ring:
-		if ev.Tag == 0 {
-			c.beat()
-			break
-		}
 		id, ok := c.timers[ev.Tag]
 		delete(c.timers, ev.Tag)
-		if cl := c.calls[id]; ok && cl != nil && cl.held {
+		if cl := c.calls[id]; ev.Tag == 0 {
+			c.beat()
+		} else if ok && cl != nil && cl.held {
 			c.try(cl)
 		} else if ok && id == "" {
 			c.acts = append(c.acts, Action{Kind: Listen})
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -762,7 +762,7 @@
 	id, _ := b.call(0, 0)
 	only(t, b.back(id, 10, RefusedConn, 0), Send) // at once to the other
 	b.now += trialFirst + ms
-	b.c.server(10).delay, b.c.server(10).credit = 0, 1 // the mark alone is in question
+	b.c.server(10).delay, b.c.server(10).credit, b.c.server(10).creditAt = 0, 1, b.now // the mark alone is in question
 	if _, acts := b.call(0, 1); only(t, acts, Send).Server != 10 {
 		t.Fatalf("no trial: %+v", acts)
 	}
--- a/control/pressure.go
+++ b/control/pressure.go
@@ -98,14 +98,13 @@
 		// Silence shuts a server only between trials, rarer with each unanswered one. Where answers get lost
 		// it counts for no more than the loss leaves unexplained.
 		rest := c.span(float64(min(trialFirst<<min(n-1, 8), trialMax)))
+		each := 0.0 // time that a set-up takes at this front's fair part, as far as that is known
 		if c.stood >= littleFrom {
-			rest = max(rest, trialParts*float64(second)/max(c.fair(s), littleLeast))
+			each = float64(second) / max(c.fair(s), littleLeast)
 		}
-		if float64(c.now-last) < rest {
-			if c.stood >= littleFrom {
-				d = max(d, float64(s.pending())*float64(second)/max(c.fair(s), littleLeast))
-			}
-			d = max(d, float64(c.now-first)*lossDoubt/(lossDoubt+math.Pow(c.lossAt(s), float64(n))))
+		if float64(c.now-last) < max(rest, trialParts*each) {
+			unsaid := float64(c.now-first) * lossDoubt / (lossDoubt + math.Pow(c.lossAt(s), float64(n)))
+			d = max(d, float64(s.pending())*each, unsaid)
 		}
 	}
 	return d
@@ -286,9 +285,7 @@
 		c.answered(s, ev.Call, fullDelay*c.ref)
 		// A told wait is kept up to trialMax; a longer one is then tested by a single trial, as a processor
 		// that dropped its queue or came back would stand idle else.
-		if ev.WaitMS*1e6 > trialMax {
-			s.down = true
-		}
+		s.down = s.down || ev.WaitMS*1e6 > trialMax
 		s.markEnd = max(s.markEnd, c.now+max(int64(c.x), markMin, min(ev.WaitMS*1e6, trialMax)))
 	}
 }
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"runtime"
 	"sort"
@@ -40,13 +41,17 @@
 	PeerBytes bool
 	// Liar is a controller, counted from 1, that tells the others all the time that every server is dead; 0: none.
 	Liar int
+	// Skew is the spread of the controllers' shares of the traffic, as the standard deviation of their logarithms; 0: alike.
+	Skew float64
+	// WatchCold counts what servers get while they are cold, and has none of them fall over.
+	WatchCold bool
 	// Look, if any, is called once a simulated second with what the controllers tell.
 	Look func(at time.Duration, all []exchange.Status)
 }
 
 // Trouble is one thing that goes wrong.
 type Trouble struct {
-	Kind  string // replace, crash, down, slow, silent, cut, restarts, kill, late, lossy
+	Kind  string // replace, crash, down, slow, silent, cut, restarts, kill, late, lossy, shift
 	At    time.Duration
 	For   time.Duration // restarts and replace: until the last of them begins
 	Share float64       // of the servers (one at least); restarts and kill: of the controllers; lossy: of the answers
@@ -63,23 +68,24 @@
 
 // Result is what a run showed.
 type Result struct {
-	Seed        uint64  `json:"seed"`
-	Controllers int     `json:"controllers"`
-	Servers     int     `json:"servers"`
-	Calls       int     `json:"calls"`
-	Tries       int     `json:"tries"`
-	Served      float64 `json:"served_share"`
-	Late        float64 `json:"late_share"` // calls that stood after their aim
-	Cut         int     `json:"cut"`
-	FellOver    bool    `json:"fell_over"`
-	ColdWait    float64 `json:"cold_wait_max_ms"` // at a server that started during the run
-	Refusal     float64 `json:"refusal_point_ms"`
-	Use         float64 `json:"use_at_plan"` // part of the processors' time that the planned load takes
-	Refused     int     `json:"refused_by_servers"`
-	Restarts    int     `json:"restarts"`
-	SilentSends []int   `json:"set_ups_to_silent_servers_by_s,omitempty"` // since they went silent
-	PeerSent    int64   `json:"peer_messages,omitempty"`                  // between controllers, counted at each receiver
-	PeerBytes   int64   `json:"peer_bytes,omitempty"`                     // of what was said, each message once
+	Seed        uint64      `json:"seed"`
+	Controllers int         `json:"controllers"`
+	Servers     int         `json:"servers"`
+	Calls       int         `json:"calls"`
+	Tries       int         `json:"tries"`
+	Served      float64     `json:"served_share"`
+	Late        float64     `json:"late_share"` // calls that stood after their aim
+	Cut         int         `json:"cut"`
+	FellOver    bool        `json:"fell_over"`
+	ColdWait    float64     `json:"cold_wait_max_ms"` // at a server that started during the run
+	Refusal     float64     `json:"refusal_point_ms"`
+	Use         float64     `json:"use_at_plan"` // part of the processors' time that the planned load takes
+	Refused     int         `json:"refused_by_servers"`
+	Restarts    int         `json:"restarts"`
+	SilentSends []int       `json:"set_ups_to_silent_servers_by_s,omitempty"` // since they went silent
+	PeerSent    int64       `json:"peer_messages,omitempty"`                  // between controllers, counted at each receiver
+	PeerBytes   int64       `json:"peer_bytes,omitempty"`                     // of what was said, each message once
+	ColdStarts  []ColdStart `json:"cold_starts,omitempty"`
 	check.Broken
 	Events     uint64             `json:"events"`
 	EventsS    float64            `json:"events_per_s"`  // of real time
@@ -118,23 +124,27 @@
 type model struct {
 	clock
 	Scenario
-	params      processor.Params
-	ledger      *check.Ledger
-	servers     []*server // all that ever were
-	listed      []*server // by cell, as they are now
-	controllers []*controller
-	rng         *rand.Rand // of the callers
-	callers     map[string]*caller
-	ids         uint64
-	all         []*caller
-	restarts    int
-	cutUntil    []int64 // by cell: nothing passes to and from it before
-	use         float64 // part of the processors' time that the planned load takes
-	lossy       float64 // part of the answers that get lost now
-	discard     *slog.Logger
-	silentSends []int // by second since a server went silent: set-ups sent there
-	peerSent    int64 // messages between controllers, by receiver
-	peerBytes   int64 // in each message once
+	params               processor.Params
+	ledger               *check.Ledger
+	servers              []*server // all that ever were
+	listed               []*server // by cell, as they are now
+	controllers          []*controller
+	rng                  *rand.Rand // of the callers
+	callers              map[string]*caller
+	ids                  uint64
+	all                  []*caller
+	restarts             int
+	cutUntil             []int64 // by cell: nothing passes to and from it before
+	use                  float64 // part of the processors' time that the planned load takes
+	lossy                float64 // part of the answers that get lost now
+	discard              *slog.Logger
+	silentSends          []int     // by second since a server went silent: set-ups sent there
+	peerSent             int64     // messages between controllers, by receiver
+	peerBytes            int64     // in each message once
+	traffic              []float64 // by controller: its part of the calls and those before it, with a skew
+	coldWatches          []*coldWatch
+	fallMultiple         float64
+	fallWindow, coldSpan int64
 }
 
 // Run plays a scenario.
@@ -161,6 +171,11 @@
 			ColdFrom: 0.31, ColdSpan: 15e9, FallMultiple: 2, FallWindow: 1e9,
 			Line: sc.Line, DropAnswers: sc.DropAnswers}}
 	m.use = use
+	m.fallMultiple, m.fallWindow, m.coldSpan = m.params.FallMultiple, m.params.FallWindow, m.params.ColdSpan
+	if sc.WatchCold {
+		m.params.FallMultiple = math.MaxFloat64
+	}
+	m.shareTraffic()
 	m.cutUntil = make([]int64, sc.Servers)
 	for cell := range sc.Servers {
 		s := m.newServer(cell, 0)
@@ -310,6 +325,8 @@
 			usual, more := m.ListLate, time.Duration(t.Times*1e9)
 			m.ListLate = [2]time.Duration{usual[0] + more, usual[1] + more}
 			m.after(int64(t.For), func() { m.ListLate = usual })
+		case "shift":
+			m.shareTraffic()
 		case "lossy":
 			m.lossy = t.Share
 			m.after(int64(t.For), func() { m.lossy = 0 })
@@ -409,6 +426,9 @@
 			r.ColdWait = max(r.ColdWait, float64(s.proc.WorstWait())/1e6)
 		}
 	}
+	for _, w := range m.coldWatches {
+		r.ColdStarts = append(r.ColdStarts, w.ColdStart)
+	}
 	var mem runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&mem)
--- a/lab/model/parties.go
+++ b/lab/model/parties.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"masthill/control"
@@ -27,6 +29,7 @@
 	due      int64 // a look at the processor is planned for then
 	report   []float64
 	reportA  int64
+	watch    *coldWatch // of its latest start; nil: none yet
 }
 
 type atServer struct {
@@ -81,6 +84,9 @@
 		return
 	}
 	s.m.ledger.Sent(a.ID, c.name(), s.name(), s.m.time())
+	if s.m.WatchCold {
+		s.watchCold(c)
+	}
 	if s.silentAt > 0 {
 		k := int((s.m.now - s.silentAt) / 1e9)
 		for len(s.m.silentSends) <= k {
@@ -413,7 +419,7 @@
 	}
 	var open []*controller
 	for range 8 { // a few draws; all may be away
-		if one := m.controllers[c.rng.IntN(len(m.controllers))]; one.open {
+		if one := m.drawController(c.rng); one.open {
 			open = append(open, one)
 			break
 		}
@@ -438,6 +444,29 @@
 	})
 }
 
+// shareTraffic draws the controllers' shares of the traffic anew.
+func (m *model) shareTraffic() {
+	if m.Skew == 0 {
+		return
+	}
+	m.traffic = make([]float64, m.Controllers)
+	total := 0.0
+	for k := range m.traffic {
+		total += math.Exp(m.Skew * m.rng.NormFloat64())
+		m.traffic[k] = total
+	}
+}
+
+// drawController draws the controller that a try comes to.
+func (m *model) drawController(rng *rand.Rand) *controller {
+	if m.traffic == nil {
+		return m.controllers[rng.IntN(len(m.controllers))]
+	}
+	u := rng.Float64() * m.traffic[len(m.traffic)-1]
+	k := sort.SearchFloat64s(m.traffic, u)
+	return m.controllers[min(k, len(m.controllers)-1)]
+}
+
 func (c *caller) worth() float64 {
 	switch {
 	case c.cut || c.stoodAt == 0:
