--- /dev/null
+++ b/cmd/masthill-lab/coldchance.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// chanceCmd computes how likely it is that a cold server gets more than it bears while calls never lack, from the ramp
+// alone: docs/design/cold.md has the derivation.
+type chanceCmd struct {
+	Controllers []int     `default:"10,20,30,60,300" help:"Session controllers."`
+	Budget      []float64 `default:"9,17" help:"N at the start: what the server's budget allows in a window."`
+	Part        float64   `default:"0.7" help:"The sum of all controllers' pace as a part of N."`
+	ColdFrom    float64   `default:"0.31" help:"Warmth at the start."`
+	ColdSpan    float64   `default:"15" help:"Windows until the server is warm."`
+	Kept        float64   `default:"0.3" help:"The module's coldKept."`
+	Pauses      []float64 `default:"2,4" help:"Windows without calls after the start."`
+}
+
+// ramp is one fleet and one server that has started.
+type ramp struct {
+	chanceCmd
+	n      int
+	budget float64 // at the start
+}
+
+func (c ramp) warmth(at float64) float64 { return min(c.ColdFrom+(1-c.ColdFrom)*at/c.ColdSpan, 1) }
+
+// allowed is N a time after the start, in windows.
+func (c ramp) allowed(at float64) float64 { return c.budget * c.warmth(at) / c.ColdFrom }
+
+// pace is what one controller earns in a window then.
+func (c ramp) pace(at float64) float64 { return c.Part * c.allowed(at) / float64(c.n) }
+
+// earned is what one controller has earned since the start.
+func (c ramp) earned(at float64) float64 {
+	return c.Part * c.budget / float64(c.n) * (at + (1-c.ColdFrom)*at*at/(2*c.ColdSpan*c.ColdFrom))
+}
+
+// tail is the chance that n controllers, each of which sends mean on average and no more than one from it, send over
+// what is borne when N is allowed.
+func tail(n int, mean, allowed float64) float64 {
+	whole := math.Floor(mean)
+	over := math.Floor(allowed+2*math.Sqrt(allowed)+2) - whole*float64(n)
+	switch {
+	case over < 0:
+		return 1
+	case over >= float64(n) || mean == whole:
+		return 0
+	}
+	return distuv.Binomial{N: float64(n), P: mean - whole}.Survival(over)
+}
+
+// start bounds the chance that any window in the three after the start is too full: each send may end one.
+func (c ramp) start() float64 {
+	p := c.pace(0)
+	whole := math.Floor(p)
+	over := math.Floor(c.budget+2*math.Sqrt(c.budget)+2) - 1 - whole*float64(c.n)
+	if over >= float64(c.n)-1 {
+		return 0
+	}
+	return min(1, 3*p*float64(c.n)*distuv.Binomial{N: float64(c.n - 1), P: p - whole}.Survival(over))
+}
+
+// pause is the chance after a pause: saved is the credit beyond its phase that a controller holds then. The calls come at
+// once, so that the window may end at any time after; the worst of its beginning and its end counts.
+func (c ramp) pause(at, saved float64, lost bool) float64 {
+	worst := 0.0
+	for _, into := range []float64{0, 0.5, 1} {
+		mean := saved + c.earned(at+into) - c.earned(at)
+		if lost && c.pace(at) < 1 { // a saved credit is cut to one: its phase is lost, and the next takes a whole 1/pace
+			mean = min(mean, 1)
+		}
+		worst = max(worst, tail(c.n, mean, c.allowed(at+into)))
+	}
+	return worst
+}
+
+func (c chanceCmd) Run() error {
+	fmt.Printf("%11s %4s %7s %22s", "controllers", "N", "bound", "calls from the start")
+	for _, at := range c.Pauses {
+		fmt.Printf(" %22s %22s", fmt.Sprintf("%v on, credit kept", at), fmt.Sprintf("%v on, credit lapses", at))
+	}
+	fmt.Println()
+	for _, budget := range c.Budget {
+		for _, n := range c.Controllers {
+			r := ramp{c, n, budget}
+			fmt.Printf("%11d %4.0f %7.1f %22.2g", n, budget, budget+2*math.Sqrt(budget)+2, r.start())
+			for _, at := range c.Pauses {
+				kept := min(r.earned(at), c.Kept*(r.warmth(at)+r.pace(at)))
+				if c.Kept*(r.warmth(at)+r.pace(at)) >= 1 {
+					kept = 1
+				}
+				fmt.Printf(" %22.2g %22.2g", r.pause(at, min(r.earned(at), 1), true), r.pause(at, kept, kept == 1))
+			}
+			fmt.Println()
+		}
+	}
+	return nil
+}
--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -23,6 +23,7 @@
 	Flood       floodCmd  `cmd:"" help:"Play one member's flood on a simulated clock, with and without shares, over paired seeds."`
 	Silent      silentCmd `cmd:"" help:"Play a server that goes silent on a simulated clock, and how long set-ups go there."`
 	Cold        coldCmd   `cmd:"" help:"Count what cold servers get from a whole fleet on a simulated clock, and how often it is too much."`
+	ColdChance  chanceCmd `cmd:"" help:"Compute how likely a cold server gets more than it bears, from the ramp alone."`
 	Jam         jamCmd    `cmd:"" help:"Play a jump of the load that may tip a fleet into a jam, on a simulated clock."`
 	Border      borderCmd `cmd:"" help:"Show at which sizes and jumps a fleet does not come back, as a table and a picture."`
 	Scenes      scenesCmd `cmd:"" help:"Play scenes on a simulated clock, with what run has beside control and without, over paired seeds."`
