Discovery that comes back is followed within 0.6 s, however long it was down

Cause: the wait before a reconnect grew to 1.5 s, and a connect that hung was waited for until 2.5 s after its begin; both added up. Such a connect was then left to the kernel, as net/http detaches a dial from the request that asked for it (read in Transport.getConn): with the service cut off, each attempt held a descriptor for some two minutes. Ruled out: the stream's own silence limit, which ends a stream that was up.

Change: connects begin every 0.25 to 0.5 s at most; while one hangs, another begins beside it every 0.5 s, three at most, and the first that is up is taken; all end with their stream.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -38,9 +38,15 @@
 	headFor = time.Second
 	// lineFor bounds one line that keeps coming: the longest event over a slow way.
 	lineFor = time.Minute
-	// retryFirst and retryMost bound the wait before a reconnect. News counts as told 2 s after a break, so a
-	// broken stream must be back well before.
-	retryFirst, retryMost = 100 * time.Millisecond, 1500 * time.Millisecond
+	// retryFirst and retryMost bound the time from the begin of one connect to the next, but for retryLeast after one that
+	// took long. A service that comes back is to be followed at once, however long it was down.
+	retryFirst, retryMost, retryLeast = 100 * time.Millisecond, 500 * time.Millisecond, 50 * time.Millisecond
+	// connectEvery is how long a connect may hang before the next one begins beside it, as the kernel sends its SYN again
+	// at growing intervals; connectFor is how long each may take, so that at most MaxConnects are under way.
+	connectEvery = 500 * time.Millisecond
+	connectFor   = MaxConnects*connectEvery - 100*time.Millisecond
+	// MaxConnects bounds the connects that are under way at once, and so the descriptors that they hold.
+	MaxConnects = 3
 )
 
 // Known is the part of the list that the configuration holds.
@@ -195,7 +201,11 @@
 		}
 		c.Log.Warn("journal connection ended", "reason", reason(heard, err), "addr", addr, "pos", c.Pos, "failures", failures,
 			"age_ms", time.Since(began).Milliseconds(), "err", err)
-		wait := time.NewTimer(c.pause(failures))
+		pause := c.pause(failures)
+		if !heard {
+			pause = max(pause-time.Since(began), retryLeast/2+rand.N(retryLeast/2))
+		}
+		wait := time.NewTimer(pause)
 		select {
 		case <-turn.Done():
 		case <-wait.C:
@@ -246,7 +256,9 @@
 	}
 	req.Header.Set("Last-Event-ID", strconv.FormatInt(c.Pos, 10))
 	req.Header.Set("Accept", "text/event-stream")
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: c.Dial}}
+	// The transport leaves a connect that hangs to itself when its request ends; this one ends with the stream.
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(_ context.Context, network, addr string) (net.Conn, error) { return c.connect(ctx, network, addr) }}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return false, err
@@ -261,6 +273,59 @@
 	return c.read(alive{resp.Body, func() { silence.Reset(silentFor) }}, func() { line.Reset(lineFor) })
 }
 
+// connect opens a connection. While it does not come up, another connect begins beside it every connectEvery, and the
+// first one that is up is taken. One that fails tells enough.
+func (c *Client) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		net.Conn
+		err error
+	}
+	results := make(chan result)
+	begin := func() {
+		conn, err := c.dial(ctx, network, addr)
+		select {
+		case results <- result{conn, err}:
+		case <-ctx.Done():
+			if err == nil {
+				conn.Close()
+			}
+		}
+	}
+	next := time.NewTicker(connectEvery)
+	defer next.Stop()
+	go begin()
+	underway := 1
+	for {
+		select {
+		case r := <-results:
+			var late net.Error
+			if !errors.As(r.err, &late) || !late.Timeout() {
+				return r.Conn, r.err
+			}
+			underway--
+		case <-next.C:
+			if underway < MaxConnects {
+				underway++
+				go begin()
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// dial makes one connect.
+func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectFor)
+	defer cancel()
+	if c.Dial != nil {
+		return c.Dial(ctx, network, addr)
+	}
+	return new(net.Dialer).DialContext(ctx, network, addr)
+}
+
 // alive notes that something came, be it a part of a line: a long event over a slow way is no silence, and the next
 // connect would only have it come again from its start.
 type alive struct {
