Descriptors are shared out: discovery, servers and the second address keep theirs

Cause: clients had 70% of the limit, an eighth of that again for connections that make room, and the one just accepted; the rest was not counted. At 96 descriptors, with discovery down and an idle crowd, connects to servers and discovery failed with "too many open files" (91, 96 and 97 held, one of three ways in which discovery was down each). Two processes of an upgrade planned with the whole limit each. Also found: a listener that drains never closed while a crowd goes on connecting, so that a process told to end went on for minutes; and an eviction waited under the front's lock for the reader to leave, which kept a front of a busy core from anything else for up to 3.6 s (seen in its log). A connect to a WebSocket server that hung was left to the kernel by net/http.

Change: internal/descriptors plans shares that add up, and gates hold them: nothing is accepted beyond the clients' share. What a longer list of servers needs comes from the clients, down to a third. internal/sibling tells the two processes of an upgrade of each other; both plan with half, and the new one starts once the old one is within it. Connects and accepts that find no descriptor are tried again every 10 ms; a limit lowered from outside is planned for. Closes do not wait.

--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,11 +21,13 @@
 	"masthill/internal/callws"
 	"masthill/internal/config"
 	"masthill/internal/ctl"
+	"masthill/internal/descriptors"
 	"masthill/internal/exchange"
 	"masthill/internal/journal"
 	"masthill/internal/listener"
 	"masthill/internal/logs"
 	"masthill/internal/office"
+	"masthill/internal/sibling"
 	"masthill/internal/state"
 	"masthill/internal/store"
 )
@@ -42,7 +45,8 @@
 // subsystems makes the parts, in this order: what takes part in decisions comes before the core, in the order in which it
 // is asked, and what needs the core comes behind it.
 var subsystems = []func(*instance) (part, error){
-	snapshots, talking, recovering, levelling, sharing, bounding, recording, deciding, calling, placing, following, controlling, administering, socket,
+	snapshots, allocating, talking, recovering, levelling, sharing, bounding, recording, deciding, calling, placing, following, controlling,
+	administering, socket,
 }
 
 // joins adds a decision module beside control.
@@ -86,6 +90,22 @@
 	return known
 }
 
+// allocating shares the descriptors out, and notices another process at the same address, as in an upgrade.
+func allocating(in *instance) (part, error) {
+	peers := 0
+	if in.own.Peers.Listen != "" {
+		peers = cmp.Or(in.own.Peers.Most, in.p.Settings.GroupSize)
+	}
+	log := in.log.With(logs.Part, "descriptors")
+	in.descriptors = newAllocation(descriptors.Demand{Limit: in.p.Sockets, Peers: peers, Operators: in.p.Admin != "",
+		WebSocket: in.own.CallWS.Listen != "", Control: in.own.Socket.Path != "", Store: in.own.Store.Driver != ""},
+		in.p.MemoryMB<<20/connPart/connEach, log)
+	if in.p.Admin == "" {
+		return part{}, nil
+	}
+	return part{run: sibling.Open(in.p.Listen, log, in.descriptors.upgrade).Run}, nil
+}
+
 // recovering paces what a newly started instance sends.
 func recovering(in *instance) (part, error) {
 	if in.own.Recovery.Enabled {
@@ -203,18 +223,15 @@
 
 // calling is the platform's front.
 func calling(in *instance) (p part, err error) {
-	share := callersPart
-	if in.own.CallWS.Listen == "" {
-		share = alonePart
-	}
 	in.calls = caller.New(caller.Options{Core: in.core, Log: in.log.With(logs.Part, "callers"), Names: in.p.Names, Ready: in.state.Ready,
-		MaxOpen: min(in.p.Sockets*share/100, in.p.MemoryMB<<20/connPart/connEach)})
+		MaxOpen: in.descriptors.clientsFront().Places})
 	l, err := in.opens("callers", in.p.Listen)
 	if err != nil {
 		return p, err
 	}
 	in.fronts[in.calls], in.listen = l, l.Addr().String()
-	return part{run: func(ctx context.Context) error { return in.calls.Serve(ctx, l) }}, nil
+	bounded := in.descriptors.attach(&in.descriptors.clients, in.calls, l)
+	return part{run: func(ctx context.Context) error { return in.calls.Serve(ctx, bounded) }}, nil
 }
 
 // opens takes a passed socket over, or opens one.
@@ -233,14 +250,19 @@
 func placing(in *instance) (part, error) {
 	offices := office.NewPool(office.Options{Core: in.core, Log: in.log.With(logs.Part, "offices"), ConnectWait: in.p.ConnectWait,
 		Listed: func() bool { return in.feed.Heard() },
-		Dials:  map[string]office.Dial{"": office.SIP(in.p.Name, in.p.Settings.Fields), "ws": callws.Dial(in.p.Settings.Fields)}})
+		Dials: map[string]office.Dial{"": in.descriptors.dial(office.SIP(in.p.Name, in.p.Settings.Fields)),
+			"ws": in.descriptors.dial(callws.Dial(in.p.Settings.Fields))}})
 	in.core.Connect(offices)
 	return part{run: offices.Run}, nil
 }
 
 // following is the list of offices; what the process before had learnt of them follows what is known at the start.
 func following(in *instance) (part, error) {
-	in.feed = &journal.Client{Addr: in.p.Journal, Log: in.log.With(logs.Part, "list"), Tell: in.core.Members}
+	in.feed = &journal.Client{Addr: in.p.Journal, Log: in.log.With(logs.Part, "list"), Dial: descriptors.Dialer(in.descriptors.shortage),
+		Tell: func(changed []exchange.Office, full bool) {
+			in.descriptors.list(changed, full)
+			in.core.Members(changed, full)
+		}}
 	in.feed.Start(in.p.Known)
 	if in.known != nil {
 		in.core.Restore(in.known.Learnt)
@@ -258,10 +280,11 @@
 		return part{}, fmt.Errorf("callws.listen: %w", err)
 	}
 	f := callws.New(callws.Options{Core: in.core, Log: in.log.With(logs.Part, "callws"), Names: in.p.Names, Callers: in.own.CallWS.Callers, Ready: in.state.Ready,
-		MaxOpen: in.p.Sockets * socketsPart / 100})
+		MaxOpen: in.descriptors.budget.WebSocket.Places})
 	in.fronts[f] = l
+	bounded := in.descriptors.attach(&in.descriptors.webSocket, f, l)
 	in.log.Info("serving call control", "listen", l.Addr().String())
-	return part{run: func(ctx context.Context) error { return f.Serve(ctx, l) }}, nil
+	return part{run: func(ctx context.Context) error { return f.Serve(ctx, bounded) }}, nil
 }
 
 // administering is the operators' second address.
@@ -269,12 +292,14 @@
 	if in.p.Admin == "" {
 		return part{}, nil
 	}
-	l, err := net.Listen("tcp", in.p.Admin)
+	l, err := listener.Open(in.p.Admin, false)
 	if err != nil {
 		return part{}, fmt.Errorf("admin: %w", err)
 	}
+	l.Shortage = in.descriptors.shortage
 	in.log.Info("serving second address", "admin", l.Addr().String())
 	s := admin.New(&in.state, in.log.With(logs.Part, "admin"))
+	s.MaxOpen = in.descriptors.operatorsPlaces()
 	return part{run: func(ctx context.Context) error { return s.Serve(ctx, l) }}, nil
 }
 
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -49,10 +49,6 @@
 	settleFor = 1500 * time.Millisecond
 	// endStep is how often an orderly end looks whether it is through.
 	endStep = 5 * time.Millisecond
-	// callersPart and socketsPart are the shares in a hundred of the descriptors for the two fronts' callers, and
-	// alonePart is that of the platform's where the other front is off. Good callers hold a third at most; the
-	// rest is for offices, the journal, the store and spares.
-	callersPart, socketsPart, alonePart = 40, 30, 70
 	// connPart and connEach bound the platform's callers by memory too: a connection's buffers, stacks and what
 	// may be queued for it, in an eighth of the limit.
 	connPart, connEach = 8, 32 << 10
@@ -109,30 +105,31 @@
 
 // instance is one running session controller, put together from its parts.
 type instance struct {
-	p         *config.Platform
-	own       *config.Project
-	log       *slog.Logger
-	options   exchange.Options // of the core, until it is made
-	known     *state.Snapshot  // of the process before; nil: none
-	passed    map[string]net.Listener
-	manager   *notify.Manager
-	core      *exchange.Exchange
-	feed      *journal.Client
-	calls     *caller.Server
-	fronts    map[front]*listener.Listener
-	listeners map[string]net.Listener // the same by name, for a supervisor that takes them over
-	keeper    *state.Keeper           // nil: nothing is kept
-	recovery  *recovery.Recovery      // nil: off
-	levels    *levels.Levels          // nil: off
-	shared    *shared.Shared          // nil: off
-	peers     *peers.Peers            // nil: off
-	parts     []part
-	started   time.Time
-	reason    string // of the start
-	snapshot  string // taken up, or why not
-	listen    string
-	state     readiness.State
-	atWarning atomic.Value // string
+	p           *config.Platform
+	own         *config.Project
+	log         *slog.Logger
+	options     exchange.Options // of the core, until it is made
+	known       *state.Snapshot  // of the process before; nil: none
+	passed      map[string]net.Listener
+	manager     *notify.Manager
+	core        *exchange.Exchange
+	feed        *journal.Client
+	calls       *caller.Server
+	fronts      map[front]*listener.Listener
+	listeners   map[string]net.Listener // the same by name, for a supervisor that takes them over
+	keeper      *state.Keeper           // nil: nothing is kept
+	recovery    *recovery.Recovery      // nil: off
+	levels      *levels.Levels          // nil: off
+	shared      *shared.Shared          // nil: off
+	peers       *peers.Peers            // nil: off
+	parts       []part
+	descriptors *allocation
+	started     time.Time
+	reason      string // of the start
+	snapshot    string // taken up, or why not
+	listen      string
+	state       readiness.State
+	atWarning   atomic.Value // string
 }
 
 func serve(p *config.Platform, own *config.Project, signals signals, log *slog.Logger) error {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -82,7 +82,7 @@
 	s.State.Started()
 	addr := netcase.Serve(t, s.Serve)
 	var half []net.Conn
-	for k := range 4 * ConnsMost {
+	for k := range 4 * DefaultMaxOpen {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
@@ -97,7 +97,7 @@
 		}
 	}
 	s.mu.Lock()
-	if n := len(s.open); n > ConnsMost {
+	if n := len(s.open); n > DefaultMaxOpen {
 		t.Errorf("%d connections held", n)
 	}
 	s.mu.Unlock()
@@ -115,7 +115,7 @@
 	s.State.Started()
 	addr := netcase.Serve(t, s.Serve)
 	var wg sync.WaitGroup
-	for range 8 * ConnsMost {
+	for range 8 * DefaultMaxOpen {
 		wg.Go(func() {
 			if status, _ := call(t, addr, "GET", "/healthcheck"); status != http.StatusOK {
 				t.Errorf("status %d", status)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -220,13 +220,7 @@
 // room closes the connection that can best be spared, where all places are taken: callers that connect and say
 // nothing must not keep others out. Called under the lock.
 func (s *Server) room() bool {
-	var spare *conn
-	least := 0
-	for c := range s.conns {
-		if r := c.rank(); r >= 0 && (spare == nil || r < least || r == least && c.last().Before(spare.last())) {
-			spare, least = c, r
-		}
-	}
+	spare := s.spare()
 	if spare == nil {
 		return false
 	}
@@ -239,6 +233,17 @@
 	return true
 }
 
+// spare finds the connection that makes room next, or nil. Called under the lock.
+func (s *Server) spare() (spare *conn) {
+	least := 0
+	for c := range s.conns {
+		if r := c.rank(); r >= 0 && (spare == nil || r < least || r == least && c.last().Before(spare.last())) {
+			spare, least = c, r
+		}
+	}
+	return spare
+}
+
 // txn is one set-up of a caller, until it has its refusal or its call is over.
 type txn struct {
 	*conn
@@ -270,6 +275,22 @@
 	}
 }
 
+// SetMaxOpen changes how many connections are held at once. Of those beyond, the ones that can best be spared make room.
+func (s *Server) SetMaxOpen(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.MaxOpen = n
+	for len(s.conns)-s.parting > n {
+		spare := s.spare()
+		if spare == nil {
+			return
+		}
+		spare.gone, spare.parts = true, true
+		s.parting++
+		spare.End(sip.Evicted) // all at once: an abort waits for its reader, and the front with it
+	}
+}
+
 // Resume ends a drain: connections are kept again.
 func (s *Server) Resume() {
 	s.mu.Lock()
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -68,6 +68,7 @@
 	ctx      context.Context
 	over     bool          // no socket joins the group any more
 	resume   time.Duration // resumeFor, but for tests
+	accepts  *limited
 }
 
 // sock is one caller's socket.
@@ -112,7 +113,8 @@
 
 // New makes a front.
 func New(o Options) *Front {
-	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}, resume: resumeFor}
+	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}, resume: resumeFor,
+		accepts: &limited{log: o.Log, most: o.MaxOpen, open: map[*counted]bool{}}}
 }
 
 // Key is the id that offices know a call by: 16 hex digits of the caller's identity and its own id, so that
@@ -129,6 +131,9 @@
 	f.drainAt = time.Now().Add(after)
 }
 
+// SetMaxOpen changes how many connections are held at once. Of those beyond, the ones that never became a socket make room.
+func (f *Front) SetMaxOpen(n int) { f.accepts.setMost(n) }
+
 // Resume ends a drain: sockets are kept again.
 func (f *Front) Resume() {
 	f.mu.Lock()
@@ -164,7 +169,8 @@
 	}, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
 		MaxHeaderBytes: messageMost, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
-		if err := server.Serve(&limited{Listener: l, log: f.Log, most: f.MaxOpen, open: map[*counted]bool{}}); !errors.Is(err, http.ErrServerClosed) &&
+		f.accepts.Listener = l
+		if err := server.Serve(f.accepts); !errors.Is(err, http.ErrServerClosed) &&
 			!errors.Is(err, net.ErrClosed) {
 			return err
 		}
@@ -250,14 +256,38 @@
 	}
 }
 
-func (l *limited) admit(raw net.Conn) net.Conn {
-	l.mu.Lock()
-	var spare *counted
+// spare is the connection that makes room next, or nil. Called under the lock.
+func (l *limited) spare() (spare *counted) {
 	for c := range l.open {
 		if !c.socket && !c.spared && (spare == nil || c.since.Before(spare.since)) {
 			spare = c
 		}
 	}
+	return spare
+}
+
+// setMost changes the bound.
+func (l *limited) setMost(n int) {
+	var beyond []*counted
+	l.mu.Lock()
+	l.most = n
+	for len(l.open)-len(beyond) > n {
+		c := l.spare()
+		if c == nil {
+			break
+		}
+		c.spared = true
+		beyond = append(beyond, c)
+	}
+	l.mu.Unlock()
+	for _, c := range beyond {
+		c.Close()
+	}
+}
+
+func (l *limited) admit(raw net.Conn) net.Conn {
+	l.mu.Lock()
+	spare := l.spare()
 	full := len(l.open) >= l.most
 	if full && spare == nil {
 		l.mu.Unlock()
--- a/internal/callws/server.go
+++ b/internal/callws/server.go
@@ -45,7 +45,8 @@
 	return func(ctx context.Context, addr string) (office.Peer, error) {
 		var raw net.Conn
 		client := &http.Client{Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, host string) (c net.Conn, err error) {
+			// Under the connect's own context: the transport leaves a connect that hangs to itself when its request ends.
+			DialContext: func(_ context.Context, network, host string) (c net.Conn, err error) {
 				raw, err = new(net.Dialer).DialContext(ctx, network, host)
 				return raw, err
 			}}}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -12,12 +12,25 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"masthill/internal/descriptors"
+)
+
+const (
+	// retryEvery is how often an accept is tried again while no descriptor is left.
+	retryEvery = 10 * time.Millisecond
+	// drainFor bounds a drain: what had come before it has long been taken then, and a crowd that goes on connecting must
+	// not keep the listener open.
+	drainFor = 250 * time.Millisecond
 )
 
 // Listener is a TCP listener that can be drained.
 type Listener struct {
 	*net.TCPListener
+	// Shortage, if not nil, is called each time that no descriptor was left for a connection.
+	Shortage func()
 	draining atomic.Bool
+	until    atomic.Int64 // the end of the drain, in Unix nanoseconds
 }
 
 // Open listens at an address. Shared, another process may listen there too, such as the next one in an upgrade.
@@ -44,26 +57,42 @@
 func New(l *net.TCPListener) *Listener { return &Listener{TCPListener: l} }
 
 // Drain has Accept give what the kernel has taken in already, and then close the listener: a plain close resets those
-// connections, and their callers have been told that they are connected.
+// connections, and their callers have been told that they are connected. It ends after drainFor.
 func (l *Listener) Drain() {
+	l.until.Store(time.Now().Add(drainFor).UnixNano())
 	l.draining.Store(true)
 	l.SetDeadline(time.Unix(1, 0)) // wakes Accept
 }
 
-// Accept implements net.Listener; net.ErrClosed tells that the listener is closed.
+// Accept implements net.Listener; net.ErrClosed tells that the listener is closed. Where no descriptor is left it goes on
+// as soon as there is one.
 func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if !descriptors.Exhausted(err) {
+			return c, err
+		}
+		if l.Shortage != nil {
+			l.Shortage()
+		}
+		time.Sleep(retryEvery)
+	}
+}
+
+func (l *Listener) accept() (net.Conn, error) {
 	if !l.draining.Load() {
 		c, err := l.TCPListener.Accept()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
 	}
-	c, err := l.waiting()
-	if c == nil && err == nil {
-		l.Close()
-		err = net.ErrClosed
+	if time.Now().UnixNano() < l.until.Load() {
+		if c, err := l.waiting(); c != nil || err != nil {
+			return c, err
+		}
 	}
-	return c, err
+	l.Close()
+	return nil, net.ErrClosed
 }
 
 // waiting gives a connection from the kernel's queue, or none: a listener past its deadline does not look there.
