Processes of an upgrade notice each other by file locks, not by a listening socket

Locks on three files in $TMPDIR, which both processes of an upgrade share, tell the same: the kernel releases them with their process. They are looked at every 50 ms.

--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -103,7 +103,7 @@
 	if in.p.Admin == "" {
 		return part{}, nil
 	}
-	return part{run: sibling.Open(in.p.Listen, log, in.descriptors.upgrade).Run}, nil
+	return part{run: sibling.Open(os.TempDir(), in.p.Listen, log, in.descriptors.upgrade).Run}, nil
 }
 
 // recovering paces what a newly started instance sends.
--- a/internal/descriptors/budget.go
+++ b/internal/descriptors/budget.go
@@ -8,8 +8,8 @@
 	baseRuntime = 9
 	// webSocketRuntime is the second front's listening socket.
 	webSocketRuntime = 1
-	// operatorsRuntime is the operators' listening socket, and the two that watch for another process at the same address.
-	operatorsRuntime = 3
+	// operatorsRuntime is the operators' listening socket, and the locks that watch for another process at the same address.
+	operatorsRuntime = 4
 	// controlRuntime is the control socket with its connections, storeRuntime the database's files or connection.
 	controlRuntime, storeRuntime = 9, 8
 	// discoveryShare is three connects that hang beside each other, and the stream before that is being closed.
--- a/internal/sibling/sibling.go
+++ b/internal/sibling/sibling.go
@@ -1,192 +1,118 @@
-// Package sibling tells whether another process of the same user serves the same address on this machine, as in an upgrade.
-// The first process listens on a socket in the abstract Unix namespace whose name is the address; the other one stays
-// connected to it as long as it lives, and is told once the first has made room for it. The kernel ends both with their
-// process and no sooner, and nothing is left on disk.
+// Package sibling tells whether another process serves the same address on this machine, as in an upgrade. The processes
+// share a directory and hold locks on files in it, which the kernel releases when their process ends and no sooner; no
+// socket is opened.
 package sibling
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
-	"os"
-	"sync"
-	"syscall"
+	"path/filepath"
+	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/gofrs/flock"
 )
 
 const (
-	// namePrefix begins the socket's name.
-	namePrefix = "@masthill/"
-	// maxConnections bounds the processes that the first one notices.
-	maxConnections = 2
-	// connectFor bounds a connect, retryEvery is the wait before the next try where the other process has just ended.
-	connectFor, retryEvery = 200 * time.Millisecond, 10 * time.Millisecond
-	// roomFor is how long the first process may take to make room.
+	// Files is how many descriptors a watch holds.
+	Files = 3
+	// pollEvery is how often the locks are looked at.
+	pollEvery = 50 * time.Millisecond
+	// roomFor is how long the leader may take to make room for a new process.
 	roomFor = 2500 * time.Millisecond
+	// fileMode keeps other users from holding the locks.
+	fileMode = 0o600
 )
 
-// Watch follows whether there is another process.
+// Watch follows whether there is another process. The leader holds the lock of its place, the follower that of the second
+// place; the leader holds the lock of the room once it has made room for the follower.
 type Watch struct {
-	addr     *net.UnixAddr
-	log      *slog.Logger
-	changed  func(present bool) // returns once room is made
-	listener *net.UnixListener  // nil: another process was first
-	other    *net.UnixConn      // to it
-
-	mu          sync.Mutex
-	connections map[*net.UnixConn]bool
+	log     *slog.Logger
+	changed func(present bool) // returns once room is made
+	leader  *flock.Flock
+	second  *flock.Flock
+	room    *flock.Flock
+	present bool
 }
 
 // Open looks whether another process serves an address, and calls changed with the answer, now and from Run whenever it
-// changes. Where that can't be found out, there may be one.
-func Open(addr string, log *slog.Logger, changed func(present bool)) *Watch {
-	w := &Watch{addr: &net.UnixAddr{Name: namePrefix + addr, Net: "unix"}, log: log, changed: changed, connections: map[*net.UnixConn]bool{}}
-	changed(w.attach())
+// changes. Where that can't be found out, there may be one. The directory is one that both processes see.
+func Open(dir, addr string, log *slog.Logger, changed func(present bool)) *Watch {
+	name := filepath.Join(dir, "masthill-"+strings.NewReplacer(":", "-", "/", "-").Replace(addr))
+	lock := func(suffix string) *flock.Flock { return flock.New(name+suffix, flock.SetPermissions(fileMode)) }
+	w := &Watch{log: log, changed: changed, leader: lock(".leader"), second: lock(".second"), room: lock(".room")}
+	w.present = !w.take(w.leader)
+	if w.present {
+		w.awaitRoom()
+	}
+	changed(w.present)
 	return w
 }
 
-// attach takes the first place, or connects to who has it, and tells whether there may be another process.
-func (w *Watch) attach() (present bool) {
-	l, err := net.ListenUnix("unix", w.addr)
-	if err == nil {
-		w.listener = l
-		return false
-	}
-	if !errors.Is(err, syscall.EADDRINUSE) {
-		w.log.Warn("other processes not noticed", "reason", "no_socket", "err", err)
-		return true
-	}
-	c, err := (&net.Dialer{Timeout: connectFor}).Dial("unix", w.addr.Name)
-	if err == nil {
-		w.other = c.(*net.UnixConn)
-		w.other.SetReadDeadline(time.Now().Add(roomFor))
-		w.other.Read(make([]byte, 1)) // room is made, or is not to be expected
-		w.other.SetReadDeadline(time.Time{})
+// take tries to get a lock, and tells whether this process holds it.
+func (w *Watch) take(lock *flock.Flock) bool {
+	held, err := lock.TryLock()
+	if err != nil {
+		w.log.Warn("other processes not noticed", "reason", "no_lock", "path", lock.Path(), "err", err)
 	}
-	return true
+	return held
 }
 
-// Close ends the watch before its process ends.
-func (w *Watch) Close() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.listener != nil {
-		w.listener.Close()
-	}
-	if w.other != nil {
-		w.other.Close()
-	}
-	for c := range w.connections {
-		c.Close()
+// taken tells whether another process holds a lock.
+func (w *Watch) taken(lock *flock.Flock) bool {
+	if !w.take(lock) {
+		return true
 	}
+	lock.Unlock()
+	return false
 }
 
-// Run follows changes until ctx ends. The sockets stay open then: what this process holds is free only when it has ended.
-func (w *Watch) Run(ctx context.Context) error {
-	go w.follow(ctx)
-	<-ctx.Done()
-	return nil
-}
-
-func (w *Watch) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		switch {
-		case w.listener != nil:
-			w.listen(ctx)
+// awaitRoom takes the second place and waits until the leader has made room, for a bounded time.
+func (w *Watch) awaitRoom() {
+	for until := time.Now().Add(roomFor); time.Now().Before(until); time.Sleep(pollEvery) {
+		if w.take(w.second) && w.taken(w.room) {
 			return
-		case w.other != nil:
-			await(w.other)
-		default:
-			sleep(ctx, retryEvery)
-		}
-		if ctx.Err() == nil {
-			w.changed(w.reattach())
 		}
 	}
 }
 
-// reattach is attach after the other process has ended.
-func (w *Watch) reattach() (present bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.other = nil
-	return w.attach()
+// Close ends the watch before its process ends. It is not to be called while Run runs.
+func (w *Watch) Close() {
+	w.leader.Close()
+	w.second.Close()
+	w.room.Close()
 }
 
-// listen notices the processes that connect.
-func (w *Watch) listen(ctx context.Context) {
-	for ctx.Err() == nil {
-		c, err := w.listener.AcceptUnix()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			sleep(ctx, retryEvery)
-		case !sameUser(c) || !w.hold(c):
-			c.Close()
-		default:
-			go w.serve(ctx, c)
+// Run follows changes until ctx ends. The locks are held then: what this process holds is free only when it has ended.
+func (w *Watch) Run(ctx context.Context) error {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			w.look()
 		}
 	}
 }
 
-// serve makes room for a process, until it ends.
-func (w *Watch) serve(ctx context.Context, c *net.UnixConn) {
-	w.changed(true)
-	c.Write([]byte{1})
-	await(c)
-	if w.drop(c) == 0 && ctx.Err() == nil {
-		w.changed(false)
+// look takes the leader's place where it is free, and tells the leader whether there is a follower.
+func (w *Watch) look() {
+	if !w.leader.Locked() && !w.take(w.leader) {
+		w.take(w.second)
+		return
 	}
-}
-
-// hold counts a connection.
-func (w *Watch) hold(c *net.UnixConn) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.connections) >= maxConnections {
-		return false
+	if w.second.Locked() { // this process was the follower
+		w.second.Unlock()
 	}
-	w.connections[c] = true
-	return true
-}
-
-// drop tells how many are left.
-func (w *Watch) drop(c *net.UnixConn) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.connections, c)
-	return len(w.connections)
-}
-
-// await waits until a connection ends, and closes it. Nothing more is sent on it.
-func await(c *net.UnixConn) {
-	c.Read(make([]byte, 1))
-	c.Close()
-}
-
-// sameUser tells whether the peer runs under this process's user.
-func sameUser(c *net.UnixConn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
+	if present := w.taken(w.second); present != w.present {
+		w.present = present
+		w.changed(present)
 	}
-	same := false
-	err = raw.Control(func(fd uintptr) {
-		peer, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
-		same = err == nil && peer.Uid == uint32(os.Getuid())
-	})
-	return err == nil && same
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	if w.present {
+		w.take(w.room)
+	} else {
+		w.room.Unlock()
 	}
 }
