No attempt begins for a client that has closed its connection or cancelled

Cause, seen by tests with real connections on both fronts while the core is busy: alarms ring before the events that were posted earlier, so the attempt of a held call (release wait, policy, joined module) began with its client's leaving in the inbox; a set-up's first attempt began with the leaving behind it; and a close or CANCEL that stood unread in the kernel, as the reader waited for the inbox or for its peer to read, was not known at all. Ruled out: an order of inbox before alarms alone, as it does not help where the leaving is unread and makes alarms late.

Change: before each attempt the core asks the front for the client (exchange.PresenceChecker, optional, non-blocking). A client's close behind unread requests ends its connection at once (Limits.HalfCloseEnds). Attempts carry Presence, for a side that keeps them waiting.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -102,7 +102,8 @@
 func newConn(c net.Conn, s *Server) *conn {
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	cn := &conn{server: s, host: host, used: time.Now()}
-	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeFor, Whole: cn.whole, Idle: cn.idle, Farewell: cn.farewell, Linger: lingerFor})
+	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeFor, Whole: cn.whole, Idle: cn.idle, Farewell: cn.farewell, Linger: lingerFor,
+		HalfCloseEnds: true})
 	return cn
 }
 
@@ -556,6 +557,7 @@
 	case old == nil && full:
 		return 503, "too many set-ups open on the connection"
 	case take:
+		c.MarkHandled() // the core may ask for the client before the reader asks for more
 		s.Core.Arrive(call, s)
 	case !twice: // joined, the answer to the first would go to whoever names its id
 		return 482, "Call-ID of another set-up"
@@ -593,6 +595,32 @@
 	t.Send(sip.AppendBody(b, f.Desc))
 }
 
+// Presence implements exchange.PresenceChecker: a set-up belongs to its connection, and only that may cancel it.
+func (s *Server) Presence(id string) exchange.Presence {
+	t := s.waiting(id)
+	if t == nil {
+		return exchange.Gone
+	}
+	input := t.Input()
+	switch {
+	case input == sip.InputEnded, s.waiting(id) != t: // cancelled before the look, which then finds nothing unread
+		return exchange.Gone
+	case input == sip.InputUnread:
+		return exchange.Unheard
+	}
+	return exchange.Connected
+}
+
+// waiting gives a set-up that waits for its answer, or nil.
+func (s *Server) waiting(id string) *txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.txns[id]; t != nil && t.conn != nil {
+		return t
+	}
+	return nil
+}
+
 // Release implements exchange.Caller. A call that stands belongs to no connection: where its own has gone,
 // any other will do, and the next one to open where there is none.
 func (s *Server) Release(id string, cut bool) {
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -46,7 +46,8 @@
 // conn is one WebSocket with a bounded write queue and a deadline on each write.
 type conn struct {
 	ws      *websocket.Conn
-	raw     net.Conn // beneath it
+	raw     net.Conn    // beneath it
+	left    func() bool // the peer has gone, whatever it sent before stands unread
 	out     *sip.Queue
 	full    atomic.Bool
 	closing chan struct{}
@@ -55,7 +56,7 @@
 
 func newConn(ws *websocket.Conn, raw net.Conn) *conn {
 	ws.SetReadLimit(messageMost)
-	return &conn{ws: ws, raw: raw, out: sip.NewQueue(), closing: make(chan struct{})}
+	return &conn{ws: ws, raw: raw, left: func() bool { return false }, out: sip.NewQueue(), closing: make(chan struct{})}
 }
 
 // send queues one message and never blocks: a peer that does not read loses its connection.
@@ -90,7 +91,7 @@
 				err = handle(data)
 			}
 			if err == nil {
-				err = c.out.Room(ctx)
+				err = c.out.Room(ctx, c.left)
 			}
 			if err != nil {
 				return err
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -73,6 +73,7 @@
 // sock is one caller's socket.
 type sock struct {
 	*conn
+	in       *sip.Input
 	front    *Front
 	identity string
 	open     int // calls without their answer
@@ -207,6 +208,7 @@
 // counted is a connection that counts until it is closed.
 type counted struct {
 	net.Conn
+	in      *sip.Input
 	limited *limited
 	since   time.Time
 	// Under the lock of limited: it is a socket, or about to be; it has made room for another connection.
@@ -229,6 +231,9 @@
 	c.socket = false
 }
 
+// Read implements net.Conn.
+func (c *counted) Read(b []byte) (int, error) { return c.in.Read(b) }
+
 func (c *counted) Close() error {
 	c.limited.mu.Lock()
 	delete(c.limited.open, c)
@@ -263,7 +268,7 @@
 		l.mu.Unlock()
 		return nil
 	}
-	c := &counted{Conn: raw, limited: l, since: time.Now()}
+	c := &counted{Conn: raw, in: sip.NewInput(raw), limited: l, since: time.Now()}
 	l.open[c] = true
 	if full {
 		spare.spared = true
@@ -349,7 +354,8 @@
 		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
 		return
 	}
-	s := &sock{conn: newConn(ws, raw), front: f, identity: identity, since: time.Now()}
+	s := &sock{conn: newConn(ws, raw), in: raw.in, front: f, identity: identity, since: time.Now()}
+	s.left = raw.in.Closed
 	peer := r.RemoteAddr
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -534,6 +540,38 @@
 	}
 }
 
+// Presence implements exchange.PresenceChecker. A call belongs to the socket that it came on last.
+func (f *Front) Presence(key string) exchange.Presence {
+	c, s := f.waiting(key)
+	if s == nil {
+		return exchange.Gone
+	}
+	input := s.in.Look()
+	now, at := f.waiting(key)
+	switch {
+	case now != c || at == nil: // cancelled or closed before the look, which then finds nothing unread
+		return exchange.Gone
+	case at != s: // joined from another socket meanwhile, which was heard in that moment
+		return exchange.Connected
+	case input == sip.InputEnded:
+		return exchange.Gone
+	case input == sip.InputUnread:
+		return exchange.Unheard
+	}
+	return exchange.Connected
+}
+
+// waiting gives a call that waits for its answer and the socket that it belongs to, or nil.
+func (f *Front) waiting(key string) (*call, *sock) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.calls[key]
+	if c == nil {
+		return nil, nil
+	}
+	return c, c.sock
+}
+
 // Release implements exchange.Caller. It goes to the call's socket, to another of the same caller, or to the
 // next one that the caller opens.
 func (f *Front) Release(key string, cut bool) {
--- /dev/null
+++ b/internal/exchange/attempt.go
@@ -0,0 +1,103 @@
+package exchange
+
+import (
+	"time"
+
+	"masthill/control"
+)
+
+const (
+	// unheardFirst, doubled each time, is the wait until a client whose input waits to be read is asked for again, and
+	// unheardFor how long it may stay so: its attempt begins by then, or never.
+	unheardFirst, unheardFor = time.Millisecond, 200 * time.Millisecond
+)
+
+// presence is what the front knows of a call's client.
+func presence(from Caller, id string) Presence {
+	if checker, ok := from.(PresenceChecker); ok {
+		return checker.Presence(id)
+	}
+	return Connected
+}
+
+// send starts an attempt. The module keeps the rules itself; what it would break here comes back to it as
+// never sent.
+func (c *core) send(cl *call, a control.Action) {
+	there := presence(cl.from, cl.ID)
+	if cl.away || there == Gone {
+		c.unwanted(cl, a.Server)
+		return
+	}
+	room, module, why := c.chain.Room(c.now, a.Server)
+	if cl.out || c.now < cl.clearAt || !c.serving(a.Server) || !room {
+		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.out,
+			"clear_in_ms", (cl.clearAt-c.now)/1e6, "serving", c.serving(a.Server), "capped_by", module, "why", why)
+		if !cl.out {
+			cl.sent++
+			c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server, Outcome: control.Superseded})
+		}
+		return
+	}
+	n := cl.sent
+	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
+	c.chain.Did(c.now, a)
+	c.afterFor(cl, time.Duration(a.Wait), func(cl *call) {
+		if cl.out && cl.sent == n+1 {
+			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
+			c.withdraw(cl, control.Overdue)
+		}
+	})
+	if there == Unheard {
+		c.askAgain(cl, a, unheardFirst, c.now+int64(min(unheardFor, time.Duration(a.Wait/2))))
+		return
+	}
+	c.invite(cl, a)
+}
+
+// serving tells whether a server is listed and takes attempts.
+func (c *core) serving(server uint64) bool {
+	office, listed := c.known[server]
+	return listed && office.State == control.In
+}
+
+// invite hands an attempt to the offices' side.
+func (c *core) invite(cl *call, a control.Action) {
+	wait := time.Duration(a.Wait - (c.now - cl.sentAt))
+	cl.sentAt = c.now
+	c.log.Debug("attempt", "call", cl.ID, "n", cl.sent-1, "server", a.Server, "dest", cl.Dest, "wait_ms", wait.Milliseconds(),
+		"since_ms", (c.now-cl.Taken.UnixNano())/1e6)
+	from, id := cl.from, cl.ID
+	c.offices.Invite(Attempt{ID: cl.ID, Class: cl.Name, Number: cl.Number, Desc: cl.Desc, N: cl.sent - 1, Server: a.Server,
+		Wait: wait, Presence: func() Presence { return presence(from, id) }})
+}
+
+// askAgain keeps an attempt back while input of the call's client waits to be read: its reader goes on meanwhile. An
+// attempt kept back counts as out, so that all that ends one ends it.
+func (c *core) askAgain(cl *call, a control.Action, wait time.Duration, until int64) {
+	n := cl.sent
+	c.afterFor(cl, wait, func(cl *call) {
+		if !cl.out || cl.sent != n {
+			return
+		}
+		switch there := presence(cl.from, cl.ID); {
+		case cl.away || there == Gone || there == Unheard && c.now >= until:
+			cl.out = false
+			c.unwanted(cl, a.Server)
+		case there == Unheard:
+			c.askAgain(cl, a, 2*wait, until)
+		case !c.serving(a.Server):
+			c.back(cl, Ending{Outcome: control.RefusedConn}) // it never ran: another server may take the call
+		default:
+			c.invite(cl, a)
+		}
+	})
+}
+
+// unwanted ends a call whose client has gone, or can't be heard: an attempt would be work for nobody. The refusal is
+// on record, should the client come back.
+func (c *core) unwanted(cl *call, server uint64) {
+	c.log.Debug("attempt not wanted", "call", cl.ID, "server", server, "away", cl.away)
+	c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
+	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: server, Outcome: control.Recalled, Ended: true})
+	c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -163,42 +163,6 @@
 	}
 }
 
-// send starts an attempt. The module keeps the rules itself; what it would break here comes back to it as
-// never sent.
-func (c *core) send(cl *call, a control.Action) {
-	office, ok := c.known[a.Server]
-	room, module, why := c.chain.Room(c.now, a.Server)
-	if cl.away { // work for nobody; the refusal is on record, should the caller come back
-		c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
-		c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server, Outcome: control.Recalled, Ended: true})
-		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
-		return
-	}
-	if cl.out || c.now < cl.clearAt || !ok || office.State != control.In || !room {
-		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.out,
-			"clear_in_ms", (cl.clearAt-c.now)/1e6, "listed", ok, "capped_by", module, "why", why)
-		if !cl.out {
-			cl.sent++
-			c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server,
-				Outcome: control.Superseded})
-		}
-		return
-	}
-	n := cl.sent
-	c.log.Debug("attempt", "call", cl.ID, "n", n, "server", a.Server, "dest", cl.Dest, "wait_ms", a.Wait/1e6,
-		"since_ms", (c.now-cl.Taken.UnixNano())/1e6)
-	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
-	c.chain.Did(c.now, a)
-	c.afterFor(cl, time.Duration(a.Wait), func(cl *call) {
-		if cl.out && cl.sent == n+1 {
-			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
-			c.withdraw(cl, control.Overdue)
-		}
-	})
-	c.offices.Invite(Attempt{ID: cl.ID, Class: cl.Name, Number: cl.Number, Desc: cl.Desc, N: n,
-		Server: a.Server, Wait: time.Duration(a.Wait)})
-}
-
 // withdraw gives up the attempt that is out.
 func (c *core) withdraw(cl *call, o control.Outcome) {
 	c.offices.Cancel(cl.server, cl.ID, cl.sent-1)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,6 +82,22 @@
 	Release(id string, cut bool) // the call stood and is over; cut: before its time
 }
 
+// Presence is what a front knows of the client of a call that waits for its answer.
+type Presence int
+
+// The states of a client.
+const (
+	Connected Presence = iota // all that it had sent until a moment ago has been handled
+	Unheard                   // older input of it waits to be read: a request to cancel may be among it
+	Gone                      // it has closed its connection, or cancelled the request
+)
+
+// PresenceChecker is a Caller that is asked for a call's client before each attempt: word of a client that has gone may
+// still be on its way to the core, or unread. Presence may be called from any goroutine and must not block.
+type PresenceChecker interface {
+	Presence(id string) Presence
+}
+
 // Desk is where a callers' side hands calls in; the Exchange is one.
 type Desk interface {
 	Arrive(s Setup, from Caller)
@@ -98,6 +114,9 @@
 	N                 int // 0, 1, 2 ... within the call
 	Server            uint64
 	Wait              time.Duration // how long it is waited for
+	// Presence tells whether the client is still there, for an attempt that waits before it is written. It may be called
+	// from any goroutine and does not block.
+	Presence func() Presence
 }
 
 // Office is one entry of the list of offices.
--- a/internal/netcase/netcase.go
+++ b/internal/netcase/netcase.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 
+	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 )
 
@@ -68,6 +70,24 @@
 	return b
 }
 
+// Arrived tells whether all that was written to a connection has come to the other side's machine. A closed connection
+// does not tell, and counts as arrived.
+func Arrived(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := 0
+	if raw.Control(func(fd uintptr) { left, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil {
+		return true
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return left == 0
+}
+
 // Quiet is a logger for tests that do not look at the log.
 func Quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -57,12 +57,17 @@
 	Strict bool
 	// Linger is how long a peer that was written to of late may take to close after this side has; 0: none.
 	Linger time.Duration
+	// HalfCloseEnds: a peer that has closed its side has gone, also where that stands behind what it sent before while
+	// it does not read. Else that is handled first.
+	HalfCloseEnds bool
 }
 
 // Conn is one connection with a reader, a bounded write queue and a deadline on each write.
 type Conn struct {
 	Limits
 	net     net.Conn
+	in      *Input
+	reader  *Reader
 	out     *Queue
 	full    atomic.Bool
 	half    chan struct{} // closed by the reader: write what is queued, then nothing more
@@ -77,7 +82,23 @@
 
 // NewConn wraps a connection.
 func NewConn(c net.Conn, limits Limits) *Conn {
-	return &Conn{Limits: limits, net: c, out: NewQueue(), half: make(chan struct{}), flushed: make(chan struct{}), closing: make(chan struct{})}
+	conn := &Conn{Limits: limits, net: c, in: NewInput(c), reader: NewReader(nil), out: NewQueue(), half: make(chan struct{}),
+		flushed: make(chan struct{}), closing: make(chan struct{})}
+	conn.reader.from, conn.reader.strict = &patient{Conn: conn, r: conn.reader}, limits.Strict
+	return conn
+}
+
+// Input tells whether the peer is still there and how far what it sent has been handled. It does not block.
+func (c *Conn) Input() InputState { return c.in.Look() }
+
+// left tells that a peer whose answers wait to be read has gone.
+func (c *Conn) left() bool { return c.HalfCloseEnds && c.in.Closed() }
+
+// MarkHandled tells, from within handle, that the present message has been handled but for what it starts.
+func (c *Conn) MarkHandled() {
+	if c.reader.start == c.reader.end { // nothing came behind it
+		c.in.MarkHandled()
+	}
 }
 
 // Remote is the peer's address.
@@ -142,18 +163,16 @@
 	stop := context.AfterFunc(ctx, func() { c.net.Close() })
 	defer stop()
 	g.Go(func() error {
-		r := NewReader(nil)
-		r.from, r.strict = &patient{Conn: c, r: r}, c.Strict
 		for {
-			m, err := r.Next()
+			m, err := c.reader.Next()
 			if err == nil {
 				err = handle(m)
 			}
 			if err == nil {
-				err = c.out.Room(ctx)
+				err = c.out.Room(ctx, c.left)
 			}
 			if err != nil {
-				c.part(ctx, r, err)
+				c.part(ctx, c.reader, err)
 				return err
 			}
 		}
@@ -209,7 +228,7 @@
 		if p.ending() || p.woken.Load() { // their deadline may have come before this one
 			p.net.SetReadDeadline(past)
 		}
-		n, err := p.net.Read(b)
+		n, err := p.in.Read(b)
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
 			return n, err
@@ -224,34 +243,15 @@
 // rest gives what has come already, or the reason for which no more is waited for. A read after its deadline does not
 // look: on a core that others share, a message may have come long before, and a close over it would lose it.
 func (p *patient) rest(b []byte, why error) (n int, err error) {
-	raw, ok := p.net.(syscall.Conn)
-	if !ok || p.late > lingerBytes { // a peer that never stops sending
+	if p.late > lingerBytes { // a peer that never stops sending
 		return 0, why
 	}
-	fd, err := raw.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var got error
-	err = fd.Control(func(fd uintptr) { // whatever the deadline
-		for {
-			if n, got = syscall.Read(int(fd), b); got != syscall.EINTR {
-				return
-			}
-		}
-	})
-	switch {
-	case err != nil:
-		return 0, err
-	case errors.Is(got, syscall.EAGAIN):
+	n, err = p.in.ReadNow(b)
+	if errors.Is(err, syscall.EAGAIN) {
 		return 0, why
-	case got != nil:
-		return 0, os.NewSyscallError("read", got)
-	case n == 0:
-		return 0, io.EOF
 	}
 	p.late += n
-	return n, nil
+	return n, err
 }
 
 // part ends a connection that this side gives up, in an order that loses nothing: what is queued is written, then its
--- a/internal/sip/queue.go
+++ b/internal/sip/queue.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"sync"
+	"time"
 )
 
 const (
@@ -12,6 +14,8 @@
 	// pauseBytes is what may wait while more is read from the same peer: one that asks faster than it reads its
 	// answers waits itself.
 	pauseBytes = 64 << 10
+	// closedEvery is how often a reader that waits for its peer to read looks whether that has closed its side.
+	closedEvery = 25 * time.Millisecond
 )
 
 // Queue holds the messages that wait for a peer to read, bounded in bytes.
@@ -70,21 +74,33 @@
 	}
 }
 
-// Room waits until the peer has read most of what was put.
-func (q *Queue) Room(ctx context.Context) error {
-	for {
-		q.mu.Lock()
-		size := q.size
-		q.mu.Unlock()
-		if size <= pauseBytes {
-			return nil
-		}
+// Room waits until the peer has read most of what was put. It gives io.EOF as soon as closed tells that the peer has
+// closed its side: that stands unread behind what the peer sent before.
+func (q *Queue) Room(ctx context.Context, closed func() bool) error {
+	if q.low() {
+		return nil
+	}
+	look := time.NewTicker(closedEvery)
+	defer look.Stop()
+	for !q.low() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-q.drained:
+		case <-look.C:
+			if closed() {
+				return io.EOF
+			}
 		}
 	}
+	return nil
+}
+
+// low tells whether little enough waits for the peer to be asked for more.
+func (q *Queue) low() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.size <= pauseBytes
 }
 
 func signal(c chan struct{}) {
