Servers: an attempt that waited for a connect asks for its client before it is written

The core asks the front for a call's client before it hands an attempt over; one that then waits for a connect, or for a copy of an answer to have come, begins later. Its client may have closed or cancelled meanwhile, with the word of it still unread or on its way to the core. Such an attempt now ends as never run, and one whose client has unread input waits until that was read. TestAClientThatLeavesDuringTheConnect fails without it in two of its four cases.

--- a/internal/office/link.go
+++ b/internal/office/link.go
@@ -16,6 +16,8 @@
 	// redialFirst and redialMost bound the wait between two connects that nothing but the list asks for, lest
 	// a dead office see a connect storm from the fleet. An attempt connects at once.
 	redialFirst, redialMost = 200 * time.Millisecond, 3 * time.Second
+	// unheardStep is the wait until a client whose input waits to be read is asked for again.
+	unheardStep = 2 * time.Millisecond
 )
 
 // link is one office on the list and the connections to it.
@@ -126,16 +128,32 @@
 	for _, b := range l.byes {
 		s.bye(b)
 	}
-	var later []exchange.Attempt
-	for _, a := range l.waiting {
-		if wait := s.copies(a.ID); wait > 0 {
-			later = append(later, a)
-			time.AfterFunc(wait, l.wake)
-			continue
-		}
+	waiting := l.waiting
+	l.waiting, l.byes, l.check = nil, nil, false
+	for _, a := range waiting {
+		l.sendWaiting(s, a)
+	}
+}
+
+// sendWaiting sends an attempt that waited, for a client that is still there.
+func (l *link) sendWaiting(s *session, a exchange.Attempt) {
+	presence := exchange.Connected
+	if a.Presence != nil {
+		presence = a.Presence()
+	}
+	wait := s.copies(a.ID)
+	if presence == exchange.Unheard {
+		wait = max(wait, unheardStep)
+	}
+	switch {
+	case presence == exchange.Gone: // it never ran
+		l.pool.Core.Ended(l.server, a.ID, a.N, exchange.Ending{Outcome: control.RefusedConn})
+	case wait > 0:
+		l.waiting = append(l.waiting, a)
+		time.AfterFunc(wait, l.wake)
+	default:
 		s.invite(a)
 	}
-	l.waiting, l.byes, l.check = later, nil, false
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (Peer, error) {
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -181,6 +181,52 @@
 	})
 }
 
+// A client may leave while its attempt waits for a connect, and the word of it may still be on its way to the core.
+func TestAClientThatLeavesDuringTheConnect(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		seen []exchange.Presence // at each look; the last one stays
+		want string              // told; empty: the attempt is sent
+	}{
+		{"there", []exchange.Presence{exchange.Connected}, ""},
+		{"gone", []exchange.Presence{exchange.Gone}, "ended 9b1f03aa5c7e2d41 0 4 note 0 wait 0 []"},
+		{"unheard, then gone", []exchange.Presence{exchange.Unheard, exchange.Unheard, exchange.Gone},
+			"ended 9b1f03aa5c7e2d41 0 4 note 0 wait 0 []"},
+		{"unheard, then there", []exchange.Presence{exchange.Unheard, exchange.Connected}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t)
+				b.reset.Store(true)
+				(<-b.dialled).Close()
+				synctest.Wait()
+				looks := 0
+				b.Invite(exchange.Attempt{ID: "9b1f03aa5c7e2d41", Class: "open-log", Number: "17", Server: 10, Wait: time.Second,
+					Presence: func() exchange.Presence {
+						looks++
+						return tc.seen[min(looks, len(tc.seen))-1]
+					}})
+				server := <-b.dialled
+				if tc.want == "" {
+					hear(t, sip.NewReader(server), "INVITE")
+					return
+				}
+				written := make(chan bool, 1)
+				go func() {
+					_, err := server.Read(make([]byte, 1))
+					written <- err == nil
+				}()
+				expect(t, b.told, tc.want)
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				if len(written) > 0 {
+					t.Error("the attempt was sent")
+				}
+			})
+		})
+	}
+}
+
 // A machine that vanishes leaves its connections open and silent. Attempts must go over a new one, and where
 // that does not come up, what stood there is cut: nothing else would tell its callers.
 func TestVanishedMachine(t *testing.T) {
