Offices: set-ups that are called off early count towards a connection's silence

The silence is now counted from the first set-up that nothing was heard after. Test seen to fail without it: TestCalledOffSetUpsCountTowardsSilence.

--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -533,6 +533,28 @@
 	}
 }
 
+// Set-ups that are called off early leave a mute connection no less mute: the next ones don't begin its silence anew.
+func TestCalledOffSetUpsCountTowardsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		mute := <-b.dialled
+		go io.Copy(io.Discard, mute)
+		const each = silenceLeast / 2
+		for n := range 4 {
+			sentAt := time.Now()
+			b.invite(n)
+			time.Sleep(each)
+			b.Suspect(10, sentAt, false)
+			b.Cancel(10, "9b1f03aa5c7e2d41", n)
+		}
+		b.invite(4)
+		synctest.Wait()
+		if len(b.dialled) == 0 {
+			t.Error("the mute connection is still in use")
+		}
+	})
+}
+
 func TestSuspicionEndsWithAnySign(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
--- a/internal/office/pool.go
+++ b/internal/office/pool.go
@@ -166,7 +166,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links[server]
-	if l == nil || l.cur == nil || !check && time.Since(since) < p.delay.silence() {
+	if l == nil || l.cur == nil || !check && !l.cur.mute() {
 		return
 	}
 	if l.cur.heard.Before(since) && l.cur.asked.Before(since) {
--- a/internal/office/session.go
+++ b/internal/office/session.go
@@ -33,6 +33,7 @@
 	began    time.Time
 	ended    chan struct{}
 	heard    time.Time
+	silentAt time.Time // when the first set-up went out since anything was heard; zero: none did
 	asked    time.Time // when a connect beside it was last refused
 	stale    bool      // silent where an answer was due: new attempts go over a new connection
 	watching bool      // for that
@@ -82,7 +83,11 @@
 }
 
 func (s *session) invite(a exchange.Attempt) {
-	s.out[a.ID] = sent{a.N, time.Now()}
+	now := time.Now()
+	s.out[a.ID] = sent{a.N, now}
+	if s.silentAt.IsZero() {
+		s.silentAt = now
+	}
 	s.peer.Invite(a)
 	if !s.watching {
 		s.watching = true
@@ -98,15 +103,19 @@
 	if s.watching = len(s.out) > 0; !s.watching {
 		return
 	}
-	for _, a := range s.out {
-		if s == s.cur && s.prev == nil && !s.heard.After(a.at) && time.Since(a.at) >= s.pool.delay.silence() && !s.stale {
-			s.stale, s.check = true, true
-			s.wake()
-		}
+	if s == s.cur && s.prev == nil && !s.stale && s.mute() {
+		s.stale, s.check = true, true
+		s.wake()
 	}
 	time.AfterFunc(muteEvery, s.watch)
 }
 
+// mute tells whether nothing at all has come for longer than set-ups take, counted from the first one that nothing was
+// heard after: the next ones would begin the silence anew, where each is called off early.
+func (s *session) mute() bool {
+	return !s.silentAt.IsZero() && time.Since(s.silentAt) >= s.pool.delay.silence()
+}
+
 // spent closes a connection that has been replaced, once nothing is out on it any more.
 func (s *session) spent() {
 	if s == s.prev && len(s.out) == 0 {
@@ -178,7 +187,7 @@
 func (s *session) hear(id string) int {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
-	s.heard = time.Now()
+	s.heard, s.silentAt = time.Now(), time.Time{}
 	s.silence.heardAt(s.heard)
 	if s.stale {
 		s.stale, s.check = false, false
