Exported names of the shared state in the field's words; package judge is package outlier

Cause: Out and Hear, keepers, Reign, verdicts, witnesses, hearsay and Without remained where other packages use them. Change: renamed by type information: shared.Outgoing, Receive, SecondHand, Events.Leader and Decision, Look.Leader, IsLeader, Reserved and Decisions, Message.Health, Config.DetectOutliers and Outlier; lease.Lease, Config.Voters, MaxInstances and OmitCheck, and the checks that OmitCheck names; outlier.Decision with Observers. Uses in cmd, internal/ctl and lab/model follow. Tags, JSON keys, settings keys, log keys, codes, the mutants' names and MASTHILL_WITHOUT are as they were.

--- a/cmd/masthill-lab/asrun.go
+++ b/cmd/masthill-lab/asrun.go
@@ -69,8 +69,8 @@
 
 // talking is a controller's part in a fleet whose instances know of each other: three of them are keepers.
 func talking(s control.Settings, planned float64, seed uint64) shared.Config {
-	c := shared.Config{Epoch: seed, Control: s, Planned: planned, Name: fmt.Sprint("n", s.Ordinal), Machine: fmt.Sprint("m", s.Ordinal), Budgets: true, Judgements: true,
-		Lease: lease.Config{Keepers: []string{"n0", "n1", "n2"}, Most: s.GroupSize}}
+	c := shared.Config{Epoch: seed, Control: s, Planned: planned, Name: fmt.Sprint("n", s.Ordinal), Machine: fmt.Sprint("m", s.Ordinal), Budgets: true, DetectOutliers: true,
+		Lease: lease.Config{Voters: []string{"n0", "n1", "n2"}, MaxInstances: s.GroupSize}}
 	for _, t := range model.Tenants() {
 		c.Tenants = append(c.Tenants, t.Name)
 	}
--- a/cmd/masthill/talking.go
+++ b/cmd/masthill/talking.go
@@ -19,8 +19,8 @@
 
 	"masthill/control/shared"
 	"masthill/control/shared/count"
-	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
+	"masthill/control/shared/outlier"
 	"masthill/internal/config"
 	"masthill/internal/ctl"
 	"masthill/internal/logs"
@@ -47,15 +47,15 @@
 	record := &audit{path: s.Audit, lines: make(chan any, auditMost)}
 	record.put("start", began, map[string]any{"name": name, "epoch": epoch, "pid": os.Getpid()})
 	settings := shared.Config{Control: in.p.Settings, Planned: in.p.Planned, Name: name, Machine: s.Machine, Epoch: epoch, Numbers: s.Numbers,
-		Budgets: s.Budgets, Judgements: s.Judgements, Count: count.Config{Without: without}, Judge: judge.Config{Without: without},
-		Lease: lease.Config{Keepers: s.Keepers, Most: cmp.Or(s.Most, in.p.Settings.GroupSize), Floor: s.Floor, Term: int64(s.Term), Without: without}}
+		Budgets: s.Budgets, DetectOutliers: s.Judgements, Count: count.Config{OmitCheck: without}, Outlier: outlier.Config{OmitCheck: without},
+		Lease: lease.Config{Voters: s.Keepers, MaxInstances: cmp.Or(s.Most, in.p.Settings.GroupSize), Floor: s.Floor, Term: int64(s.Term), OmitCheck: without}}
 	for _, t := range in.p.Shares {
 		settings.Tenants = append(settings.Tenants, t.Name)
 	}
 	reign := int64(0) // until when; the core's goroutine alone looks at it
 	in.shared = shared.New(settings, in.p.Seed^epoch, in.started.UnixNano(), shared.Events{
 		Claim: func(c lease.Claim) { record.put("claim", in.options.Now(), c) },
-		Reign: func(until int64) {
+		Leader: func(until int64) {
 			now := in.options.Now()
 			if now.UnixNano() > reign {
 				log.Info("hands budgets out", "reason", "majority", "for", time.Unix(0, until).Sub(now).Round(time.Millisecond))
@@ -63,13 +63,13 @@
 			reign = until
 			record.put("reign", now, until)
 		},
-		Verdict: func(v judge.Verdict) {
+		Decision: func(v outlier.Decision) {
 			record.put("verdict", in.options.Now(), v)
 			state := "ended"
 			if v.Avoided {
 				state = "avoided"
 			}
-			log.Warn("office judged", "server", strconv.FormatUint(v.Server, 16), "state", state, "reason", v.Reason, "witnesses", v.Witnesses, "against", v.Against)
+			log.Warn("office judged", "server", strconv.FormatUint(v.Server, 16), "state", state, "reason", v.Reason, "witnesses", v.Observers, "against", v.Against)
 		},
 	})
 	in.joins(in.shared)
--- a/control/shared/attempts.go
+++ b/control/shared/attempts.go
@@ -2,7 +2,7 @@
 
 import (
 	"masthill/control"
-	"masthill/control/shared/judge"
+	"masthill/control/shared/outlier"
 )
 
 // silentShare is the part of the shortest aim after which an unanswered attempt is reported as silence of its server.
@@ -26,7 +26,7 @@
 	case control.Stands:
 		m.countOutcome("p/", ev.Call)
 		if m.finishAttempt(ev.Call) != nil {
-			m.observe(now, ev.Server, judge.Healthy)
+			m.observe(now, ev.Server, outlier.Healthy)
 		}
 	case control.Aborted:
 		delete(m.callTenants, ev.Call)
@@ -78,14 +78,14 @@
 	switch ev.Outcome {
 	case control.Overdue:
 		if !a.reportedSilent {
-			m.observe(now, ev.Server, judge.Silent)
+			m.observe(now, ev.Server, outlier.Silent)
 		}
 	case control.RefusedConn:
-		m.observe(now, ev.Server, judge.Dead)
+		m.observe(now, ev.Server, outlier.Dead)
 	case control.Saturated:
-		m.observe(now, ev.Server, judge.Overloaded)
+		m.observe(now, ev.Server, outlier.Overloaded)
 	case control.Errored:
-		m.observe(now, ev.Server, judge.Healthy) // the server answers; what it answers is package control's concern
+		m.observe(now, ev.Server, outlier.Healthy) // the server answers; what it answers is package control's concern
 	}
 }
 
@@ -98,7 +98,7 @@
 				return
 			}
 			a.reportedSilent = true
-			m.observe(now, a.server, judge.Silent)
+			m.observe(now, a.server, outlier.Silent)
 		}
 		m.attemptOrder = m.attemptOrder[1:]
 	}
@@ -106,7 +106,7 @@
 }
 
 // observe records an observation of a server. Bad ones are broadcast early.
-func (m *Shared) observe(now int64, server uint64, k judge.Kind) {
+func (m *Shared) observe(now int64, server uint64, k outlier.Kind) {
 	m.detector.Observe(now, server, k)
-	m.urgent = m.urgent || k == judge.Silent || k == judge.Dead
+	m.urgent = m.urgent || k == outlier.Silent || k == outlier.Dead
 }
--- a/control/shared/count/config.go
+++ b/control/shared/count/config.go
@@ -22,13 +22,13 @@
 	SampleInterval int64   // the least time between two samples of a process
 	MaxDelay       int64   // how long a message is under way at most
 	MaxRate        float64 // how often a process counts one key at most, per second
-	// Without names one check to leave out (Merge), to test that the lab's checkers notice. It is empty in every build but the
-	// lab's.
-	Without string
+	// OmitCheck names one check to leave out, to test that the lab's checkers notice. It is empty in every build but the lab's
+	// mutants.
+	OmitCheck string
 }
 
-// Merge is the check that what is received twice does not count twice.
-const Merge = "merge"
+// CheckMerge is the check that what is received twice does not count twice.
+const CheckMerge = "merge"
 
 func (c *Config) setDefaults() {
 	if c.Window <= 0 {
--- a/control/shared/count/count.go
+++ b/control/shared/count/count.go
@@ -131,7 +131,7 @@
 			continue
 		}
 		merged[key] = max(value, last[key])
-		if s.cfg.Without == Merge && h != s.sources[s.own] {
+		if s.cfg.OmitCheck == CheckMerge && h != s.sources[s.own] {
 			merged[key] = value + last[key]
 		}
 	}
--- a/control/shared/lease/budget.go
+++ b/control/shared/lease/budget.go
@@ -31,14 +31,14 @@
 }
 
 // Held describes a budget and this instance's lease on it, for operators.
-type Held struct {
-	Budget string `json:"budget"`
-	Size   int64  `json:"size"`    // thousandths of a unit per second, as are Floor, Rate and Want
-	Floor  int64  `json:"floor"`   // usable without a lease
-	Rate   int64  `json:"part"`    // leased from the pool
-	LeftMS int64  `json:"left_ms"` // until the lease expires
-	Want   int64  `json:"want"`
-	Used   int64  `json:"used"`
+type Lease struct {
+	Budget    string `json:"budget"`
+	Size      int64  `json:"size"`    // thousandths of a unit per second, as are Floor, Rate and Want
+	Floor     int64  `json:"floor"`   // usable without a lease
+	Rate      int64  `json:"part"`    // leased from the pool
+	LeftMS    int64  `json:"left_ms"` // until the lease expires
+	Requested int64  `json:"want"`
+	Used      int64  `json:"used"`
 }
 
 // Request says that this instance could use the given rate of a budget of the given size for the next term. Both are in
@@ -111,10 +111,10 @@
 }
 
 // Leases describes all budgets that this instance uses, by name.
-func (n *Node) Leases(now int64) (all []Held) {
+func (n *Node) Leases(now int64) (all []Lease) {
 	for _, name := range n.budgetNames() {
 		b := n.budgets[name]
-		h := Held{Budget: name, Size: b.size, Floor: n.cfg.floor(b.size), Want: b.requested, Used: b.taken}
+		h := Lease{Budget: name, Size: b.size, Floor: n.cfg.floor(b.size), Requested: b.requested, Used: b.taken}
 		if now < b.leasedUntil {
 			h.Rate, h.LeftMS = b.leased, (b.leasedUntil-now)/1e6
 		}
--- a/control/shared/lease/config.go
+++ b/control/shared/lease/config.go
@@ -16,24 +16,24 @@
 
 // Config must be the same on all instances.
 type Config struct {
-	Keepers []string // the voters: an odd number of names, one of which becomes the leader
-	Most    int      // the greatest number of instances
-	Floor   float64  // the part of each budget that is divided into floors; 0: the default
-	Term    int64    // how long a vote or a lease lasts, in nanoseconds; 0: the default
-	Drift   float64  // the greatest rate error of a clock, as a part; 0: the default
-	Burst   float64  // how many seconds of its rate a holder may accumulate; 0: the default
-	// Without names one check to leave out (Mute, Anchor, Open, Book or Answered), to test that the lab's checkers notice. It
-	// is empty in every build but the lab's.
-	Without string
+	Voters       []string // the voters: an odd number of names, one of which becomes the leader
+	MaxInstances int      // the greatest number of instances
+	Floor        float64  // the part of each budget that is divided into floors; 0: the default
+	Term         int64    // how long a vote or a lease lasts, in nanoseconds; 0: the default
+	Drift        float64  // the greatest rate error of a clock, as a part; 0: the default
+	Burst        float64  // how many seconds of its rate a holder may accumulate; 0: the default
+	// OmitCheck names one check to leave out, to test that the lab's checkers notice. It is empty in every build but the lab's
+	// mutants.
+	OmitCheck string
 }
 
-// The checks that Config.Without can leave out.
+// The checks that Config.OmitCheck can leave out.
 const (
-	Mute     = "mute"     // a voter that starts is silent for one term
-	Anchor   = "anchor"   // a grant is valid from when it was requested, not from when it arrived
-	Open     = "open"     // a new leader waits for one term before it grants
-	Book     = "book"     // what other holders may be using is reserved
-	Answered = "answered" // a reply counts only for the process that sent the request
+	CheckVoterSilence = "mute"     // a voter that starts is silent for one term
+	CheckRequestTime  = "anchor"   // a grant is valid from when it was requested, not from when it arrived
+	CheckGrantDelay   = "open"     // a new leader waits for one term before it grants
+	CheckReservations = "book"     // what other holders may be using is reserved
+	CheckReplyEpoch   = "answered" // a reply counts only for the process that sent the request
 )
 
 func (c *Config) setDefaults() {
@@ -49,7 +49,7 @@
 	if c.Burst <= 0 {
 		c.Burst = defaultBurst
 	}
-	c.Most = max(c.Most, 1)
+	c.MaxInstances = max(c.MaxInstances, 1)
 }
 
 // usableTerm is how long a requester may rely on an answer, counted from its request: its own clock may be slow by the
@@ -60,8 +60,8 @@
 
 // floor is the part of a budget that each instance may use without a lease.
 func (c *Config) floor(size int64) int64 {
-	return int64(c.Floor*float64(size)) / int64(c.Most)
+	return int64(c.Floor*float64(size)) / int64(c.MaxInstances)
 }
 
 // pool is the part of a budget that the leader leases out.
-func (c *Config) pool(size int64) int64 { return size - int64(c.Most)*c.floor(size) }
+func (c *Config) pool(size int64) int64 { return size - int64(c.MaxInstances)*c.floor(size) }
--- a/control/shared/lease/holder.go
+++ b/control/shared/lease/holder.go
@@ -9,7 +9,7 @@
 func (n *Node) requestLeases(now int64, outgoing []Outgoing) []Outgoing {
 	interval := n.cfg.Term / requestsPerTerm
 	n.nextRequestAt = now + interval + n.rng.Int64N(interval/4+1)
-	if len(n.cfg.Keepers) == 0 {
+	if len(n.cfg.Voters) == 0 {
 		return outgoing
 	}
 	requests := n.leaseRequests(now)
@@ -18,7 +18,7 @@
 	}
 	if !n.requestAnswered || n.requestTarget == "" { // the last target is not answering: try the next voter
 		n.voterIndex++
-		n.requestTarget = n.cfg.Keepers[n.voterIndex%len(n.cfg.Keepers)]
+		n.requestTarget = n.cfg.Voters[n.voterIndex%len(n.cfg.Voters)]
 	}
 	n.requestRound++
 	n.requestedAt, n.requestAnswered = now, false
@@ -55,7 +55,7 @@
 	}
 	n.requestAnswered = true
 	until := n.requestedAt + n.cfg.usableTerm()
-	if n.cfg.Without == Anchor {
+	if n.cfg.OmitCheck == CheckRequestTime {
 		until = now + n.cfg.usableTerm()
 	}
 	if now >= until {
--- a/control/shared/lease/leader.go
+++ b/control/shared/lease/leader.go
@@ -29,7 +29,7 @@
 func (n *Node) beginLeadership(now int64) {
 	n.holders = map[ID]*holder{}
 	n.grantsFrom = now + n.cfg.Term
-	if n.cfg.Without == Open {
+	if n.cfg.OmitCheck == CheckGrantDelay {
 		n.grantsFrom = now
 	}
 }
@@ -119,7 +119,7 @@
 	}
 	pool := n.cfg.pool(size)
 	left = pool - others
-	if n.cfg.Without == Book {
+	if n.cfg.OmitCheck == CheckReservations {
 		left = pool
 	}
 	slices.Sort(requests)
--- a/control/shared/lease/lease.go
+++ b/control/shared/lease/lease.go
@@ -70,18 +70,18 @@
 		cfg:         c,
 		id:          id,
 		rng:         rand.New(rand.NewPCG(seed, 0x6c65617365)),
-		isVoter:     slices.Contains(c.Keepers, id.Name),
+		isVoter:     slices.Contains(c.Voters, id.Name),
 		silentUntil: now + c.Term,
 		holders:     map[ID]*holder{},
 		budgets:     map[string]*budgetState{},
 		onClaim:     onClaim,
 		onLeader:    func(int64) {},
 	}
-	if c.Without == Mute {
+	if c.OmitCheck == CheckVoterSilence {
 		n.silentUntil = now
 	}
 	n.nextVotingAt = n.silentUntil + n.rng.Int64N(c.Term/4+1)
-	n.voterIndex = n.rng.IntN(max(len(c.Keepers), 1))
+	n.voterIndex = n.rng.IntN(max(len(c.Voters), 1))
 	return n
 }
 
@@ -133,7 +133,7 @@
 
 // Receive handles a message of another instance and returns the messages to send in answer.
 func (n *Node) Receive(now int64, m Message) (outgoing []Outgoing) {
-	if m.Kind.isReply() && m.ToEpoch != n.id.Epoch && n.cfg.Without != Answered {
+	if m.Kind.isReply() && m.ToEpoch != n.id.Epoch && n.cfg.OmitCheck != CheckReplyEpoch {
 		return nil
 	}
 	switch m.Kind {
--- a/control/shared/lease/lease_test.go
+++ b/control/shared/lease/lease_test.go
@@ -67,9 +67,9 @@
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cfg: c, size: 100_000, delay: 20e6, cut: func(int, int) bool { return false }}
 	w.wanting = func(int) int64 { return w.size }
 	for k := range keepers {
-		w.cfg.Keepers = append(w.cfg.Keepers, fmt.Sprint("n", k))
+		w.cfg.Voters = append(w.cfg.Voters, fmt.Sprint("n", k))
 	}
-	w.cfg.Most = members
+	w.cfg.MaxInstances = members
 	drift := w.cfg
 	drift.setDefaults()
 	for k := range members {
@@ -314,7 +314,7 @@
 		}
 		c := w.cfg
 		c.setDefaults()
-		if most := w.size*w.now/1e12 + int64(c.Most) + w.starts + int64(c.Burst*float64(w.size))/1000; w.uses() > most {
+		if most := w.size*w.now/1e12 + int64(c.MaxInstances) + w.starts + int64(c.Burst*float64(w.size))/1000; w.uses() > most {
 			t.Fatalf("%d uses, and %d in %d ms are the most", w.uses(), most, w.now/1e6)
 		}
 	})
@@ -350,7 +350,7 @@
 
 // A bid that comes late must not put the promise back to its round, which may be yielded any time.
 func TestALateBidChangesNothing(t *testing.T) {
-	k := New(Config{Keepers: []string{"a", "b", "k"}, Most: 3, Term: 2 * second}, ID{"k", 1}, 1, 0, nil)
+	k := New(Config{Voters: []string{"a", "b", "k"}, MaxInstances: 3, Term: 2 * second}, ID{"k", 1}, 1, 0, nil)
 	now, a := 10*second, ID{"a", 7}
 	k.Receive(now, Message{Kind: VoteRequest, From: a, Round: 2})
 	k.Receive(now+1, Message{Kind: VoteRequest, From: a, Round: 1})
@@ -362,7 +362,7 @@
 
 // Answers to the process before, late, are not for the one that has its name now.
 func TestAnswersAreForTheProcessThatAsked(t *testing.T) {
-	c := Config{Keepers: []string{"a", "b", "c"}, Most: 3, Term: 2 * second}
+	c := Config{Voters: []string{"a", "b", "c"}, MaxInstances: 3, Term: 2 * second}
 	b := New(c, ID{"b", 1}, 1, 0, nil)
 	promised := b.Receive(10*second, Message{Kind: VoteRequest, From: ID{"a", 1}, Round: 1})
 	if len(promised) != 1 || promised[0].Kind != Vote {
@@ -391,14 +391,14 @@
 
 // Without its guards the scheme breaks, and this test's world sees it.
 func TestEachGuardIsNeeded(t *testing.T) {
-	for _, guard := range []string{Mute, Anchor, Open, Book} {
+	for _, guard := range []string{CheckVoterSilence, CheckRequestTime, CheckGrantDelay, CheckReservations} {
 		broken := 0
 		for seed := range uint64(150) {
 			play := history
-			if guard == Mute {
+			if guard == CheckVoterSilence {
 				play = restarted
 			}
-			if play(seed, Config{Without: guard}, 60e9).broken != "" {
+			if play(seed, Config{OmitCheck: guard}, 60e9).broken != "" {
 				broken++
 			}
 		}
--- a/control/shared/lease/voter.go
+++ b/control/shared/lease/voter.go
@@ -43,7 +43,7 @@
 
 // sendToVoters sends a message to each voter, this node among them.
 func (n *Node) sendToVoters(now int64, m Message, outgoing []Outgoing) []Outgoing {
-	for _, voter := range n.cfg.Keepers {
+	for _, voter := range n.cfg.Voters {
 		outgoing = n.send(now, voter, m, outgoing)
 	}
 	return outgoing
@@ -75,11 +75,11 @@
 
 // onVote counts the votes for this candidate's open round, and makes it the leader when they are a majority.
 func (n *Node) onVote(now int64, m Message) {
-	if !n.isVoter || m.Round != n.votingRound || n.votingStartedAt == 0 || !slices.Contains(n.cfg.Keepers, m.From.Name) {
+	if !n.isVoter || m.Round != n.votingRound || n.votingStartedAt == 0 || !slices.Contains(n.cfg.Voters, m.From.Name) {
 		return
 	}
 	n.votes[m.From.Name] = true
-	if len(n.votes) <= len(n.cfg.Keepers)/2 {
+	if len(n.votes) <= len(n.cfg.Voters)/2 {
 		return
 	}
 	until := n.votingStartedAt + n.cfg.usableTerm()
--- a/control/shared/message.go
+++ b/control/shared/message.go
@@ -2,8 +2,8 @@
 
 import (
 	"masthill/control/shared/count"
-	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
+	"masthill/control/shared/outlier"
 )
 
 const (
@@ -18,21 +18,21 @@
 
 // Message is one message between instances: a message of package lease to one of them, or a broadcast.
 type Message struct {
-	Lease *lease.Message `codec:"l,omitempty"`
-	Count *count.Message `codec:"c,omitempty"`
-	Judge *judge.Message `codec:"j,omitempty"`
+	Lease  *lease.Message   `codec:"l,omitempty"`
+	Count  *count.Message   `codec:"c,omitempty"`
+	Health *outlier.Message `codec:"j,omitempty"`
 }
 
 // Out is a message and the name of its receiver; an empty name stands for all other members.
-type Out struct {
+type Outgoing struct {
 	To string
 	Message
 }
 
-func outgoingLease(o lease.Outgoing) Out { return Out{o.To, Message{Lease: &o.Message}} }
+func outgoingLease(o lease.Outgoing) Outgoing { return Outgoing{o.To, Message{Lease: &o.Message}} }
 
 // Hear takes a message of another instance, and returns the messages to send in answer.
-func (m *Shared) Hear(now int64, msg Message) (outgoing []Out) {
+func (m *Shared) Receive(now int64, msg Message) (outgoing []Outgoing) {
 	m.lastHeardAt = max(m.lastHeardAt, now)
 	m.updateState(now)
 	if msg.Lease != nil {
@@ -43,23 +43,23 @@
 	if msg.Count != nil {
 		m.count.Receive(now, *msg.Count)
 	}
-	if msg.Judge != nil {
-		m.detector.Receive(now, *msg.Judge)
+	if msg.Health != nil {
+		m.detector.Receive(now, *msg.Health)
 	}
 	return outgoing
 }
 
 // Tick does what is due, and returns the messages to send. It should be called about ten times a second. members is the
 // number of members as far as it is known.
-func (m *Shared) Tick(now int64, members int) (outgoing []Out) {
+func (m *Shared) Tick(now int64, members int) (outgoing []Outgoing) {
 	m.updateState(now)
 	m.reportSilent(now)
 	m.requestBudgets(now)
 	for _, o := range m.lease.Tick(now) {
 		outgoing = append(outgoing, outgoingLease(o))
 	}
-	if msg := m.broadcast(now, members); msg.Count != nil || msg.Judge != nil {
-		outgoing = append(outgoing, Out{"", msg})
+	if msg := m.broadcast(now, members); msg.Count != nil || msg.Health != nil {
+		outgoing = append(outgoing, Outgoing{"", msg})
 	}
 	return outgoing
 }
@@ -74,7 +74,7 @@
 	}
 	if now-m.reportSentAt >= interval || m.urgent && now-m.reportSentAt >= urgentInterval {
 		if report := m.detector.Broadcast(now); len(report.Reports) > 0 {
-			msg.Judge = &report
+			msg.Health = &report
 		}
 		m.reportSentAt, m.urgent = now, false
 	}
--- a/control/shared/judge/config.go
+++ b/control/shared/outlier/config.go
@@ -1,4 +1,4 @@
-package judge
+package outlier
 
 const second = int64(1e9)
 
@@ -22,13 +22,13 @@
 	MinBad          int     // the least number of bad ones, however small the sample
 	MaxAvoidedShare float64 // the part of the listed servers that may be avoided; at least one server
 	OwnEvidenceTime int64   // for how long an instance's own good observation overrides the others' reports
-	// Without names one check to leave out (Witnesses), to test that the lab's checkers notice. It is empty in every build
-	// but the lab's.
-	Without string
+	// OmitCheck names one check to leave out, to test that the lab's checkers notice. It is empty in every build but the lab's
+	// mutants.
+	OmitCheck string
 }
 
-// Witnesses is the check that the reports of one machine decide nothing.
-const Witnesses = "witnesses"
+// CheckObservers is the check that the reports of one machine decide nothing.
+const CheckObservers = "witnesses"
 
 func (c *Config) setDefaults() {
 	if c.Retention <= 0 {
--- a/control/shared/judge/verdict.go
+++ b/control/shared/outlier/decision.go
@@ -1,4 +1,4 @@
-package judge
+package outlier
 
 import (
 	"cmp"
@@ -6,15 +6,15 @@
 	"slices"
 )
 
-// refreshInterval is how often verdicts are evaluated while nothing new is known.
+// refreshInterval is how often decisions are evaluated while nothing new is known.
 const refreshInterval = second / 20
 
-// Verdict is the result of evaluating the reports on one server.
-type Verdict struct {
+// Decision is the result of evaluating the reports on one server.
+type Decision struct {
 	Server    uint64   `json:"server"`
 	Avoided   bool     `json:"avoided"`
 	Reason    string   `json:"reason"`    // silent, dead, or why it is not avoided
-	Witnesses []string `json:"witnesses"` // the instances whose bad reports it rests on
+	Observers []string `json:"witnesses"` // the instances whose bad reports it rests on
 	Against   int      `json:"against"`   // the reports of the sample that are good
 	AgeMS     int64    `json:"age_ms"`    // of the youngest report of the sample
 }
@@ -30,17 +30,17 @@
 // Avoid tells whether calls are to be kept from a server, and why.
 func (d *Detector) Avoid(now int64, id uint64) (avoid bool, reason string) {
 	d.refresh(now)
-	if s := d.servers[id]; s != nil && s.verdict.Avoided {
-		return true, s.verdict.Reason
+	if s := d.servers[id]; s != nil && s.decision.Avoided {
+		return true, s.decision.Reason
 	}
 	return false, ""
 }
 
-// Verdicts lists the servers that have bad reports, for operators.
-func (d *Detector) Verdicts(now int64) (all []Verdict) {
+// Decisions lists the servers that have bad reports, for operators.
+func (d *Detector) Decisions(now int64) (all []Decision) {
 	d.refresh(now)
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
-		if v := d.servers[id].verdict; v.Avoided || len(v.Witnesses) > 0 {
+		if v := d.servers[id].decision; v.Avoided || len(v.Observers) > 0 {
 			all = append(all, v)
 		}
 	}
@@ -53,24 +53,24 @@
 		return
 	}
 	d.evaluatedAt, d.dirty = now, false
-	var verdicts []Verdict
+	var decisions []Decision
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		s := d.servers[id]
 		s.secondHand = slices.DeleteFunc(s.secondHand, func(o observation) bool { return now-o.seenAt >= d.cfg.Retention })
-		if len(s.secondHand) > 0 || s.verdict.Avoided {
-			verdicts = append(verdicts, d.evaluate(now, id, s))
+		if len(s.secondHand) > 0 || s.decision.Avoided {
+			decisions = append(decisions, d.evaluate(now, id, s))
 		}
 	}
-	d.limit(verdicts)
-	d.apply(verdicts)
+	d.limit(decisions)
+	d.apply(decisions)
 }
 
 // limit keeps the number of avoided servers within bounds. The servers with the most bad reports come first.
-func (d *Detector) limit(verdicts []Verdict) {
-	slices.SortStableFunc(verdicts, func(x, y Verdict) int { return cmp.Compare(len(y.Witnesses), len(x.Witnesses)) })
+func (d *Detector) limit(decisions []Decision) {
+	slices.SortStableFunc(decisions, func(x, y Decision) int { return cmp.Compare(len(y.Observers), len(x.Observers)) })
 	room := max(int(d.cfg.MaxAvoidedShare*float64(d.listed)), 1)
-	for k := range verdicts {
-		v := &verdicts[k]
+	for k := range decisions {
+		v := &decisions[k]
 		if !v.Avoided {
 			continue
 		}
@@ -82,14 +82,14 @@
 	}
 }
 
-// apply stores the verdicts and reports those that begin or end. The ends are reported first, so that at no moment more
+// apply stores the decisions and reports those that begin or end. The ends are reported first, so that at no moment more
 // servers seem avoided than may be.
-func (d *Detector) apply(verdicts []Verdict) {
-	var begun []Verdict
-	for _, v := range verdicts {
+func (d *Detector) apply(decisions []Decision) {
+	var begun []Decision
+	for _, v := range decisions {
 		s := d.servers[v.Server]
-		wasAvoided := s.verdict.Avoided
-		s.verdict = v
+		wasAvoided := s.decision.Avoided
+		s.decision = v
 		switch {
 		case v.Avoided && !wasAvoided:
 			begun = append(begun, v)
@@ -119,9 +119,9 @@
 }
 
 // evaluate decides on one server by a sample of the observations of it.
-func (d *Detector) evaluate(now int64, id uint64, s *serverState) Verdict {
+func (d *Detector) evaluate(now int64, id uint64, s *serverState) Decision {
 	sample := d.sample(now, s)
-	v := Verdict{Server: id, Reason: FewObservers}
+	v := Decision{Server: id, Reason: FewObservers}
 	count := map[Kind]int{}
 	for _, o := range sample {
 		if !o.kind.bad() {
@@ -129,13 +129,13 @@
 			continue
 		}
 		count[o.kind]++
-		v.Witnesses = append(v.Witnesses, o.from)
+		v.Observers = append(v.Observers, o.from)
 	}
 	if len(sample) > 0 {
 		v.AgeMS = (now - sample[0].seenAt) / 1e6
 	}
-	bad, minBad := len(v.Witnesses), d.cfg.MinBad
-	if d.cfg.Without == Witnesses {
+	bad, minBad := len(v.Observers), d.cfg.MinBad
+	if d.cfg.OmitCheck == CheckObservers {
 		sample, v.Against, minBad = sample[:bad], 0, 1
 	}
 	outlier := bad >= minBad && float64(bad) >= d.cfg.BadShare*float64(len(sample))
@@ -148,8 +148,8 @@
 			v.Reason = Dead.String()
 		}
 		d.extendAvoidance(now, s, sample[0].seenAt)
-	case s.verdict.Avoided && v.Against == 0 && now < s.avoidedUntil: // the evidence has expired, and there is no better news
-		v = s.verdict
+	case s.decision.Avoided && v.Against == 0 && now < s.avoidedUntil: // the evidence has expired, and there is no better news
+		v = s.decision
 		v.Against = 0
 	case bad == 0 && v.Against == 0:
 		v.Reason = Expired
@@ -157,7 +157,7 @@
 	return v
 }
 
-// extendAvoidance sets how long a verdict outlasts its evidence, of which newest is the time of the youngest. The random
+// extendAvoidance sets how long a decision outlasts its evidence, of which newest is the time of the youngest. The random
 // time is drawn once in a retention time, so that instances try the server again at different times.
 func (d *Detector) extendAvoidance(now int64, s *serverState, newest int64) {
 	if now >= s.nextDrawAt {
--- a/control/shared/judge/detector.go
+++ b/control/shared/outlier/detector.go
@@ -1,4 +1,4 @@
-// Package judge detects outliers among the servers from the health reports that instances exchange, so that all instances
+// Package outlier detects outliers among the servers from the health reports that instances exchange, so that all instances
 // avoid a server that has gone silent or died before each of them has lost a call there. A report is the newest observation
 // that an instance made of a server, with its age. The youngest reports of a few different machines decide, one report for
 // each machine, so a single observer decides nothing, however often it reports. Reports expire within seconds; an
@@ -7,11 +7,11 @@
 // The youngest reports decide rather than sums over a time because that is quick: when a server goes silent there are
 // hundreds of good observations, all of them older than the first bad one.
 //
-// A verdict only keeps calls away, as a cap of package join does, and overrides no other rule. It expires by itself: each
+// A decision only keeps calls away, as a cap of package join does, and overrides no other rule. It expires by itself: each
 // instance then tries the server again at a random time of its own, so that the first to try informs the others.
 //
 // The package is pure: callers pass in the time. Reports carry ages, so no common clock is needed.
-package judge
+package outlier
 
 import (
 	"cmp"
@@ -34,8 +34,8 @@
 	hasOwn       bool
 	ownDead      bool // own was Dead: the next healthy observation is of a new process
 	secondHand   []observation
-	verdict      Verdict
-	avoidedUntil int64 // the verdict outlasts its evidence until a random time of this instance's own
+	decision     Decision
+	avoidedUntil int64 // the decision outlasts its evidence until a random time of this instance's own
 	nextDrawAt   int64 // when new evidence next draws a new random time
 }
 
@@ -48,14 +48,14 @@
 	listed        int
 	evaluatedAt   int64
 	dirty         bool // something was received or observed since
-	onChange      func(Verdict)
+	onChange      func(Decision)
 }
 
-// New makes a detector. onChange, if not nil, is told of each verdict that begins or ends.
-func New(c Config, name, machine string, seed uint64, onChange func(Verdict)) *Detector {
+// New makes a detector. onChange, if not nil, is told of each decision that begins or ends.
+func New(c Config, name, machine string, seed uint64, onChange func(Decision)) *Detector {
 	c.setDefaults()
 	if onChange == nil {
-		onChange = func(Verdict) {}
+		onChange = func(Decision) {}
 	}
 	return &Detector{
 		cfg:      c,
--- a/control/shared/judge/judge_test.go
+++ b/control/shared/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package judge
+package outlier
 
 import (
 	"fmt"
@@ -79,7 +79,7 @@
 	if n := avoiding(now, all, 1); n != 0 {
 		t.Fatalf("%d avoid it on one machine's word", n)
 	}
-	if v := all[3].Verdicts(now); len(v) != 1 || v[0].Reason != FewObservers || len(v[0].Witnesses) != 1 {
+	if v := all[3].Decisions(now); len(v) != 1 || v[0].Reason != FewObservers || len(v[0].Observers) != 1 {
 		t.Errorf("%+v", v)
 	}
 }
@@ -169,7 +169,7 @@
 // Where one server takes another's place among those left out, it is never told as if both were.
 func TestChangesAreToldInOrder(t *testing.T) {
 	out := map[uint64]bool{}
-	b := New(Config{}, "me", "here", 1, func(v Verdict) {
+	b := New(Config{}, "me", "here", 1, func(v Decision) {
 		if delete(out, v.Server); v.Avoided {
 			out[v.Server] = true
 		}
@@ -224,12 +224,12 @@
 			}
 		}
 		out := 0
-		for _, v := range b.Verdicts(now) {
+		for _, v := range b.Decisions(now) {
 			if !v.Avoided {
 				continue
 			}
 			out++
-			if w := slices.Compact(slices.Sorted(slices.Values(v.Witnesses))); len(w) < 2 || len(bad[v.Server]) < 2 {
+			if w := slices.Compact(slices.Sorted(slices.Values(v.Observers))); len(w) < 2 || len(bad[v.Server]) < 2 {
 				t.Fatalf("avoided on %v: %v", w, bad[v.Server])
 			}
 		}
--- a/control/shared/judge/report.go
+++ b/control/shared/outlier/report.go
@@ -1,4 +1,4 @@
-package judge
+package outlier
 
 // Bounds of what is sent and kept.
 const (
--- a/control/shared/shared.go
+++ b/control/shared/shared.go
@@ -1,5 +1,5 @@
 // Package shared makes the decisions that the instances of a fleet make together: rate budgets that they share by leases
-// (package lease), counts of the whole fleet (package count) and the detection of failing servers (package judge).
+// (package lease), counts of the whole fleet (package count) and the detection of failing servers (package outlier).
 //
 // It takes part in the core through package join, as any other decision module, and is as pure: callers pass in the time
 // and the messages of other instances, and send the messages it returns. Without other instances it falls back to the
@@ -9,16 +9,16 @@
 import (
 	"masthill/control/join"
 	"masthill/control/shared/count"
-	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
+	"masthill/control/shared/outlier"
 )
 
 // The codes of the module's states and of its reasons to keep a call from a server.
 const (
-	Together = "together" // other instances are heard
-	Alone    = "alone"    // no other instance is heard
-	ColdCap  = "cold-budget"
-	Hearsay  = "hearsay-" // followed by the reason of the verdict
+	Together   = "together" // other instances are heard
+	Alone      = "alone"    // no other instance is heard
+	ColdCap    = "cold-budget"
+	SecondHand = "hearsay-" // followed by the reason of the decision
 )
 
 const (
@@ -38,7 +38,7 @@
 
 	lease    *lease.Node
 	count    *count.Set
-	detector *judge.Detector
+	detector *outlier.Detector
 
 	servers      map[uint64]*serverEntry
 	servingCount int
@@ -56,7 +56,7 @@
 
 // New makes the module for a process that starts at now.
 func New(c Config, seed uint64, now int64, on Events) *Shared {
-	c.Lease.Most = max(c.Lease.Most, 1)
+	c.Lease.MaxInstances = max(c.Lease.MaxInstances, 1)
 	m := &Shared{
 		cfg:         c,
 		shortestAim: c.Control.Classes[0].Aim,
@@ -66,7 +66,7 @@
 		lastHeardAt: now - aloneTimeout,
 		lease:       lease.New(c.Lease, lease.ID{Name: c.Name, Epoch: c.Epoch}, seed, now, on.Claim),
 		count:       count.New(c.Count, count.Source{Name: c.Name, Epoch: c.Epoch}, now),
-		detector:    judge.New(c.Judge, c.Name, c.Machine, seed, on.Verdict),
+		detector:    outlier.New(c.Outlier, c.Name, c.Machine, seed, on.Decision),
 		servers:     map[uint64]*serverEntry{},
 		attempts:    map[string]*attempt{},
 		callTenants: map[string]string{},
@@ -75,8 +75,8 @@
 	for _, class := range c.Control.Classes {
 		m.shortestAim = min(m.shortestAim, class.Aim)
 	}
-	if on.Reign != nil {
-		m.lease.OnLeader(on.Reign)
+	if on.Leader != nil {
+		m.lease.OnLeader(on.Leader)
 	}
 	for _, tenant := range c.Tenants {
 		m.countedKeys["t/"+tenant] = true
@@ -124,9 +124,9 @@
 // Room implements join.Module. It keeps calls from servers that the detector avoids, and from cold servers whose budget is
 // used up.
 func (m *Shared) Room(now int64, server uint64) (ok bool, reason string) {
-	if m.cfg.Judgements {
+	if m.cfg.DetectOutliers {
 		if avoid, why := m.detector.Avoid(now, server); avoid {
-			return false, Hearsay + why
+			return false, SecondHand + why
 		}
 	}
 	if budget, _, cold := m.coldBudget(now, server); cold && !m.lease.Available(now, budget) {
--- a/control/shared/shared_test.go
+++ b/control/shared/shared_test.go
@@ -26,7 +26,7 @@
 		one := c
 		one.Control = control.Settings{GroupSize: n, Ordinal: k, ColdFrom: 0.31, ColdSpan: 15 * second, Classes: []control.Class{{Aim: 1200e6, Deadline: 9 * second, Worth: 1}}}
 		one.Name, one.Machine, one.Epoch = fmt.Sprint("n", k), fmt.Sprint("m", k), uint64(k+1)
-		one.Lease = lease.Config{Keepers: []string{"n0", "n1", "n2"}, Most: n}
+		one.Lease = lease.Config{Voters: []string{"n0", "n1", "n2"}, MaxInstances: n}
 		m := New(one, uint64(k), g.now, Events{})
 		m.See(g.now, g.list(0))
 		g.all = append(g.all, m)
@@ -47,11 +47,11 @@
 	return ev
 }
 
-func (g *group) deliver(from int, out []Out) {
+func (g *group) deliver(from int, out []Outgoing) {
 	for _, o := range out {
 		for k, m := range g.all {
 			if k != from && (o.To == "" || o.To == m.cfg.Name) && !g.cut[from] && !g.cut[k] {
-				g.deliver(k, m.Hear(g.now, o.Message))
+				g.deliver(k, m.Receive(g.now, o.Message))
 			}
 		}
 	}
@@ -116,7 +116,7 @@
 
 func TestASilentServerIsLeftByAllAfterAFewLostCalls(t *testing.T) {
 	for _, on := range []bool{false, true} {
-		g := newGroup(12, Config{Judgements: on})
+		g := newGroup(12, Config{DetectOutliers: on})
 		rng := rand.New(rand.NewPCG(1, 1))
 		lost, last := 0, int64(0)
 		type out struct {
@@ -188,7 +188,7 @@
 		t.Error("cut off, and still the fleet's totals")
 	}
 	look := g.all[1].Look(g.now) // of a keeper
-	if len(look.Counts) == 0 || look.Allocator == "" || look.Counts[0].Least > look.Counts[0].Most {
+	if len(look.Counts) == 0 || look.Leader == "" || look.Counts[0].Least > look.Counts[0].Most {
 		t.Errorf("%+v", look)
 	}
 }
--- a/control/shared/status.go
+++ b/control/shared/status.go
@@ -9,8 +9,8 @@
 
 	"masthill/control/join"
 	"masthill/control/shared/count"
-	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
+	"masthill/control/shared/outlier"
 	"masthill/control/shares"
 )
 
@@ -35,15 +35,15 @@
 
 // Look is the module's state for operators and the lab's checkers.
 type Look struct {
-	State     string           `json:"state"`
-	SinceNS   int64            `json:"since_ns"`
-	Allocator string           `json:"allocator"` // the leader
-	Reigns    bool             `json:"reigns"`    // this instance is the leader
-	Leases    []lease.Held     `json:"leases"`
-	Counts    []Counted        `json:"counts"`
-	Verdicts  []judge.Verdict  `json:"verdicts"`
-	Known     []count.Known    `json:"known"`
-	Booked    map[string]int64 `json:"booked,omitempty"` // reserved by the leader, by budget, in thousandths of a call per second
+	State     string             `json:"state"`
+	SinceNS   int64              `json:"since_ns"`
+	Leader    string             `json:"allocator"` // the leader
+	IsLeader  bool               `json:"reigns"`    // this instance is the leader
+	Leases    []lease.Lease      `json:"leases"`
+	Counts    []Counted          `json:"counts"`
+	Decisions []outlier.Decision `json:"verdicts"`
+	Known     []count.Known      `json:"known"`
+	Reserved  map[string]int64   `json:"booked,omitempty"` // reserved by the leader, by budget, in thousandths of a call per second
 }
 
 // Counted is one count over a window.
@@ -57,19 +57,19 @@
 	l := Look{
 		State:     m.state,
 		SinceNS:   m.since,
-		Allocator: m.lease.Leader(now),
-		Reigns:    m.lease.IsLeader(now),
+		Leader:    m.lease.Leader(now),
+		IsLeader:  m.lease.IsLeader(now),
 		Leases:    m.lease.Leases(now),
-		Verdicts:  m.detector.Verdicts(now),
+		Decisions: m.detector.Decisions(now),
 		Known:     m.count.Known(now),
 	}
 	for _, key := range m.count.Keys("") {
 		l.Counts = append(l.Counts, Counted{key, m.count.Read(now, key, totalsWindow)})
 	}
-	if l.Reigns {
-		l.Booked = map[string]int64{}
+	if l.IsLeader {
+		l.Reserved = map[string]int64{}
 		for _, h := range l.Leases {
-			l.Booked[h.Budget], _ = m.lease.Reserved(now, h.Budget)
+			l.Reserved[h.Budget], _ = m.lease.Reserved(now, h.Budget)
 		}
 	}
 	return l
--- a/internal/ctl/peers.go
+++ b/internal/ctl/peers.go
@@ -28,7 +28,7 @@
 	if p.Taken != "" {
 		fmt.Fprintf(t, "NAME TAKEN\tby the process at %s: this one says nothing until that ends\n", p.Taken)
 	}
-	fmt.Fprintf(t, "allocator\t%s\n", cmp.Or(p.Shared.Allocator, "none known"))
+	fmt.Fprintf(t, "allocator\t%s\n", cmp.Or(p.Shared.Leader, "none known"))
 	fmt.Fprintf(t, "messages\t%d heard, %d dropped, %d unreadable; %d datagrams of %d bytes sent\n", p.Heard, p.Dropped, p.Unread, p.SentN, p.SentByte)
 	t.Flush()
 	fmt.Fprintln(t, "\nmember\tstate\tsince\tsite\tmachine\taddress\tstarts\tversion")
@@ -44,7 +44,7 @@
 		fmt.Fprintln(t, "\nbudget\tof all, a second\tfloor here\tpart here\tends in\twanted\tused")
 		for _, l := range p.Shared.Leases {
 			fmt.Fprintf(t, "%s\t%.1f\t%.2f\t%.2f\t%d ms\t%.2f\t%d\n", l.Budget, float64(l.Size)/1e3, float64(l.Floor)/1e3, float64(l.Rate)/1e3, l.LeftMS,
-				float64(l.Want)/1e3, l.Used)
+				float64(l.Requested)/1e3, l.Used)
 		}
 		t.Flush()
 	}
@@ -55,14 +55,14 @@
 		}
 		t.Flush()
 	}
-	if len(p.Shared.Verdicts) > 0 {
+	if len(p.Shared.Decisions) > 0 {
 		fmt.Fprintln(t, "\noffice\tjudged\treason\twitnesses\tagainst\tage")
-		for _, v := range p.Shared.Verdicts {
+		for _, v := range p.Shared.Decisions {
 			judged := "heard of"
 			if v.Avoided {
 				judged = "avoided"
 			}
-			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d ms\n", strconv.FormatUint(v.Server, 16), judged, v.Reason, strings.Join(v.Witnesses, " "), v.Against, v.AgeMS)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d ms\n", strconv.FormatUint(v.Server, 16), judged, v.Reason, strings.Join(v.Observers, " "), v.Against, v.AgeMS)
 		}
 	}
 	if len(p.Changes) > 0 {
--- a/internal/ctl/text.go
+++ b/internal/ctl/text.go
@@ -39,7 +39,7 @@
 			by[m.State]++
 		}
 		fmt.Fprintf(t, "peers\t%s: %d alive, %d suspect, %d gone, %d left; allocator %s; masthill peers tells more\n", s.Peers.Shared.State, by[peers.Alive],
-			by[peers.Suspect], by[peers.Gone], by[peers.Left], cmp.Or(s.Peers.Shared.Allocator, "not known"))
+			by[peers.Suspect], by[peers.Gone], by[peers.Left], cmp.Or(s.Peers.Shared.Leader, "not known"))
 	}
 	if s.ConfigWarning != "" {
 		fmt.Fprintf(t, "warning\t%s\n", s.ConfigWarning)
--- a/internal/peers/broadcast.go
+++ b/internal/peers/broadcast.go
@@ -21,7 +21,7 @@
 
 // enqueue queues the module's messages for sending. It is called on the core's goroutine and never blocks: a batch that
 // does not fit is dropped.
-func (p *Peers) enqueue(outgoing []shared.Out) {
+func (p *Peers) enqueue(outgoing []shared.Outgoing) {
 	if len(outgoing) == 0 {
 		return
 	}
--- a/internal/peers/options.go
+++ b/internal/peers/options.go
@@ -9,9 +9,9 @@
 // Module is the decision module whose messages are carried. It is called on the core's goroutine alone.
 type Module interface {
 	// Tick does what is due, and returns the messages to send.
-	Tick(now int64, members int) []shared.Out
+	Tick(now int64, members int) []shared.Outgoing
 	// Hear takes a message of another member, and returns the messages to send in answer.
-	Hear(now int64, m shared.Message) []shared.Out
+	Receive(now int64, m shared.Message) []shared.Outgoing
 }
 
 // Options is what New needs to know.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -38,17 +38,17 @@
 	return m.ticks, heard
 }
 
-func (m *module) Tick(int64, int) []shared.Out {
+func (m *module) Tick(int64, int) []shared.Outgoing {
 	m.mu.Lock()
 	m.ticks++
 	m.mu.Unlock()
 	if !m.tells {
 		return nil
 	}
-	return []shared.Out{{Message: shared.Message{Count: &count.Message{From: count.Source{Name: m.name, Epoch: 1}, UptimeMS: 1}}}}
+	return []shared.Outgoing{{Message: shared.Message{Count: &count.Message{From: count.Source{Name: m.name, Epoch: 1}, UptimeMS: 1}}}}
 }
 
-func (m *module) Hear(_ int64, msg shared.Message) []shared.Out {
+func (m *module) Receive(_ int64, msg shared.Message) []shared.Outgoing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if msg.Count != nil {
--- a/lab/model/peers.go
+++ b/lab/model/peers.go
@@ -5,7 +5,7 @@
 
 	"masthill/control/join"
 	"masthill/control/shared"
-	"masthill/control/shared/judge"
+	"masthill/control/shared/outlier"
 	"masthill/internal/peers"
 )
 
@@ -41,18 +41,18 @@
 }
 
 // lie tells that every server is dead.
-func (c *controller) lie() *judge.Message {
-	m := &judge.Message{From: c.name(), Machine: c.name()}
+func (c *controller) lie() *outlier.Message {
+	m := &outlier.Message{From: c.name(), Machine: c.name()}
 	for _, s := range c.m.listed {
-		m.Reports = append(m.Reports, judge.Report{Server: s.id, Kind: judge.Dead, Run: 99})
+		m.Reports = append(m.Reports, outlier.Report{Server: s.id, Kind: outlier.Dead, Run: 99})
 	}
 	return m
 }
 
 // say sends messages on their way.
-func (c *controller) say(out []shared.Out) {
+func (c *controller) say(out []shared.Outgoing) {
 	if c.n+1 == c.m.Liar {
-		out = append(out, shared.Out{Message: shared.Message{Judge: c.lie()}})
+		out = append(out, shared.Outgoing{Message: shared.Message{Health: c.lie()}})
 	}
 	for _, o := range out {
 		if c.m.PeerBytes {
@@ -67,7 +67,7 @@
 			wait := int64(9.7e6 + c.rng.Float64()*15.3e6)
 			c.m.after(wait, func() {
 				if to.x != nil && to.peer != nil {
-					to.say(to.peer.Hear(c.m.now, o.Message))
+					to.say(to.peer.Receive(c.m.now, o.Message))
 					to.drive()
 				}
 			})
--- a/lab/rig/claims.go
+++ b/lab/rig/claims.go
@@ -8,8 +8,8 @@
 	"os"
 
 	"masthill/control/shared"
-	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
+	"masthill/control/shared/outlier"
 )
 
 // claimLine is one line of a claims file. It was written when the claim was made, with the time of the process's own steady
@@ -31,7 +31,7 @@
 	claims      []claim
 	leaderTerms [][2]int64 // from and until
 	snapshots   []snapshot
-	verdicts    []judge.Verdict
+	decisions   []outlier.Decision
 }
 
 // claim is what a process may use of a budget from a time on.
@@ -103,8 +103,8 @@
 		json.Unmarshal(l.Claim, &s.Look)
 		p.snapshots = append(p.snapshots, s)
 	case "verdict":
-		var v judge.Verdict
+		var v outlier.Decision
 		json.Unmarshal(l.Claim, &v)
-		p.verdicts = append(p.verdicts, v)
+		p.decisions = append(p.decisions, v)
 	}
 }
--- a/lab/rig/verdicts.go
+++ b/lab/rig/decisions.go
@@ -1,21 +1,21 @@
 package rig
 
-import "masthill/control/shared/judge"
+import "masthill/control/shared/outlier"
 
-// checkVerdicts finds verdicts that rest on the reports of one machine, and processes that avoid too many servers.
-func checkVerdicts(f *Findings, all []*process, b bounds) {
+// checkDecisions finds decisions that rest on the reports of one machine, and processes that avoid too many servers.
+func checkDecisions(f *Findings, all []*process, b bounds) {
 	for _, p := range all {
 		f.Claims += len(p.claims)
 		avoided := map[uint64]bool{}
-		for _, v := range p.verdicts {
+		for _, v := range p.decisions {
 			delete(avoided, v.Server)
 			if !v.Avoided {
 				continue
 			}
-			f.Verdicts++
+			f.Decisions++
 			avoided[v.Server] = true
 			if machinesOf(v, b) < 2 {
-				f.report(&f.Unfounded, "%s avoids %x on the word of %v", p.name, v.Server, v.Witnesses)
+				f.report(&f.Unfounded, "%s avoids %x on the word of %v", p.name, v.Server, v.Observers)
 			}
 			if limit := max(int(b.maxAvoidedShare*float64(b.servers)), 1); len(avoided) > limit {
 				f.report(&f.Unfounded, "%s avoids %d of %d servers", p.name, len(avoided), b.servers)
@@ -24,10 +24,10 @@
 	}
 }
 
-// machinesOf counts the machines of a verdict's observers.
-func machinesOf(v judge.Verdict, b bounds) int {
+// machinesOf counts the machines of a decision's observers.
+func machinesOf(v outlier.Decision, b bounds) int {
 	machines := map[string]bool{}
-	for _, observer := range v.Witnesses {
+	for _, observer := range v.Observers {
 		machines[b.machineOf[observer]] = true
 	}
 	return len(machines)
--- a/lab/rig/findings.go
+++ b/lab/rig/findings.go
@@ -16,7 +16,7 @@
 	Used               int64    `json:"used"`              // units of all budgets
 	Counts             int      `json:"counts_checked"`
 	OutOfBound         int      `json:"counts_out_of_bounds"`
-	Verdicts           int      `json:"verdicts"` // by which a server was avoided
+	Decisions          int      `json:"verdicts"` // by which a server was avoided
 	Unfounded          int      `json:"verdicts_unfounded"`
 	Converged          float64  `json:"converged_s"` // from the last fault's end until all members knew all; -1: they never did
 	BytesPerSecond     float64  `json:"bytes_per_member_s"`
@@ -53,7 +53,7 @@
 	checkBudgets(f, all, b)
 	checkCounts(f, all, b)
 	checkLeaders(f, all)
-	checkVerdicts(f, all, b)
+	checkDecisions(f, all, b)
 	measureTraffic(f, all, b)
 	return f
 }
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -11,8 +11,8 @@
 
 	"masthill/control/shared"
 	"masthill/control/shared/count"
-	"masthill/control/shared/judge"
 	"masthill/control/shared/lease"
+	"masthill/control/shared/outlier"
 )
 
 // program is the program under test, broken a build of it that can leave a guard out.
@@ -119,14 +119,14 @@
 func TestBrokenProgramsAreCaught(t *testing.T) {
 	t.Parallel()
 	for guard, found := range map[string]func(*Result) int{
-		lease.Book:      func(r *Result) int { return r.Overspent },
-		count.Merge:     func(r *Result) int { return r.OutOfBound },
-		judge.Witnesses: func(r *Result) int { return r.Unfounded },
+		lease.CheckReservations: func(r *Result) int { return r.Overspent },
+		count.CheckMerge:        func(r *Result) int { return r.OutOfBound },
+		outlier.CheckObservers:  func(r *Result) int { return r.Unfounded },
 	} {
 		t.Run(guard, func(t *testing.T) {
 			t.Parallel()
 			text := short
-			if guard == judge.Witnesses { // one that has its servers' answers late, for the others to hear of
+			if guard == outlier.CheckObservers { // one that has its servers' answers late, for the others to hear of
 				// One such fault shows it or not, by whose calls come then, so there are four.
 				text = strings.Replace(text, `for = "16s"`, `for = "28s"`, 1)
 				for who, at := range []string{"3s", "9s", "15s", "21s"} {
@@ -242,10 +242,10 @@
 	}
 	judged := func(witnesses ...string) *process {
 		p := fresh("a")
-		p.verdicts = []judge.Verdict{{Server: 1, Avoided: true, Witnesses: witnesses}}
+		p.decisions = []outlier.Decision{{Server: 1, Avoided: true, Observers: witnesses}}
 		return p
 	}
-	if f := checkClaims([]*process{judged("a", "b")}, r); f.Unfounded != 0 || f.Verdicts != 1 {
+	if f := checkClaims([]*process{judged("a", "b")}, r); f.Unfounded != 0 || f.Decisions != 1 {
 		t.Errorf("%+v", f)
 	}
 	if f := checkClaims([]*process{judged("a", "c")}, r); f.Unfounded != 1 {
