--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -259,7 +259,7 @@
 // following is the list of offices; what the process before had learnt of them follows what is known at the start.
 func following(in *instance) (part, error) {
 	in.feed = &journal.Client{Addr: in.p.Journal, Log: in.log.With(logs.Part, "list"), Dial: descriptors.Dialer(in.descriptors.shortage),
-		Tell: func(changed []exchange.Office, full bool) {
+		OnChange: func(changed []exchange.Office, full bool) {
 			in.descriptors.list(changed, full)
 			in.core.Members(changed, full)
 		}}
--- a/cmd/masthill/ready_test.go
+++ b/cmd/masthill/ready_test.go
@@ -21,7 +21,7 @@
 // settling runs settle against a service that answers after a while, on the test's clock, and tells how long it took.
 func settling(t *testing.T, answers time.Duration) (took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		in := &instance{feed: &journal.Client{Addr: "list:1", Log: netcase.Quiet(), Tell: func([]exchange.Office, bool) {},
+		in := &instance{feed: &journal.Client{Addr: "list:1", Log: netcase.Quiet(), OnChange: func([]exchange.Office, bool) {},
 			Dial: func(context.Context, string, string) (net.Conn, error) {
 				ours, theirs := net.Pipe()
 				go func() {
--- /dev/null
+++ b/internal/journal/decode.go
@@ -0,0 +1,75 @@
+package journal
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"masthill/control"
+	"masthill/internal/exchange"
+)
+
+// Known is the part of the list that the configuration holds.
+type Known struct {
+	Pos     int64             `json:"pos"`
+	Entries []json.RawMessage `json:"entries"`
+}
+
+type event struct {
+	Pos   int64 `json:"pos"`
+	Hosts *struct {
+		Version int64    `json:"version"`
+		Full    bool     `json:"full"`
+		Servers []server `json:"servers"`
+	} `json:"hosts"`
+}
+
+type server struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+var states = map[string]control.Readiness{"SERVING": control.In, "DRAINING": control.Lame, "DELETED": control.Out}
+
+// Decode reads one event.
+func Decode(data []byte) (changed []exchange.Office, full bool, err error) {
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, false, err
+	}
+	if e.Hosts == nil {
+		return nil, false, errors.New("no hosts")
+	}
+	for k, h := range e.Hosts.Servers {
+		state, ok := states[h.State]
+		if !ok {
+			return nil, false, fmt.Errorf("servers[%d].state: unknown %q", k, h.State)
+		}
+		if h.ID == "" || h.Addr == "" && state == control.In {
+			return nil, false, fmt.Errorf("servers[%d]: no id or no addr", k)
+		}
+		changed = append(changed, exchange.Office{Addr: h.Addr, Entry: control.Entry{Cell: h.Cell,
+			Share: h.Weight, Server: Number(h.ID), ReadyAt: h.Started * int64(time.Millisecond), State: state}})
+	}
+	return changed, e.Hosts.Full, nil
+}
+
+// Number makes an office's id the number that the module knows it by: the hex digits after the dash, or a
+// hash of an id of another form.
+func Number(id string) uint64 {
+	_, hex, _ := strings.Cut(id, "-")
+	if n, err := strconv.ParseUint(hex, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -36,8 +36,8 @@
 }
 
 func client(tell func(told)) *Client {
-	return &Client{Log: netcase.Quiet(), Retry: func(int) time.Duration { return time.Millisecond },
-		Tell: func(changed []exchange.Office, full bool) { tell(told{changed, full}) }}
+	return &Client{Log: netcase.Quiet(), Backoff: func(int) time.Duration { return time.Millisecond },
+		OnChange: func(changed []exchange.Office, full bool) { tell(told{changed, full}) }}
 }
 
 func TestKnown(t *testing.T) {
@@ -217,7 +217,7 @@
 		stream(t, c, serves(func(w io.Writer) {
 			connects++
 			for _, b := range []byte("id: 41\ndata: " + full + "\n\n") {
-				time.Sleep(silentFor / 100)
+				time.Sleep(silenceTimeout / 100)
 				if _, err := w.Write([]byte{b}); err != nil {
 					return
 				}
@@ -226,7 +226,7 @@
 		began := time.Now()
 		go c.Run(t.Context())
 		<-got
-		if took := time.Since(began); took < silentFor || connects != 1 {
+		if took := time.Since(began); took < silenceTimeout || connects != 1 {
 			t.Errorf("after %v, %d connects", took, connects)
 		}
 	})
@@ -255,7 +255,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		got := make(chan told, 10)
 		c := client(func(x told) { got <- x })
-		c.Retry = func(int) time.Duration { return time.Hour } // only a move ends a pause
+		c.Backoff = func(int) time.Duration { return time.Hour } // only a move ends a pause
 		var asked []string
 		handlers := map[string]func(*testing.T, net.Conn){
 			"first:1":  serves(func(w io.Writer) { io.WriteString(w, "id: 41\ndata: "+full+"\n\n") }),
--- a/internal/journal/return_test.go
+++ b/internal/journal/return_test.go
@@ -51,8 +51,8 @@
 		down  func(ctx context.Context) error
 		limit time.Duration
 	}{
-		"refuses": {func(context.Context) error { return syscall.ECONNREFUSED }, retryMost},
-		"hangs":   {func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, connectEvery + retryLeast},
+		"refuses": {func(context.Context) error { return syscall.ECONNREFUSED }, maxBackoff},
+		"hangs":   {func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, connectEvery + minPause},
 		"is cut off by a router": {func(ctx context.Context) error {
 			select {
 			case <-time.After(700 * time.Millisecond):
@@ -60,13 +60,13 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			}
-		}, 700*time.Millisecond + retryLeast},
+		}, 700*time.Millisecond + minPause},
 	} {
 		for _, lasts := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 61 * time.Second} {
 			synctest.Test(t, func(t *testing.T) {
 				got := make(chan told, 1)
 				c := client(func(x told) { got <- x })
-				c.Addr, c.Retry = "journal:1", nil // the waits of the program
+				c.Addr, c.Backoff = "journal:1", nil // the waits of the program
 				o := &outage{t: t, until: time.Now().Add(lasts), down: tc.down}
 				c.Dial = o.dial
 				go c.Run(t.Context())
@@ -79,7 +79,7 @@
 				if o.most > MaxConnects {
 					t.Errorf("%s for %v: %d connects under way", name, lasts, o.most)
 				}
-				if most := 3 + int(2*lasts/retryMost)*2; o.connects > most {
+				if most := 3 + int(2*lasts/maxBackoff)*2; o.connects > most {
 					t.Errorf("%s for %v: %d connects, over %d", name, lasts, o.connects, most)
 				}
 			})
