Offices: one late answer does not keep a dead connection in use

A sample now counts for no more than the silence granted before it; where all answers are slow it grows with each. Test seen to fail without it: TestSilenceGoesByTheDelayOfAnswers, one straggler.

--- a/internal/office/delay.go
+++ b/internal/office/delay.go
@@ -13,8 +13,10 @@
 // answerDelay estimates how long the servers take to answer a set-up, as RFC 6298 does for a round trip.
 type answerDelay struct{ mean, deviation time.Duration }
 
-// add takes the delay of one answer.
+// add takes the delay of one answer. One straggler counts for no more than the silence granted before it, lest it alone
+// keep a dead connection in use; where all answers are slow, the silence grows with each.
 func (d *answerDelay) add(delay time.Duration) {
+	delay = min(delay, d.silence())
 	if d.mean == 0 {
 		d.mean, d.deviation = delay, delay/2
 		return
