Readers go before accepts: slow requests were evicted unread as closes no longer waited

Cause: since closes don't wait, the accept loop of one core ran on under a crowd, and the readers of connections that had come before it did not run: a slow client with its bytes unread was the one that could best be spared (evicted 4 ms after its accept, in the log).

Change: an accept lets what can run go first, as the wait in each close had done.

--- a/internal/listener/bounded.go
+++ b/internal/listener/bounded.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 
 	"masthill/internal/descriptors"
@@ -45,8 +46,10 @@
 	return b.Listener.Close()
 }
 
-// Accept implements net.Listener. The descriptor is taken before the connection is.
+// Accept implements net.Listener. The descriptor is taken before the connection is. Readers of connections go first: on one
+// core a crowd that connects without end would have clients make room whose requests are there and unread.
 func (b *Bounded) Accept() (net.Conn, error) {
+	runtime.Gosched()
 	for !b.gate.Take() {
 		select {
 		case <-b.freed:
