Scale: hollow members, a fleet of them in processes, and their traffic counted

The expected size of 470 members cannot be run in full on one machine, and nothing measured what a member costs by the size of its fleet. lab/scale assembles a member's control stack as the program does, many in one process, beside real processes, and masthill-lab scale measures both. internal/peers counts received datagrams and stream bytes as well, can be cut off by address and run by a slower clock, all for a lab; off, nothing changes.

--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -27,6 +27,7 @@
 	Scenes      scenesCmd `cmd:"" help:"Play scenes on a simulated clock, with what run has beside control and without, over paired seeds."`
 	Levels      levelsCmd `cmd:"" help:"Play a swing, a jump, a slowdown into a restart wave, or an overload on a simulated clock, with and without levels."`
 	Rig         rigCmd    `cmd:"" help:"Run a fleet of real processes that know of each other, break things, and hold what each claims against the others."`
+	Scale       scaleCmd  `cmd:"" help:"Measure what a fleet costs each member, by its size: most of it hollow."`
 	RestartWave waveCmd   `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
 }
 
--- /dev/null
+++ b/cmd/masthill-lab/scale.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"masthill/lab/scale"
+)
+
+// scaleCmd measures what a fleet costs by its size.
+type scaleCmd struct {
+	Steady scaleSteadyCmd `cmd:"" default:"withargs" help:"A fleet at rest, at several sizes."`
+	Trust  scaleTrustCmd  `cmd:"" help:"The same size all real and all hollow."`
+	Group  scaleGroupCmd  `cmd:"" hidden:"" help:"Serve a group of hollow members; the others start it."`
+}
+
+// scaleOptions are what all of them have in common.
+type scaleOptions struct {
+	Calls   float64       `help:"Made-up calls a second at each hollow member, for what they have to tell."`
+	Slow    float64       `help:"Run the clock of hollow members so many times slower, up to 8; not with real ones."`
+	Servers int           `help:"Session servers on the list; as many as members unless given."`
+	Each    int           `default:"40" help:"Hollow members in a process."`
+	Warm    time.Duration `default:"10s" help:"Before the measurement."`
+	For     time.Duration `default:"25s" help:"Of a measurement."`
+	Program string        `default:"bin/masthill" help:"The program that real members run." placeholder:"PATH"`
+	Seed    uint64        `default:"1" help:"Seed of all draws."`
+	JSON    string        `name:"json" help:"Write the results there, after each size." placeholder:"FILE"`
+	Plot    string        `help:"Draw the costs by size there, as SVG." placeholder:"FILE"`
+	Resume  bool          `help:"Keep what the file of results has, and measure what it lacks."`
+}
+
+const (
+	// scaleMost and scaleRealMost bound a fleet and its processes, scaleForMost the time at one size.
+	scaleMost, scaleRealMost = 1000, 100
+	scaleForMost             = 2 * time.Minute
+	// zones is how many zones members are spread over.
+	zones = 11
+)
+
+// results opens the results of a run.
+func (o scaleOptions) results() (*scale.Results, error) {
+	if !o.Resume || o.JSON == "" {
+		return &scale.Results{}, nil
+	}
+	return scale.Read(o.JSON)
+}
+
+// write writes what there is so far.
+func (o scaleOptions) write(r *scale.Results) error {
+	if o.JSON != "" {
+		if err := r.Write(o.JSON); err != nil {
+			return err
+		}
+	}
+	if o.Plot != "" && len(r.Points) > 0 {
+		return scale.Plot(r.Points, o.Plot)
+	}
+	return nil
+}
+
+// steady is a fleet of which so many are real.
+func (o scaleOptions) steady(size, real int) (s scale.Steady, clean func(), err error) {
+	if size < 3 || size > scaleMost || real > scaleRealMost || real > size {
+		return s, nil, fmt.Errorf("%d members, %d of them real: up to %d, and %d real ones", size, real, scaleMost, scaleRealMost)
+	}
+	if o.Slow > 8 || o.Slow > 1 && real > 0 {
+		return s, nil, fmt.Errorf("a clock %v times slower: 8 at most, and real members have no other clock", o.Slow)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return s, nil, err
+	}
+	program, err := filepath.Abs(o.Program)
+	if err != nil {
+		return s, nil, err
+	}
+	servers := o.Servers
+	if servers == 0 {
+		servers = size
+	}
+	dir, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		return s, nil, err
+	}
+	s.Layout = scale.Layout{Spec: scale.Spec{Size: size, Servers: servers, Zones: zones, Calls: o.Calls, Slow: o.Slow, Seed: o.Seed},
+		Groups: scale.Even(0, size-real, o.Each), Command: []string{self, "scale", "group"}}
+	s.Reals = scale.Reals{Program: program, Dir: dir}
+	for k := size - real; k < size; k++ {
+		s.Numbers = append(s.Numbers, k)
+	}
+	s.Warm, s.For, s.Progress = min(o.Warm, scaleForMost), min(o.For, scaleForMost), os.Stdout
+	return s, func() { os.RemoveAll(dir) }, nil
+}
+
+// measure measures one fleet.
+func (o scaleOptions) measure(ctx context.Context, size, real int, change func(*scale.Steady)) (*scale.Point, error) {
+	s, clean, err := o.steady(size, real)
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	if change != nil {
+		change(&s)
+	}
+	return s.Run(ctx)
+}
+
+type scaleSteadyCmd struct {
+	scaleOptions
+	Sizes       []int   `default:"30,60,120,240" help:"Members, all together."`
+	Real        int     `help:"How many of them are processes of the program."`
+	RealCalls   float64 `help:"Real calls a second at each real member, by stand-ins."`
+	RealServers int     `default:"8" help:"Stand-ins for servers, where there are real calls."`
+}
+
+func (c scaleSteadyCmd) Run(ctx context.Context) error {
+	r, err := c.results()
+	if err != nil {
+		return err
+	}
+	for _, size := range c.Sizes {
+		if r.Has(size, c.Real, c.Calls, c.Slow) {
+			fmt.Printf("%d members: measured already\n", size)
+			continue
+		}
+		p, err := c.measure(ctx, size, c.Real, func(s *scale.Steady) { s.Reals.Calls, s.Reals.Servers = c.RealCalls, c.RealServers })
+		if err != nil {
+			return err
+		}
+		r.Points = append(r.Points, p)
+		if err := c.write(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type scaleTrustCmd struct {
+	scaleOptions
+	Sizes []int `default:"30,60" help:"Members."`
+}
+
+func (c scaleTrustCmd) Run(ctx context.Context) error {
+	r, err := c.results()
+	if err != nil {
+		return err
+	}
+	for _, size := range c.Sizes {
+		t, err := c.compare(ctx, size)
+		if err != nil {
+			return err
+		}
+		r.Trust = append(r.Trust, *t)
+		fmt.Printf("  %d members, hollow over real: bytes %.3f, datagrams %.3f, processor %.2f (one a process %.2f), memory %.2f\n",
+			size, t.Bytes, t.Grams, t.CPU, t.CPU1, t.Memory)
+		if err := c.write(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// compare measures one size in four ways: real, real without knowing of others, hollow, and hollow with a process for each.
+func (c scaleTrustCmd) compare(ctx context.Context, size int) (*scale.Trust, error) {
+	var points [4]*scale.Point
+	for k, way := range []struct {
+		real   int
+		change func(*scale.Steady)
+	}{
+		{size, nil},
+		{size, func(s *scale.Steady) { s.Plain = true }},
+		{0, nil},
+		{0, func(s *scale.Steady) { s.Groups = scale.Even(0, size, 1) }},
+	} {
+		p, err := c.measure(ctx, size, way.real, way.change)
+		if err != nil {
+			return nil, err
+		}
+		points[k] = p
+	}
+	t := scale.NewTrust(size, *points[0].Real, *points[1].Real, points[2].Hollow, points[3].Hollow)
+	return &t, nil
+}
+
+// scaleGroupCmd serves a group of hollow members until its input ends.
+type scaleGroupCmd struct{}
+
+func (scaleGroupCmd) Run(ctx context.Context) error {
+	return scale.Serve(context.WithoutCancel(ctx), os.Stdin, os.Stdout)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -120,6 +120,8 @@
 	// Do has the core run something without waiting for it; false: it has too much to do, and will not.
 	Do       func(f func(now int64)) bool
 	Handlers map[string]Handler // of streams, by kind
+	Reach    Reach              // nil: all
+	Slow     float64            // a lab's: all times are so many times as long; up to 1: as they are
 }
 
 // Peers is one instance's membership.
@@ -190,7 +192,7 @@
 	p.meta = meta{Site: o.Site, Machine: o.Machine, Epoch: o.Epoch, Started: p.began.UnixMilli(), Version: o.Version}
 	p.links = &links{name: o.Name, ring: ring, log: o.Log, handlers: o.Handlers, out: map[string]*yamux.Session{}}
 	p.links.dial = p.dial
-	t.own = p.links.take
+	t.own, t.reach = p.links.take, o.Reach
 	return p, nil
 }
 
@@ -249,7 +251,7 @@
 	c.DeadNodeReclaimTime = 5 * time.Second // a name may come back at another address
 	c.Delegate, c.Events, c.Conflict, c.Alive = (*delegate)(p), (*delegate)(p), (*delegate)(p), (*delegate)(p)
 	c.Logger = stdlog.New(logWriter{p.log}, "", 0)
-	return c
+	return p.o.slow(c)
 }
 
 // logWriter passes the library's lines on: what it warns of is told as what it is, the rest at debug.
@@ -370,6 +372,9 @@
 	p.log.Info("member", "name", name, "state", state, "reason", reason)
 	p.changes = append(p.changes, Change{time.Now(), name, state, reason})
 	p.changes = p.changes[max(0, len(p.changes)-changesMost):]
+	if reason == Gone {
+		p.t.meter.deaths.Add(1)
+	}
 }
 
 // memberlistMost is how many members there may be.
@@ -416,12 +421,14 @@
 	Unread   int64    `json:"unreadable"`
 	SentN    int64    `json:"sent"` // datagrams
 	SentByte int64    `json:"sent_bytes"`
+	Traffic  Traffic  `json:"traffic"`
+	Deaths   int64    `json:"deaths"` // changes of others to gone
 }
 
 // Status tells what the membership knows.
 func (p *Peers) Status() Status {
 	s := Status{Name: p.o.Name, Addr: p.Addr(), Epoch: strconv.FormatUint(p.o.Epoch, 16), Members: p.Members(), Heard: p.heard.Load(),
-		Dropped: p.dropped.Load() + p.t.dropped.Load(), Unread: p.unread.Load(), SentN: p.t.sentN.Load(), SentByte: p.t.sent.Load()}
+		Dropped: p.dropped.Load() + p.t.dropped.Load(), Unread: p.unread.Load(), SentN: p.t.sentN.Load(), SentByte: p.t.sent.Load(), Traffic: p.Traffic(), Deaths: p.t.meter.deaths.Load()}
 	if list := p.list.Load(); list != nil {
 		s.Health = list.GetHealthScore()
 	}
@@ -487,7 +494,7 @@
 
 // ticking has the module do what is due.
 func (p *Peers) ticking(ctx context.Context) {
-	tick := time.NewTicker(tickEvery)
+	tick := time.NewTicker(p.o.slowed(tickEvery))
 	defer tick.Stop()
 	for {
 		select {
@@ -615,7 +622,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(wait):
+		case <-time.After(p.o.slowed(wait)):
 		}
 		if taken != "" {
 			p.retryName()
@@ -709,8 +716,7 @@
 func (p *Peers) dial(ctx context.Context, name string) (net.Conn, error) {
 	for _, a := range p.addresses() {
 		if a.Name == name {
-			d := net.Dialer{Timeout: greetFor}
-			return d.DialContext(ctx, "tcp", p.t.to(a))
+			return p.t.dial(ctx, a, greetFor)
 		}
 	}
 	return nil, ErrNoMember
--- /dev/null
+++ b/internal/peers/slow.go
@@ -0,0 +1,24 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// slowed stretches a time by Options.Slow: a lab runs fleets that its machine could not hold at their own pace.
+func (o *Options) slowed(d time.Duration) time.Duration {
+	if o.Slow <= 1 {
+		return d
+	}
+	return time.Duration(float64(d) * o.Slow)
+}
+
+// slow stretches all times of the membership library.
+func (o *Options) slow(c *memberlist.Config) *memberlist.Config {
+	for _, d := range []*time.Duration{&c.ProbeInterval, &c.ProbeTimeout, &c.GossipInterval, &c.PushPullInterval, &c.TCPTimeout,
+		&c.GossipToTheDeadTime, &c.DeadNodeReclaimTime} {
+		*d = o.slowed(*d)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/peers/traffic.go
@@ -0,0 +1,95 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Traffic is what a member has sent and received since its start: payload bytes, without the headers of UDP, TCP and IP.
+type Traffic struct {
+	SentDatagrams     int64 `json:"sent_datagrams"`
+	SentDatagramBytes int64 `json:"sent_datagram_bytes"`
+	GotDatagrams      int64 `json:"got_datagrams"`
+	GotDatagramBytes  int64 `json:"got_datagram_bytes"`
+	SentStreamBytes   int64 `json:"sent_stream_bytes"`
+	GotStreamBytes    int64 `json:"got_stream_bytes"`
+	Streams           int64 `json:"streams"` // opened and accepted
+}
+
+// meter counts a transport's traffic, beside the sent datagrams that the transport itself counts.
+type meter struct {
+	gotDatagrams, gotDatagramBytes atomic.Int64
+	sentStream, gotStream, streams atomic.Int64
+	deaths                         atomic.Int64 // of others, as this member took it
+}
+
+// datagram counts one that was received.
+func (m *meter) datagram(n int) {
+	m.gotDatagrams.Add(1)
+	m.gotDatagramBytes.Add(int64(n))
+}
+
+// stream counts what goes over a connection from now on.
+func (m *meter) stream(c net.Conn) net.Conn {
+	m.streams.Add(1)
+	return &metered{c, m}
+}
+
+// metered is a connection whose bytes are counted.
+type metered struct {
+	net.Conn
+	m *meter
+}
+
+func (c *metered) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.m.gotStream.Add(int64(n))
+	return n, err
+}
+
+func (c *metered) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.m.sentStream.Add(int64(n))
+	return n, err
+}
+
+// Traffic tells what this member has sent and received.
+func (p *Peers) Traffic() Traffic {
+	t := p.t
+	return Traffic{SentDatagrams: t.sentN.Load(), SentDatagramBytes: t.sent.Load(),
+		GotDatagrams: t.meter.gotDatagrams.Load(), GotDatagramBytes: t.meter.gotDatagramBytes.Load(),
+		SentStreamBytes: t.meter.sentStream.Load(), GotStreamBytes: t.meter.gotStream.Load(), Streams: t.meter.streams.Load()}
+}
+
+// Reach tells whether an address can be reached now, and be heard from. A lab cuts networks by it; nil reaches all.
+type Reach func(addr netip.AddrPort) bool
+
+// cut tells whether an address is out of reach.
+func (r Reach) cut(addr netip.AddrPort) bool {
+	return r != nil && !r(netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()))
+}
+
+// dial connects to a member. An address out of reach takes as long as a network that answers nothing.
+func (t *transport) dial(ctx context.Context, a memberlist.Address, wait time.Duration) (net.Conn, error) {
+	addr := t.to(a)
+	if to, err := netip.ParseAddrPort(addr); err == nil && t.reach.cut(to) {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: net.TCPAddrFromAddrPort(to), Err: context.DeadlineExceeded}
+	}
+	d := net.Dialer{Timeout: wait}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return t.meter.stream(c), nil
+}
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -37,6 +37,8 @@
 	dropped atomic.Int64 // datagrams
 	sent    atomic.Int64 // bytes in datagrams
 	sentN   atomic.Int64
+	meter   meter
+	reach   Reach
 }
 
 // listen opens a transport; port 0 takes any that is free for both.
@@ -79,6 +81,10 @@
 			if err != nil || n < 1 {
 				continue
 			}
+			t.meter.datagram(n)
+			if t.reach.cut(from.AddrPort()) {
+				continue
+			}
 			select {
 			case t.packets <- &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: from, Timestamp: time.Now()}:
 			default:
@@ -103,7 +109,7 @@
 			}
 			g.Go(func() error {
 				defer t.inbound.Add(-1)
-				t.take(ctx, c)
+				t.take(ctx, t.meter.stream(c))
 				return nil
 			})
 		}
@@ -191,6 +197,9 @@
 	}
 	t.sent.Add(int64(len(b)))
 	t.sentN.Add(1)
+	if t.reach.cut(to.AddrPort()) {
+		return time.Now(), nil
+	}
 	_, err = t.udp.WriteToUDP(b, to)
 	return time.Now(), err
 }
@@ -205,7 +214,7 @@
 
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
 func (t *transport) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", t.to(a), wait)
+	return t.dial(context.Background(), a, wait)
 }
 
 // StreamCh implements memberlist.Transport.
--- /dev/null
+++ b/lab/scale/claims.go
@@ -0,0 +1,175 @@
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"masthill/control/shared/judge"
+	"masthill/control/shared/lease"
+)
+
+// claimsMost bounds what is kept of one member's claims.
+const claimsMost = 1 << 15
+
+// Claim is one thing that a member claimed, with the time of the machine's clock.
+type Claim struct {
+	Name    string         `json:"name"`
+	Epoch   uint64         `json:"epoch"`
+	At      int64          `json:"at"`
+	Claim   lease.Claim    `json:"claim"`
+	Reign   int64          `json:"reign,omitempty"` // it allocates budgets until then
+	Verdict *judge.Verdict `json:"verdict,omitempty"`
+}
+
+// claims keeps a member's claims for a check.
+type claims struct {
+	mu    sync.Mutex
+	name  string
+	epoch uint64
+	all   []Claim
+	lost  int
+	// What holds now, beside the record.
+	avoided map[uint64]bool
+	reigns  int64 // until when this member allocates budgets
+}
+
+func (c *claims) claim(now time.Time, one lease.Claim) { c.put(Claim{At: now.UnixNano(), Claim: one}) }
+
+func (c *claims) reign(now time.Time, until int64) {
+	c.mu.Lock()
+	c.reigns = until
+	c.mu.Unlock()
+	c.put(Claim{At: now.UnixNano(), Reign: until})
+}
+
+func (c *claims) judged(now time.Time, v judge.Verdict) {
+	c.mu.Lock()
+	if c.avoided == nil {
+		c.avoided = map[uint64]bool{}
+	}
+	if delete(c.avoided, v.Server); v.Avoided {
+		c.avoided[v.Server] = true
+	}
+	c.mu.Unlock()
+	c.put(Claim{At: now.UnixNano(), Verdict: &v})
+}
+
+// now tells which servers the member avoids, and whether it allocates budgets.
+func (c *claims) now(at int64) (avoided []uint64, allocates bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.avoided)), at < c.reigns
+}
+
+func (c *claims) of(name string, epoch uint64) { c.name, c.epoch = name, epoch }
+
+func (c *claims) put(one Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.all) >= claimsMost {
+		c.lost++
+		return
+	}
+	one.Name, one.Epoch = c.name, c.epoch
+	c.all = append(c.all, one)
+}
+
+// take gives the claims since it was called last.
+func (c *claims) take() (all []Claim, lost int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all, lost = c.all, c.lost
+	c.all, c.lost = nil, 0
+	return all, lost
+}
+
+// process is one process of a member.
+type process struct {
+	name  string
+	epoch uint64
+}
+
+// Budgets is what the check of all claims found.
+type Budgets struct {
+	Claims    int      `json:"claims"`
+	Budgets   int      `json:"budgets"`
+	Overspent int      `json:"budgets_overspent"` // moments at which the parts in use added up to more than the pool
+	MostInUse float64  `json:"most_in_use"`       // of a pool, as a part of it
+	Rivals    int      `json:"two_allocators"`    // times that two held themselves to be the allocator
+	Texts     []string `json:"found,omitempty"`
+}
+
+// textsMost bounds what is told of a check.
+const textsMost = 10
+
+func (b *Budgets) found(n *int, format string, a ...any) {
+	*n++
+	if len(b.Texts) < textsMost {
+		b.Texts = append(b.Texts, fmt.Sprintf(format, a...))
+	}
+}
+
+// CheckBudgets holds the claims of all members of a fleet against each other. ended tells when processes that were killed
+// had ended: they use nothing from then on.
+func CheckBudgets(all []Claim, members int, ended map[string]int64) Budgets {
+	b := Budgets{}
+	slices.SortStableFunc(all, func(x, y Claim) int { return cmp.Compare(x.At, y.At) })
+	using := map[string]map[process]Claim{}
+	reigns := map[process]int64{}
+	for _, c := range all {
+		who := process{c.Name, c.Epoch}
+		switch {
+		case c.Verdict != nil:
+		case c.Reign > 0:
+			for other, until := range reigns {
+				if other != who && alive(other, c.At, ended) && until > c.At {
+					b.found(&b.Rivals, "%s and %s both allocate at %d", other.name, c.Name, c.At)
+				}
+			}
+			reigns[who] = max(reigns[who], c.Reign)
+		default:
+			b.Claims++
+			if using[c.Claim.Budget] == nil {
+				using[c.Claim.Budget] = map[process]Claim{}
+			}
+			using[c.Claim.Budget][who] = c
+			b.sum(c, using[c.Claim.Budget], members, ended)
+		}
+	}
+	b.Budgets = len(using)
+	return b
+}
+
+// alive tells whether a process had not been killed by a time.
+func alive(p process, at int64, ended map[string]int64) bool {
+	end, killed := ended[p.name]
+	return !killed || at < end
+}
+
+// sum adds up what may be used of one budget at the moment of a claim. Parts grow by claims alone, so that the greatest
+// sums are at claims.
+func (b *Budgets) sum(now Claim, using map[process]Claim, members int, ended map[string]int64) {
+	sum, size, floor := int64(0), int64(0), int64(0)
+	for who, c := range using {
+		if c.Claim.Until <= now.At || !alive(who, now.At, ended) {
+			delete(using, who)
+			continue
+		}
+		sum += c.Claim.Rate
+		if c.Claim.Size > size {
+			size, floor = c.Claim.Size, c.Claim.Floor
+		}
+	}
+	pool := size - int64(members)*floor
+	if sum == 0 || pool <= 0 {
+		return
+	}
+	b.MostInUse = max(b.MostInUse, float64(sum)/float64(pool))
+	if sum > pool {
+		b.found(&b.Overspent, "%s: %d of %d in use at %d by %d", now.Claim.Budget, sum, pool, now.At, len(using))
+	}
+}
--- /dev/null
+++ b/lab/scale/fleet.go
@@ -0,0 +1,243 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masthill/lab/standin"
+)
+
+const (
+	// startPause is the pause between two starts in one group.
+	startPause = 5 * time.Millisecond
+	// meetFor is how long a fleet may take until all its members know of all.
+	meetFor = 90 * time.Second
+	// lookEvery is the pause between two looks while something is waited for.
+	lookEvery = 500 * time.Millisecond
+	// listedFirst is the number of the first server on the list.
+	listedFirst = 0x1000
+)
+
+// Layout is a fleet of hollow members and how they are put into processes.
+type Layout struct {
+	Spec
+	Groups  [][]int  // of members' numbers
+	Command []string // the program that serves a group, with its arguments; none: all run in this process
+}
+
+// Fleet is a fleet that runs.
+type Fleet struct {
+	Layout
+	ctx    context.Context
+	work   *errgroup.Group
+	stop   context.CancelFunc
+	held   net.Listener
+	list   *standin.List
+	mu     sync.Mutex
+	groups []runner
+	dead   map[int]bool // groups that were killed
+	reals  []*real
+	claims []Claim
+	ended  map[string]int64 // members that were killed: when, Unix nanoseconds
+}
+
+// Even puts members from a number on into groups of a size.
+func Even(from, to, each int) (all [][]int) {
+	for k := from; k < to; k++ {
+		if n := len(all); n == 0 || len(all[n-1]) >= each {
+			all = append(all, nil)
+		}
+		all[len(all)-1] = append(all[len(all)-1], k)
+	}
+	return all
+}
+
+// place finds a loopback net that no other run holds. It is this run's until the listener is closed.
+func place(seed uint64) (at string, held net.Listener, err error) {
+	for n := range uint64(100) {
+		at = fmt.Sprintf("127.%d", 130+(seed+n*7)%100)
+		if held, err = net.Listen("tcp", at+".255.1:2908"); err == nil {
+			return at, held, nil
+		}
+	}
+	return "", nil, err
+}
+
+// Begin opens the discovery service and the groups' processes; no member runs yet.
+func Begin(ctx context.Context, l Layout) (*Fleet, error) {
+	at, held, err := place(l.Seed)
+	if err != nil {
+		return nil, err
+	}
+	l.Net, l.Origin = at, time.Now().UnixNano()
+	var entries []standin.Entry
+	for k := range l.Servers {
+		entries = append(entries, entry(k, time.Time{}))
+	}
+	list, err := standin.NewList(entries, nil)
+	if err != nil {
+		held.Close()
+		return nil, err
+	}
+	l.List, l.Known = list.Addr(), list.Known()
+	ctx, stop := context.WithCancel(ctx)
+	work, ctx := errgroup.WithContext(ctx)
+	f := &Fleet{Layout: l, ctx: ctx, work: work, stop: stop, held: held, list: list, dead: map[int]bool{}, ended: map[string]int64{}}
+	work.Go(func() error { return list.Run(ctx) })
+	for range l.Groups {
+		one, err := f.runner()
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.groups = append(f.groups, one)
+	}
+	return f, nil
+}
+
+func (f *Fleet) runner() (runner, error) {
+	if len(f.Command) == 0 {
+		return newLocal(f.ctx, &f.Spec), nil
+	}
+	return newRemote(&f.Spec, f.Command)
+}
+
+// entry is a server on the list. Nobody connects to it: hollow members have no calls.
+func entry(k int, started time.Time) standin.Entry {
+	e := standin.Entry{ID: fmt.Sprintf("s-%08x", listedFirst+k), Addr: "127.0.0.1:9", Cell: k, State: "SERVING", Weight: 1}
+	if !started.IsZero() {
+		e.Started = started.UnixMilli()
+	}
+	return e
+}
+
+// Start starts all hollow members: those that the others join by first.
+func (f *Fleet) Start() error {
+	first := f.Voters()
+	if err := f.each(func(k int, r runner) error {
+		seeds := slices.DeleteFunc(slices.Clone(f.Groups[k]), func(n int) bool { return !slices.Contains(first, n) })
+		_, err := r.do(order{Do: doStart, Members: seeds, Pause: startPause})
+		return err
+	}); err != nil {
+		return err
+	}
+	return f.each(func(k int, r runner) error {
+		rest := slices.DeleteFunc(slices.Clone(f.Groups[k]), func(n int) bool { return slices.Contains(first, n) })
+		_, err := r.do(order{Do: doStart, Members: rest, Pause: startPause})
+		return err
+	})
+}
+
+// each does something with all groups that are alive, at the same time.
+func (f *Fleet) each(do func(k int, r runner) error) error {
+	var g errgroup.Group
+	f.mu.Lock()
+	groups := slices.Clone(f.groups)
+	f.mu.Unlock()
+	for k, r := range groups {
+		if !f.isDead(k) {
+			g.Go(func() error { return do(k, r) })
+		}
+	}
+	return g.Wait()
+}
+
+func (f *Fleet) isDead(k int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dead[k]
+}
+
+// Look looks at all groups; those that were killed have empty looks.
+func (f *Fleet) Look(a Ask) ([]Look, error) {
+	all := make([]Look, len(f.groups))
+	err := f.each(func(k int, r runner) error {
+		l, err := r.do(order{Do: doLook, Ask: a})
+		if err == nil {
+			all[k] = *l
+		}
+		return err
+	})
+	if a.Claims {
+		f.mu.Lock()
+		for k := range all {
+			f.claims = append(f.claims, all[k].Claims...)
+		}
+		f.mu.Unlock()
+	}
+	return all, err
+}
+
+// until looks at the fleet until something holds of all members, and tells how long that took.
+func (f *Fleet) until(what string, most time.Duration, holds func(s Sight) bool) (time.Duration, error) {
+	began := time.Now()
+	for {
+		all, err := f.Look(Ask{})
+		if err != nil {
+			return 0, err
+		}
+		missing := 0
+		for _, l := range all {
+			for _, s := range l.Members {
+				if !holds(s) {
+					missing++
+				}
+			}
+		}
+		took := time.Since(began)
+		if missing == 0 {
+			return took, nil
+		}
+		if took > most {
+			return took, fmt.Errorf("%s: not so for %d members after %v", what, missing, took.Round(time.Second))
+		}
+		if err := f.pass(lookEvery); err != nil {
+			return took, err
+		}
+	}
+}
+
+// pass waits, and ends early with the run.
+func (f *Fleet) pass(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-f.ctx.Done():
+		return context.Cause(f.ctx)
+	}
+}
+
+// Meet waits until all members know of so many.
+func (f *Fleet) Meet(members int) (time.Duration, error) {
+	return f.until(fmt.Sprintf("all %d members are known", members), meetFor, func(s Sight) bool { return s.Alive == members })
+}
+
+// Kill ends a group's process at once.
+func (f *Fleet) Kill(k int) {
+	f.mu.Lock()
+	f.dead[k] = true
+	for _, n := range f.Groups[k] {
+		f.ended[f.Name(n)] = time.Now().UnixNano()
+	}
+	f.mu.Unlock()
+	f.groups[k].kill()
+}
+
+// Close ends all that the fleet runs.
+func (f *Fleet) Close() {
+	for _, r := range f.reals {
+		r.Stop(true)
+	}
+	f.each(func(_ int, r runner) error { r.close(); return nil })
+	f.stop()
+	f.work.Wait()
+	f.held.Close()
+}
--- /dev/null
+++ b/lab/scale/plot.go
@@ -0,0 +1,89 @@
+package scale
+
+import (
+	"image/color"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Budget is what a member may spend on control.
+var Budget = struct{ CPU, MemoryMB, Bytes float64 }{CPU: 1.3, MemoryMB: 32, Bytes: 7000}
+
+// panel is one picture: a cost by size, with its budget.
+type panel struct {
+	title  string
+	of     func(c *Cost) float64
+	budget float64
+}
+
+// Plot draws bytes, processor time and memory by size as SVG, with a point for each measurement: hollow members, real ones
+// beside them, and the budget as a line.
+func Plot(points []*Point, file string) error {
+	panels := []panel{
+		{"KB a second sent, with headers", func(c *Cost) float64 { return c.SentWire / 1000 }, Budget.Bytes / 1000},
+		{"percent of a core", func(c *Cost) float64 { return c.CPU }, Budget.CPU},
+		{"memory, MB", func(c *Cost) float64 { return c.Resident }, Budget.MemoryMB},
+	}
+	canvas := vgsvg.New(13*vg.Inch, 4*vg.Inch)
+	row := make([]*plot.Plot, len(panels))
+	for k, one := range panels {
+		p, err := one.draw(points)
+		if err != nil {
+			return err
+		}
+		row[k] = p
+	}
+	tiles := draw.Tiles{Rows: 1, Cols: len(row), PadX: vg.Points(12)}
+	for k, c := range plot.Align([][]*plot.Plot{row}, tiles, draw.New(canvas))[0] {
+		row[k].Draw(c)
+	}
+	return writeTo(file, canvas)
+}
+
+func (o panel) draw(points []*Point) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Min = o.title, "members", 0
+	var quiet, busy, real plotter.XYs
+	most := 0.0
+	for _, one := range points {
+		at := plotter.XY{X: float64(one.Size), Y: o.of(&one.Hollow)}
+		if one.Calls > 0 {
+			busy = append(busy, at)
+		} else {
+			quiet = append(quiet, at)
+		}
+		if one.Real != nil {
+			real = append(real, plotter.XY{X: float64(one.Size), Y: o.of(one.Real)})
+		}
+		most = max(most, at.X)
+	}
+	for _, series := range []struct {
+		name  string
+		xys   plotter.XYs
+		color color.Color
+	}{{"hollow", quiet, color.RGBA{B: 200, A: 255}}, {"hollow, with calls", busy, color.RGBA{G: 140, A: 255}}, {"real", real, color.RGBA{R: 200, A: 255}}} {
+		if len(series.xys) == 0 {
+			continue
+		}
+		s, err := plotter.NewScatter(series.xys)
+		if err != nil {
+			return nil, err
+		}
+		s.Color, s.Shape = series.color, draw.CircleGlyph{}
+		p.Add(s)
+		p.Legend.Add(series.name, s)
+	}
+	line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: o.budget}, {X: most, Y: o.budget}})
+	if err != nil {
+		return nil, err
+	}
+	line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	p.Add(line)
+	p.Legend.Add("budget", line)
+	p.Legend.Top, p.Legend.Left = true, true
+	return p, nil
+}
--- /dev/null
+++ b/lab/scale/proc.go
@@ -0,0 +1,72 @@
+package scale
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTicks is the unit of processor time in /proc, in a second.
+const clockTicks = 100
+
+// residentOf is a process's resident memory that is its own: anonymous pages, without the program's mapped file.
+func residentOf(pid int) int64 {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// cpuOf is a process's processor time.
+func cpuOf(pid int) time.Duration {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * (time.Second / clockTicks)
+}
+
+// Machine is how busy the machine is.
+type Machine struct {
+	At   int64   `json:"at"`
+	Busy float64 `json:"busy_core_s"` // processor time of everybody since the machine's start
+	Load float64 `json:"load_average"`
+}
+
+// LookAtMachine reads how busy the machine is.
+func LookAtMachine() Machine {
+	m := Machine{At: time.Now().UnixNano()}
+	if text, err := os.ReadFile("/proc/loadavg"); err == nil {
+		m.Load, _ = strconv.ParseFloat(strings.Fields(string(text))[0], 64)
+	}
+	if text, err := os.ReadFile("/proc/stat"); err == nil {
+		line, _, _ := strings.Cut(string(text), "\n")
+		for k, f := range strings.Fields(line) {
+			ticks, _ := strconv.ParseFloat(f, 64)
+			if k >= 1 && k <= 8 && k != 4 && k != 5 { // all but idle and waiting for disks
+				m.Busy += ticks / clockTicks
+			}
+		}
+	}
+	return m
+}
+
+// cores is how many cores were busy on average from one look to another.
+func cores(from, to Machine) float64 {
+	return (to.Busy - from.Busy) / (float64(to.At-from.At) / 1e9)
+}
--- /dev/null
+++ b/lab/scale/process.go
@@ -0,0 +1,200 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"time"
+)
+
+// order is what a group is told to do.
+type order struct {
+	Do      string        `json:"do"`
+	Spec    *Spec         `json:"spec,omitempty"`
+	Members []int         `json:"members,omitempty"`
+	Pause   time.Duration `json:"pause,omitempty"`
+	Ask     Ask           `json:"ask"`
+	Server  uint64        `json:"server,omitempty"`
+}
+
+// The orders.
+const (
+	doBegin   = "begin" // takes the Spec
+	doStart   = "start"
+	doStop    = "stop"
+	doRestart = "restart"
+	doCut     = "cut"
+	doSilence = "silence"
+	doLook    = "look"
+)
+
+// reply is what a group answers.
+type reply struct {
+	Error string `json:"error,omitempty"`
+	Look  *Look  `json:"look,omitempty"`
+}
+
+// obey carries an order out.
+func (g *Group) obey(o order) (r reply) {
+	var err error
+	switch o.Do {
+	case doStart:
+		err = g.Start(o.Members, o.Pause)
+	case doStop:
+		err = g.Stop(o.Members)
+	case doRestart:
+		err = g.Restart(o.Members, o.Pause)
+	case doCut:
+		g.Cut(o.Members)
+	case doSilence:
+		g.Silence(o.Server)
+	case doLook:
+		l := g.Look(o.Ask)
+		r.Look = &l
+	default:
+		err = fmt.Errorf("unknown order %q", o.Do)
+	}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	return r
+}
+
+// Serve is a group's process: it takes orders as lines of JSON until there are no more, and ends then.
+func Serve(ctx context.Context, in io.Reader, out io.Writer) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	orders, replies := json.NewDecoder(bufio.NewReader(in)), json.NewEncoder(out)
+	var g *Group
+	for {
+		var o order
+		if err := orders.Decode(&o); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		r := reply{}
+		switch {
+		case o.Do == doBegin && o.Spec != nil:
+			g = NewGroup(ctx, o.Spec)
+		case g == nil:
+			r.Error = "no fleet was named yet"
+		default:
+			r = g.obey(o)
+		}
+		if err := replies.Encode(r); err != nil {
+			return err
+		}
+	}
+}
+
+// runner runs one group, here or in a process of its own.
+type runner interface {
+	do(o order) (*Look, error)
+	kill() // at once, without a planned end
+	close()
+}
+
+// local runs a group in this process.
+type local struct {
+	g    *Group
+	stop context.CancelFunc
+}
+
+func newLocal(ctx context.Context, s *Spec) *local {
+	ctx, stop := context.WithCancel(ctx)
+	return &local{NewGroup(ctx, s), stop}
+}
+
+func (l *local) do(o order) (*Look, error) {
+	r := l.g.obey(o)
+	if r.Error != "" {
+		return nil, errors.New(r.Error)
+	}
+	return r.Look, nil
+}
+
+func (l *local) kill() { l.close() }
+
+func (l *local) close() {
+	l.stop()
+	for _, m := range l.g.all() {
+		<-m.done
+	}
+}
+
+// remote runs a group in a process of its own.
+type remote struct {
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	in   io.WriteCloser
+	out  *json.Decoder
+	over chan struct{}
+}
+
+// endFor is how long a group's process may take to end once it is told nothing more.
+const endFor = 5 * time.Second
+
+// newRemote starts a group's process. command is the program that serves, with its arguments.
+func newRemote(s *Spec, command []string) (*remote, error) {
+	cmd := exec.Command(command[0], command[1:]...)
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	r := &remote{cmd: cmd, in: in, out: json.NewDecoder(bufio.NewReader(out)), over: make(chan struct{})}
+	go func() {
+		cmd.Wait()
+		close(r.over)
+	}()
+	if _, err := r.do(order{Do: doBegin, Spec: s}); err != nil {
+		r.kill()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *remote) do(o order) (*Look, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := json.NewEncoder(r.in).Encode(o); err != nil {
+		return nil, err
+	}
+	var back reply
+	if err := r.out.Decode(&back); err != nil {
+		return nil, fmt.Errorf("a group's process ended: %w", err)
+	}
+	if back.Error != "" {
+		return nil, errors.New(back.Error)
+	}
+	return back.Look, nil
+}
+
+func (r *remote) kill() {
+	r.cmd.Process.Kill()
+	<-r.over
+}
+
+func (r *remote) close() {
+	r.in.Close()
+	select {
+	case <-r.over:
+	case <-time.After(endFor):
+		r.kill()
+	}
+}
