Peers: events that come after the end start nothing that Run no longer waits for

The membership library's goroutines outlive its Shutdown for a moment. Run now marks its end under the lock that seen holds, and seen starts nothing after it. TestEventsAfterTheEndStartNothing fails without the mark (data race) and passes three times with it.

--- /dev/null
+++ b/internal/peers/end_test.go
@@ -0,0 +1,35 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// The library's goroutines outlive its Shutdown for a moment, and what they still bring must not start anything that Run no
+// longer waits for. The race detector sees it.
+func TestEventsAfterTheEndStartNothing(t *testing.T) {
+	a := begin(t, Options{Name: "a"})
+	until(t, "it runs", func() bool { return a.list.Load() != nil })
+	about, err := Encode(meta{Epoch: 7, Started: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &memberlist.Node{Name: "b", Meta: about}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			a.seen(n, Alive)
+			a.seen(n, Gone)
+			time.Sleep(100 * time.Microsecond)
+		}
+	}()
+	a.end()
+	time.Sleep(20 * time.Millisecond)
+	cancel()
+	<-done
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -143,6 +143,7 @@
 	meta    meta
 	taken   string // by whom this one's name is taken; empty: by nobody
 	began   time.Time
+	over    bool // Run waits for its last goroutines, and the library's may still bring events: they start no more
 
 	heard, dropped, unread atomic.Int64
 	beat, woke             atomic.Int64 // the last tick, and the first one after a standstill, Unix nanoseconds
@@ -228,6 +229,9 @@
 	list.Leave(leaveFor)
 	p.remember()
 	list.Shutdown()
+	p.mu.Lock()
+	p.over = true
+	p.mu.Unlock()
 	stop()
 	p.links.close()
 	return g.Wait()
@@ -361,7 +365,7 @@
 	p.members[n.Name] = now
 	if !now.Self {
 		p.note(n.Name, state, reason)
-		if state != Alive || reason == Restarted {
+		if (state != Alive || reason == Restarted) && !p.over {
 			p.group.Go(func() error { p.links.forget(n.Name); return nil }) // closes sockets, which the library must not wait for
 		}
 	}
