Scale: faults at size, a slower clock for hollow members, and tests by counts

masthill-lab scale faults measures one fleet at rest, quiet and with made-up calls, and then has a machine, a rack, a zone, the allocator, a session server, a region or a whole rollout strike it, one after the other; every claim on budgets is held against the others. A clock that runs slower lets one machine hold 470 hollow members. Tests: bytes and datagrams at 20 and 40 members stay under the formula, state per member has its bound, a dead machine at 40 and a cut region at 20 members end with all knowing, a lost allocator overspends nothing; a build that tells all twice and one whose allocator keeps no books are caught.

--- a/cmd/masthill-lab/scale.go
+++ b/cmd/masthill-lab/scale.go
@@ -14,6 +14,7 @@
 type scaleCmd struct {
 	Steady scaleSteadyCmd `cmd:"" default:"withargs" help:"A fleet at rest, at several sizes."`
 	Trust  scaleTrustCmd  `cmd:"" help:"The same size all real and all hollow."`
+	Faults scaleFaultsCmd `cmd:"" help:"A fleet that something happens to."`
 	Group  scaleGroupCmd  `cmd:"" hidden:"" help:"Serve a group of hollow members; the others start it."`
 }
 
@@ -185,6 +186,39 @@
 	return &t, nil
 }
 
+type scaleFaultsCmd struct {
+	scaleOptions
+	Size  int           `default:"470" help:"Members, all hollow."`
+	Cut   time.Duration `default:"60s" help:"How long a region is cut off."`
+	Rest  time.Duration `default:"6s" help:"Measured before each fault."`
+	Quiet time.Duration `help:"Measure the fleet first without made-up calls, for so long."`
+	Kind  []string      `default:"machine,rack,zone,allocator,server,region,restarts" help:"What happens to the fleet, one after the other."`
+}
+
+func (c scaleFaultsCmd) Run(ctx context.Context) error {
+	r, err := c.results()
+	if err != nil {
+		return err
+	}
+	s, clean, err := c.steady(c.Size, 0)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	told := func(p *scale.Point, f *scale.Fault) error {
+		if p != nil {
+			r.Points = append(r.Points, p)
+		}
+		if f != nil {
+			r.Faults = append(r.Faults, f)
+			fmt.Println(time.Now().UTC().Format("15:04:05"), f)
+		}
+		return c.write(r)
+	}
+	return scale.Strikes{Layout: s.Layout, Kinds: c.Kind, Each: c.Each, Warm: s.Warm, Quiet: min(c.Quiet, scaleForMost), Busy: s.For,
+		Cut: min(c.Cut, scaleForMost), Rest: min(c.Rest, scaleForMost), Progress: os.Stdout, Told: told}.Run(ctx)
+}
+
 // scaleGroupCmd serves a group of hollow members until its input ends.
 type scaleGroupCmd struct{}
 
--- a/lab/scale/feed.go
+++ b/lab/scale/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -24,7 +25,8 @@
 	servers map[uint64]bool
 	silent  atomic.Uint64 // calls to this server get no answer; 0: none
 	calls   atomic.Uint64
-	open    []openCall // at the silent server; the core's goroutine alone looks at them
+	rate    atomic.Uint64 // calls a second, the bits of a float64
+	open    []openCall    // at the silent server; the core's goroutine alone looks at them
 }
 
 // openCall is a made-up call without its answer.
@@ -70,13 +72,10 @@
 
 // run hands calls in until ctx ends.
 func (f *feed) run(ctx context.Context, m *Member) {
-	rate := m.spec.Calls / m.spec.slow()
-	if rate <= 0 {
-		return
-	}
+	f.rate.Store(math.Float64bits(m.spec.Calls))
 	tick := time.NewTicker(feedEvery)
 	defer tick.Stop()
-	began := time.Now()
+	due := 0.0
 	for {
 		select {
 		case <-ctx.Done():
@@ -84,11 +83,11 @@
 		case <-tick.C:
 		}
 		servers := f.all()
-		due, done := uint64(time.Since(began).Seconds()*rate), f.calls.Load()
-		if len(servers) == 0 || due <= done {
+		due += feedEvery.Seconds() * math.Float64frombits(f.rate.Load()) / m.spec.slow()
+		n := uint64(min(due, fedMost))
+		if due -= float64(n); n == 0 || len(servers) == 0 {
 			continue
 		}
-		n := min(due-done, fedMost)
 		m.core.Offer(func(now int64) {
 			for range n {
 				call := f.calls.Add(1)
--- a/lab/scale/fit.go
+++ b/lab/scale/fit.go
@@ -22,11 +22,10 @@
 // Fit fits a line, with 95% confidence intervals of its two figures. It takes three points at least.
 func Fit(what, of string, x, y []float64) Line {
 	l := Line{What: what, Of: of, Points: len(x)}
-	if len(x) < 3 {
+	if len(x) < 3 || stat.Variance(x, nil) == 0 {
 		return l
 	}
 	l.At0, l.Slope = stat.LinearRegression(x, y, nil, false)
-	l.R2 = stat.RSquared(x, y, nil, l.At0, l.Slope)
 	mean, squares, rest := stat.Mean(x, nil), 0.0, 0.0
 	for k := range x {
 		squares += (x[k] - mean) * (x[k] - mean)
@@ -38,6 +37,9 @@
 	variance := rest / (n - 2)
 	l.CI = t * math.Sqrt(variance/squares)
 	l.At0CI = t * math.Sqrt(variance*(1/n+mean*mean/squares))
+	if l.R2 = stat.RSquared(x, y, nil, l.At0, l.Slope); math.IsNaN(l.R2) { // all the same
+		l.R2 = 0
+	}
 	return l
 }
 
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -16,8 +16,8 @@
 const (
 	// startPause is the pause between two starts in one group.
 	startPause = 5 * time.Millisecond
-	// meetFor is how long a fleet may take until all its members know of all.
-	meetFor = 90 * time.Second
+	// meetFor is how long a fleet may take until all its members know of all, by the members' clock, and meetMost by any.
+	meetFor, meetMost = 90 * time.Second, 4 * time.Minute
 	// lookEvery is the pause between two looks while something is waited for.
 	lookEvery = 500 * time.Millisecond
 	// listedFirst is the number of the first server on the list.
@@ -44,7 +44,7 @@
 	dead   map[int]bool // groups that were killed
 	reals  []*real
 	claims []Claim
-	ended  map[string]int64 // members that were killed: when, Unix nanoseconds
+	ended  map[string]int64 // members that were killed: when, by the members' clock
 }
 
 // Even puts members from a number on into groups of a size.
@@ -217,7 +217,24 @@
 
 // Meet waits until all members know of so many.
 func (f *Fleet) Meet(members int) (time.Duration, error) {
-	return f.until(fmt.Sprintf("all %d members are known", members), meetFor, func(s Sight) bool { return s.Alive == members })
+	most := min(time.Duration(float64(meetFor)*f.slow()), meetMost)
+	return f.until(fmt.Sprintf("all %d members are known", members), most, func(s Sight) bool { return s.Alive == members })
+}
+
+// call sets the made-up calls of all hollow members, a second.
+func (f *Fleet) call(rate float64) error {
+	f.Calls = rate
+	return f.each(func(_ int, r runner) error {
+		_, err := r.do(order{Do: doCall, Calls: rate})
+		return err
+	})
+}
+
+// left is how many members have not been killed.
+func (f *Fleet) left() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Size - len(f.ended)
 }
 
 // Kill ends a group's process at once.
@@ -225,7 +242,7 @@
 	f.mu.Lock()
 	f.dead[k] = true
 	for _, n := range f.Groups[k] {
-		f.ended[f.Name(n)] = time.Now().UnixNano()
+		f.ended[f.Name(n)] = f.at(time.Now()).UnixNano()
 	}
 	f.mu.Unlock()
 	f.groups[k].kill()
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -56,6 +57,7 @@
 	ctx     context.Context
 	mu      sync.Mutex
 	members map[int]*Member
+	claims  []Claim // of members that have ended
 }
 
 // NewGroup makes an empty group; ctx ends all its members.
@@ -97,6 +99,10 @@
 		if err := m.Stop(); err != nil {
 			return err
 		}
+		claims, _ := m.claims.take()
+		g.mu.Lock()
+		g.claims = append(g.claims, claims...)
+		g.mu.Unlock()
 	}
 	return nil
 }
@@ -138,6 +144,13 @@
 	}
 }
 
+// Call sets the made-up calls of all members, a second.
+func (g *Group) Call(rate float64) {
+	for _, m := range g.all() {
+		m.feed.rate.Store(math.Float64bits(rate))
+	}
+}
+
 func (g *Group) all() (all []*Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -160,6 +173,11 @@
 			l.Claims, l.Lost = append(l.Claims, claims...), l.Lost+lost
 		}
 	}
+	if a.Claims {
+		g.mu.Lock()
+		l.Claims, g.claims = append(l.Claims, g.claims...), nil
+		g.mu.Unlock()
+	}
 	l.CPU, l.Resident = usage()
 	if a.Heap {
 		l.Heap = heap()
--- a/lab/scale/member.go
+++ b/lab/scale/member.go
@@ -198,7 +198,7 @@
 		m.core.Members(changed, full)
 	}}
 	m.list.Start(p.Known)
-	m.ear = &ear{Shared: m.shared, judged: map[string]int64{}}
+	m.ear = &ear{Shared: m.shared, without: s.Without, judged: map[string]int64{}}
 	m.peers, err = peers.New(peers.Options{Name: s.Name(k), Site: own.Peers.Site, Machine: own.Peers.Machine, Version: "hollow", Epoch: epoch, Listen: own.Peers.Listen,
 		Seeds: own.Peers.Seeds, Keys: own.Peers.Secrets, Log: log, Module: m.ear, Do: m.core.Offer, Reach: m.reach, Slow: s.Slow})
 	return m, err
@@ -230,8 +230,21 @@
 // ear stands between the membership and the shared state, and notes when each other member's judgements last came.
 type ear struct {
 	*shared.Shared
-	mu     sync.Mutex
-	judged map[string]int64 // by sender: when, Unix nanoseconds
+	without string
+	mu      sync.Mutex
+	judged  map[string]int64 // by sender: when, by the member's clock
+}
+
+// WithoutPace leaves out that everything is told once: a build that talks too much, for the tests to catch.
+const WithoutPace = "pace"
+
+// Tick implements peers.Module.
+func (e *ear) Tick(now int64, members int) []shared.Out {
+	out := e.Shared.Tick(now, members)
+	if e.without == WithoutPace {
+		out = append(out, out...)
+	}
+	return out
 }
 
 // Hear implements peers.Module.
--- a/lab/scale/process.go
+++ b/lab/scale/process.go
@@ -21,6 +21,7 @@
 	Pause   time.Duration `json:"pause,omitempty"`
 	Ask     Ask           `json:"ask"`
 	Server  uint64        `json:"server,omitempty"`
+	Calls   float64       `json:"calls,omitempty"`
 }
 
 // The orders.
@@ -31,6 +32,7 @@
 	doRestart = "restart"
 	doCut     = "cut"
 	doSilence = "silence"
+	doCall    = "call"
 	doLook    = "look"
 )
 
@@ -54,6 +56,8 @@
 		g.Cut(o.Members)
 	case doSilence:
 		g.Silence(o.Server)
+	case doCall:
+		g.Call(o.Calls)
 	case doLook:
 		l := g.Look(o.Ask)
 		r.Look = &l
@@ -120,7 +124,14 @@
 	return r.Look, nil
 }
 
-func (l *local) kill() { l.close() }
+// kill has the members fall silent before they end, so that they do not leave.
+func (l *local) kill() {
+	none := func(int) bool { return false }
+	for _, m := range l.g.all() {
+		m.cut.Store(&none)
+	}
+	l.close()
+}
 
 func (l *local) close() {
 	l.stop()
--- /dev/null
+++ b/lab/scale/scale_test.go
@@ -0,0 +1,282 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"masthill/control/shared/lease"
+)
+
+// small is a fleet in this process.
+func small(size int, calls float64) Layout {
+	return Layout{Spec: Spec{Size: size, Servers: size, Zones: 3, Calls: calls, Seed: 5}, Groups: Even(0, size, 10)}
+}
+
+// counted measures a fleet of hollow members by its counters.
+func counted(t *testing.T, l Layout) *Point {
+	t.Helper()
+	p, err := Steady{Layout: l, Warm: time.Second, For: 3 * time.Second}.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Hollow.Members != l.Size || p.Hollow.SentDatagrams < 1 || p.Hollow.SentStream <= 0 || p.Hollow.GotDatagrams < 1 {
+		t.Fatalf("too little was seen: %+v", p)
+	}
+	return p
+}
+
+// A machine that is busy makes members send less, so these bounds hold on any.
+func TestTrafficStaysUnderTheFormula(t *testing.T) {
+	t.Parallel()
+	for size, calls := range map[int]float64{20: 20, 40: 0} {
+		for _, found := range Exceeds(counted(t, small(size, calls)), size) {
+			t.Error(found)
+		}
+	}
+}
+
+// A build that tells everything twice is over the formula.
+func TestAChattyBuildIsCaught(t *testing.T) {
+	l := small(20, 0)
+	l.Without = WithoutPace
+	if p := counted(t, l); len(Exceeds(p, l.Size)) == 0 {
+		t.Errorf("nothing found: %+v", p.Hollow)
+	}
+}
+
+// What a member keeps of others goes by how many there are and have been of late, not by how often they start.
+func TestStateHasItsBound(t *testing.T) {
+	t.Parallel()
+	const size, again = 20, 10
+	f, err := Begin(t.Context(), small(size, 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Meet(size); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := f.groups[1].do(order{Do: doRestart, Members: f.Groups[1][:again], Pause: 50 * time.Millisecond}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := f.Meet(size); err != nil {
+		t.Fatal(err)
+	}
+	looks, err := f.Look(Ask{Ages: size})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range looks {
+		if l.Sources < 2 || l.Sources > size+2*again {
+			t.Errorf("counts of %d processes are kept", l.Sources)
+		}
+		for _, s := range l.Members {
+			if s.Alive+s.Gone > size {
+				t.Errorf("%s keeps %d members", s.Name, s.Alive+s.Gone)
+			}
+		}
+	}
+}
+
+// struck has something happen to a fleet in this process.
+func struck(t *testing.T, kind string, size int, without string) (r *Fault) {
+	t.Helper()
+	l := small(size, 100) // with which members ask for more of a cold server's budget than there is
+	l.Without = without
+	err := Strikes{Layout: l, Kinds: []string{kind}, Each: 10, Cut: 2 * time.Second, Rest: time.Second,
+		Told: func(_ *Point, f *Fault) error { r = f; return nil }}.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestADeadMachineIsKnownToAll(t *testing.T) {
+	t.Parallel()
+	r := struck(t, FaultMachine, 40, "")
+	if r.AllKnowS < 0 || r.Struck != 1 || r.Note != "" {
+		t.Errorf("not all know: %+v", r)
+	}
+}
+
+func TestACutRegionEndsWithAllKnowing(t *testing.T) {
+	t.Parallel()
+	r := struck(t, FaultRegion, 20, "")
+	if r.AllKnowS < 0 || r.HealedS < 0 || r.Note != "" {
+		t.Errorf("not all know: %+v", r)
+	}
+	if r.Budgets.Overspent > 0 || r.Budgets.Rivals > 0 || r.Budgets.Claims < 20 || r.Budgets.MostInUse == 0 {
+		t.Errorf("budgets: %+v", r.Budgets)
+	}
+}
+
+func TestALostAllocatorOverspendsNothing(t *testing.T) {
+	t.Parallel()
+	r := struck(t, FaultAllocator, 20, "")
+	if r.AllKnowS < 0 || r.Struck != 1 || r.Note != "" {
+		t.Errorf("%+v", r)
+	}
+	if r.Budgets.Overspent > 0 || r.Budgets.Rivals > 0 || r.Budgets.Claims < 20 || r.Budgets.MostInUse == 0 {
+		t.Errorf("budgets: %+v", r.Budgets)
+	}
+}
+
+// A build whose allocator keeps no books is caught.
+func TestABuildWithoutBooksIsCaught(t *testing.T) {
+	t.Parallel()
+	if r := struck(t, FaultAllocator, 20, lease.Book); r.Budgets.Overspent == 0 {
+		t.Errorf("nothing found: %+v", r.Budgets)
+	}
+}
+
+func TestTheCheckOfBudgets(t *testing.T) {
+	at := func(s float64) int64 { return int64(s * 1e9) }
+	claim := func(name string, from, until float64, rate int64) Claim {
+		return Claim{Name: name, Epoch: 1, At: at(from), Claim: lease.Claim{Budget: "b", Floor: 1000, Rate: rate, Until: at(until), Size: 10_000}}
+	}
+	for what, c := range map[string]struct {
+		all   []Claim
+		ended map[string]int64
+		want  int
+	}{
+		"within the pool":        {[]Claim{claim("a", 1, 3, 4000), claim("b", 2, 4, 4000)}, nil, 0},
+		"one after the other":    {[]Claim{claim("a", 1, 3, 8000), claim("b", 3, 5, 8000)}, nil, 0},
+		"both":                   {[]Claim{claim("a", 1, 3, 8000), claim("b", 2.9, 5, 1000)}, nil, 1},
+		"less before the other":  {[]Claim{claim("a", 1, 9, 8000), claim("a", 2, 9, 2000), claim("b", 3, 5, 6000)}, nil, 0},
+		"the first one was dead": {[]Claim{claim("a", 1, 9, 8000), claim("b", 3, 5, 6000)}, map[string]int64{"a": at(2)}, 0},
+	} {
+		if b := CheckBudgets(c.all, 2, c.ended); b.Overspent != c.want {
+			t.Errorf("%s: %+v", what, b)
+		}
+	}
+	reign := func(name string, from, until float64) Claim {
+		return Claim{Name: name, Epoch: 1, At: at(from), Reign: at(until)}
+	}
+	if b := CheckBudgets([]Claim{reign("a", 1, 3), reign("b", 3, 5)}, 2, nil); b.Rivals != 0 {
+		t.Errorf("%+v", b)
+	}
+	if b := CheckBudgets([]Claim{reign("a", 1, 3), reign("b", 2.9, 5)}, 2, nil); b.Rivals != 1 {
+		t.Errorf("%+v", b)
+	}
+}
+
+func TestFit(t *testing.T) {
+	l := Fit("y", "x", []float64{1, 2, 3, 4}, []float64{3.1, 4.9, 7.1, 8.9})
+	if l.Slope < 1.9 || l.Slope > 2.1 || l.At0 < 0.8 || l.At0 > 1.2 || l.CI < 0.1 || l.CI > 0.5 || l.R2 < 0.99 {
+		t.Errorf("%+v", l)
+	}
+	if l := Fit("y", "x", []float64{1, 2}, []float64{1, 2}); l.Slope != 0 || l.Points != 2 {
+		t.Errorf("a line through two points: %+v", l)
+	}
+}
+
+func TestAgesArePercentiles(t *testing.T) {
+	var all []int64
+	for k := range 200 {
+		all = append(all, int64(200-k))
+	}
+	if a := agesFrom(all); a.Median != 100 || a.P99 != 198 || a.Max != 200 || a.Looks != 200 {
+		t.Errorf("%+v", a)
+	}
+	if a := agesFrom(nil); a != (Ages{}) {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Results are kept over a run that was cut, and a size that they have is not measured again.
+func TestResultsAreKept(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "results.json")
+	r, err := Read(file)
+	if err != nil || len(r.Points) > 0 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, size := range []int{30, 60, 120} {
+		r.Points = append(r.Points, &Point{Size: size, Hollow: Cost{Members: size, CPU: float64(size)}})
+	}
+	if err := r.Write(file); err != nil {
+		t.Fatal(err)
+	}
+	if r, err = Read(file); err != nil || !r.Has(60, 0, 0, 0) || r.Has(60, 5, 0, 0) || r.Has(61, 0, 0, 0) || len(r.Lines) == 0 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if err := Plot(r.Points, file+".svg"); err != nil {
+		t.Error(err)
+	}
+	if text, _ := os.ReadFile(file + ".svg"); !bytes.Contains(text, []byte("<svg")) {
+		t.Error("no picture")
+	}
+}
+
+// A group's process takes orders until its input ends, and says what is wrong with one.
+func TestServeTakesOrders(t *testing.T) {
+	var in, out bytes.Buffer
+	orders := json.NewEncoder(&in)
+	for _, o := range []order{{Do: doLook}, {Do: doBegin, Spec: &Spec{Size: 3}}, {Do: "dance"}, {Do: doLook}} {
+		orders.Encode(o)
+	}
+	if err := Serve(t.Context(), &in, &out); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 4 || !strings.Contains(lines[0], "error") || strings.Contains(lines[1], "error") || !strings.Contains(lines[2], "dance") ||
+		!strings.Contains(lines[3], "resident_bytes") {
+		t.Errorf("%q", lines)
+	}
+}
+
+func mustAddr(t *testing.T, text string) netip.Addr {
+	t.Helper()
+	a, err := netip.ParseAddr(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestAddressesAndNumbersAgree(t *testing.T) {
+	s := Spec{Net: "127.140", Size: 940}
+	seen := map[string]bool{}
+	for k := range s.Size {
+		addr := s.Addr(k)
+		if seen[addr] {
+			t.Fatalf("%s twice", addr)
+		}
+		seen[addr] = true
+		host := strings.TrimSuffix(addr, ":2908")
+		if n := s.number(mustAddr(t, host)); n != k {
+			t.Fatalf("%s is %d, not %d", addr, n, k)
+		}
+	}
+	if s.number(mustAddr(t, "127.0.0.1")) != -1 {
+		t.Error("an address outside is a member's")
+	}
+}
+
+func TestGroupsHoldEachMemberOnce(t *testing.T) {
+	for _, size := range []int{20, 40, 470} {
+		groups, rack, zone := Grouped(size, 40)
+		seen := map[int]bool{}
+		for _, g := range groups {
+			for _, k := range g {
+				if seen[k] {
+					t.Errorf("%d twice", k)
+				}
+				seen[k] = true
+			}
+		}
+		if len(seen) != size || len(groups[rack]) != min(12, size/4) || len(groups[zone]) != max(size/11, 1) {
+			t.Errorf("%d: %d members, a rack of %d, a zone of %d", size, len(seen), len(groups[rack]), len(groups[zone]))
+		}
+	}
+}
--- a/lab/scale/steady.go
+++ b/lab/scale/steady.go
@@ -104,11 +104,20 @@
 		return nil, err
 	}
 	p.MeetS, p.Processes = met.Seconds(), len(s.Groups)+len(s.Numbers)
-	s.say("  %.0f bytes and %.1f datagrams a second sent, %.2f%% of a core, counts %.0f ms old (p99); own %.1f cores, others %.1f, load %.1f",
-		p.Hollow.SentWire, p.Hollow.SentDatagrams, p.Hollow.CPU, p.Counts.P99, p.OwnCores, p.OthersCores, p.Load)
+	s.say("  %s", p)
 	return p, nil
 }
 
+// String tells a point in a line.
+func (p *Point) String() string {
+	text := fmt.Sprintf("%.0f bytes and %.1f datagrams a second sent, %.2f%% of a core, %.2f MB, counts %.0f ms old (p99), judgements %.0f; own %.1f cores, others %.1f, load %.1f",
+		p.Hollow.SentWire, p.Hollow.SentDatagrams, p.Hollow.CPU, p.Hollow.Resident, p.Counts.P99, p.Judgements.P99, p.OwnCores, p.OthersCores, p.Load)
+	if p.Real != nil {
+		text += fmt.Sprintf("; real: %.0f bytes, %.1f datagrams, %.2f%%, %.2f MB, %.1f calls a second", p.Real.SentWire, p.Real.SentDatagrams, p.Real.CPU, p.Real.Resident, p.Real.Calls)
+	}
+	return text
+}
+
 func (s Steady) say(format string, a ...any) {
 	if s.Progress != nil {
 		fmt.Fprintf(s.Progress, time.Now().UTC().Format("15:04:05 ")+format+"\n", a...)
