--- a/internal/peers/events.go
+++ b/internal/peers/events.go
@@ -58,7 +58,7 @@
 		return
 	}
 	p.recordChange(n.Name, state, reason)
-	if state != Alive || reason == Restarted {
+	if (state != Alive || reason == Restarted) && !p.ended {
 		// Closing sockets may take time, and the library must not wait for it.
 		p.group.Go(func() error { p.sessions.closeMember(n.Name); return nil })
 	}
@@ -87,6 +87,9 @@
 	p.log.Info("member", "name", name, "state", state, "reason", reason)
 	p.changes = append(p.changes, Change{time.Now(), name, state, reason})
 	p.changes = p.changes[max(0, len(p.changes)-maxChanges):]
+	if reason == Gone {
+		p.transport.meter.deaths.Add(1)
+	}
 }
 
 // evictOldestLost forgets the member that has not been alive for the longest time. The caller holds the lock.
--- a/internal/peers/join.go
+++ b/internal/peers/join.go
@@ -56,7 +56,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(wait):
+		case <-time.After(p.options.slowed(wait)):
 		}
 		if nameTaken {
 			p.recheckName()
--- a/internal/peers/memberlist.go
+++ b/internal/peers/memberlist.go
@@ -47,7 +47,7 @@
 	c.Conflict = callbacks
 	c.Alive = callbacks
 	c.Logger = stdlog.New(logWriter{p.log}, "", 0)
-	return c
+	return p.options.slow(c)
 }
 
 // logWriter passes the library's log lines on: its errors at level info, as they are no faults of this program, and the
--- a/internal/peers/options.go
+++ b/internal/peers/options.go
@@ -30,4 +30,6 @@
 	// drops the function.
 	Do       func(f func(now int64)) bool
 	Handlers map[string]Handler // of the streams that other members open, by kind
+	Reach    Reach              // nil: all addresses can be reached
+	Slow     float64            // stretches all intervals, for a lab; up to 1: not at all
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -44,6 +44,7 @@
 	changes     []Change
 	self        memberInfo
 	nameTakenBy string // the address of another process with this instance's name; empty: there is none
+	ended       bool   // Run waits for its last goroutines: events that the library still brings start no more
 
 	received    atomic.Int64
 	dropped     atomic.Int64
@@ -92,6 +93,7 @@
 		byMember: map[string]*yamux.Session{},
 	}
 	t.handleStream = p.sessions.accept
+	t.reach = o.Reach
 	return p, nil
 }
 
@@ -134,4 +136,7 @@
 	list.Leave(leaveTimeout)
 	p.saveMembers()
 	list.Shutdown()
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
 }
--- a/internal/peers/session.go
+++ b/internal/peers/session.go
@@ -233,8 +233,7 @@
 func (p *Peers) dial(ctx context.Context, name string) (net.Conn, error) {
 	for _, a := range p.peerAddresses() {
 		if a.Name == name {
-			d := net.Dialer{Timeout: handshakeTimeout}
-			return d.DialContext(ctx, "tcp", p.transport.addressOf(a))
+			return p.transport.dial(ctx, a, handshakeTimeout)
 		}
 	}
 	return nil, ErrNoMember
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -19,6 +19,8 @@
 	Unread   int64    `json:"unreadable"`
 	SentN    int64    `json:"sent"` // datagrams
 	SentByte int64    `json:"sent_bytes"`
+	Traffic  Traffic  `json:"traffic"`
+	Deaths   int64    `json:"deaths"` // changes of other members to gone
 }
 
 // Status describes the membership now.
@@ -33,6 +35,8 @@
 		Unread:   p.undecodable.Load(),
 		SentN:    p.transport.sentPackets.Load(),
 		SentByte: p.transport.sentBytes.Load(),
+		Traffic:  p.Traffic(),
+		Deaths:   p.transport.meter.deaths.Load(),
 	}
 	if list := p.list.Load(); list != nil {
 		s.Health = list.GetHealthScore()
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -40,6 +40,8 @@
 	dropped          atomic.Int64 // datagrams
 	sentPackets      atomic.Int64
 	sentBytes        atomic.Int64
+	meter            meter
+	reach            Reach
 }
 
 // listen opens a transport. Port 0 stands for any port that is free for both TCP and UDP.
@@ -83,7 +85,7 @@
 		t.acceptStreams(func(c net.Conn) {
 			g.Go(func() error {
 				defer t.pending.Add(-1)
-				t.dispatch(ctx, c)
+				t.dispatch(ctx, t.meter.stream(c))
 				return nil
 			})
 		})
@@ -103,6 +105,10 @@
 		if err != nil || n < 1 {
 			continue
 		}
+		t.meter.datagram(n)
+		if t.reach.cut(from.AddrPort()) {
+			continue
+		}
 		select {
 		case t.packets <- &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: from, Timestamp: time.Now()}:
 		default:
@@ -213,6 +219,9 @@
 	}
 	t.sentBytes.Add(int64(len(b)))
 	t.sentPackets.Add(1)
+	if t.reach.cut(to.AddrPort()) {
+		return time.Now(), nil
+	}
 	_, err = t.udp.WriteToUDP(b, to)
 	return time.Now(), err
 }
@@ -227,7 +236,7 @@
 
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
 func (t *transport) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", t.addressOf(a), wait)
+	return t.dial(context.Background(), a, wait)
 }
 
 // StreamCh implements memberlist.Transport.
