--- /dev/null
+++ b/internal/callws/answers.go
@@ -0,0 +1,86 @@
+package callws
+
+import (
+	"time"
+
+	"masthill/internal/exchange"
+	"masthill/internal/sip"
+)
+
+// Answer implements exchange.Caller. An answer that finds no socket is on record: the caller gets it when it
+// sends the call again.
+func (f *Front) Answer(key string, final exchange.Final) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.calls[key]
+	if c == nil {
+		return
+	}
+	if c.sock != nil && !c.stands {
+		c.sock.open--
+	}
+	if final.Verdict != exchange.Stands {
+		delete(f.calls, key)
+	} else if c.sock != nil {
+		c.stands = true
+	}
+	if c.sock != nil {
+		c.sock.send(reply{Type: final.Verdict.String(), ID: c.id, LaterMS: final.Wait.Milliseconds(),
+			description: describe(final.Desc)})
+	}
+}
+
+// Presence implements exchange.PresenceChecker. A call belongs to the socket that it came on last.
+func (f *Front) Presence(key string) exchange.Presence {
+	c, s := f.waiting(key)
+	if s == nil {
+		return exchange.Gone
+	}
+	input := s.in.Look()
+	now, at := f.waiting(key)
+	switch {
+	case now != c || at == nil: // cancelled or closed before the look, which then finds nothing unread
+		return exchange.Gone
+	case at != s: // joined from another socket meanwhile, which was heard in that moment
+		return exchange.Connected
+	case input == sip.InputEnded:
+		return exchange.Gone
+	case input == sip.InputUnread:
+		return exchange.Unheard
+	}
+	return exchange.Connected
+}
+
+// waiting gives a call that waits for its answer and the socket that it belongs to, or nil.
+func (f *Front) waiting(key string) (*call, *sock) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.calls[key]
+	if c == nil {
+		return nil, nil
+	}
+	return c, c.sock
+}
+
+// Release implements exchange.Caller. It goes to the call's socket, to another of the same caller, or to the
+// next one that the caller opens.
+func (f *Front) Release(key string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.calls[key]
+	if c == nil {
+		return
+	}
+	to := c.sock
+	for s := range f.socks {
+		if to == nil && s.identity == c.identity {
+			to = s
+		}
+	}
+	if to == nil {
+		c.over, c.cut, c.since = true, cut, time.Now()
+		return
+	}
+	delete(f.calls, key)
+	to.send(reply{Type: "released", ID: c.id, Cut: &cut})
+}
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -18,7 +17,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/internal/exchange"
-	"masthill/internal/sip"
 )
 
 const (
@@ -70,17 +68,6 @@
 	resume   time.Duration // resumeFor, but for tests
 }
 
-// sock is one caller's socket.
-type sock struct {
-	*conn
-	in       *sip.Input
-	front    *Front
-	identity string
-	open     int // calls without their answer
-	asked    bool
-	since    time.Time
-}
-
 // call is a call of this front, until it has its refusal or its release has been told.
 type call struct {
 	id, identity string
@@ -91,26 +78,6 @@
 	since        time.Time // it lost its socket, or is over without one
 }
 
-// request is what a caller sends.
-type request struct {
-	Type, ID, Class, Tenant, Number string
-	PatienceMS                      *int64 `json:"patience_ms"`
-	FirstChoice                     *int   `json:"first_choice"`
-	Retry, Again                    bool
-	description
-}
-
-// reply is what a caller is told.
-type reply struct {
-	Type    string `json:"type"`
-	ID      string `json:"id,omitempty"`
-	LaterMS int64  `json:"later_ms,omitempty"`
-	Cut     *bool  `json:"cut,omitempty"`
-	Code    int    `json:"code,omitempty"`
-	Text    string `json:"text,omitempty"`
-	description
-}
-
 // New makes a front.
 func New(o Options) *Front {
 	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}, resume: resumeFor}
@@ -192,94 +159,6 @@
 	}
 }
 
-// rawConn is the key of a request's connection in its context.
-type rawConn struct{}
-
-// limited bounds the connections held at once. Those that never became a socket make room, the oldest first: peers
-// that connect and say nothing must not keep callers out.
-type limited struct {
-	net.Listener
-	log  *slog.Logger
-	most int
-	mu   sync.Mutex
-	open map[*counted]bool
-}
-
-// counted is a connection that counts until it is closed.
-type counted struct {
-	net.Conn
-	in      *sip.Input
-	limited *limited
-	since   time.Time
-	// Under the lock of limited: it is a socket, or about to be; it has made room for another connection.
-	socket, spared bool
-}
-
-// claim makes the connection a socket, unless it has made room already. It comes before the 101: a caller that has
-// read that believes that it is connected, and must not be the one that makes room.
-func (c *counted) claim() bool {
-	c.limited.mu.Lock()
-	defer c.limited.mu.Unlock()
-	c.socket = !c.spared
-	return c.socket
-}
-
-// disclaim takes a claim back whose upgrade failed.
-func (c *counted) disclaim() {
-	c.limited.mu.Lock()
-	defer c.limited.mu.Unlock()
-	c.socket = false
-}
-
-// Read implements net.Conn.
-func (c *counted) Read(b []byte) (int, error) { return c.in.Read(b) }
-
-func (c *counted) Close() error {
-	c.limited.mu.Lock()
-	delete(c.limited.open, c)
-	c.limited.mu.Unlock()
-	return c.Conn.Close()
-}
-
-func (l *limited) Accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.admit(raw); c != nil {
-			return c, nil
-		}
-		l.log.Warn("call socket ended", "reason", sip.OverLimit, "peer", raw.RemoteAddr().String())
-		raw.Close()
-	}
-}
-
-func (l *limited) admit(raw net.Conn) net.Conn {
-	l.mu.Lock()
-	var spare *counted
-	for c := range l.open {
-		if !c.socket && !c.spared && (spare == nil || c.since.Before(spare.since)) {
-			spare = c
-		}
-	}
-	full := len(l.open) >= l.most
-	if full && spare == nil {
-		l.mu.Unlock()
-		return nil
-	}
-	c := &counted{Conn: raw, in: sip.NewInput(raw), limited: l, since: time.Now()}
-	l.open[c] = true
-	if full {
-		spare.spared = true
-	}
-	l.mu.Unlock()
-	if full {
-		spare.Close() // the server logs it as one that never became a socket
-	}
-	return c
-}
-
 // Unfinished tells how many sockets are still to be served in a drain.
 func (f *Front) Unfinished() (n int) {
 	f.mu.Lock()
@@ -420,177 +299,3 @@
 		f.mu.Unlock()
 	}
 }
-
-// take handles one message of a caller.
-func (s *sock) take(data []byte) error {
-	at := time.Now()
-	var m request
-	if json.Unmarshal(data, &m) != nil {
-		return errUnreadable
-	}
-	switch {
-	case m.ID == "" || len(m.ID) > idMost:
-		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "id: empty or over 128 bytes"})
-	case m.Type == "call":
-		if code, text := s.call(&m, at); code != 0 {
-			s.front.Log.Warn("call turned down", "code", code, "why", text, "identity", s.identity)
-			s.send(reply{Type: "error", ID: m.ID, Code: code, Text: text})
-		}
-	case m.Type == "cancel":
-		s.forget(Key(s.identity, m.ID))
-	case m.Type == "hangup":
-		if !s.forget(Key(s.identity, m.ID)) {
-			s.send(reply{Type: "error", ID: m.ID, Code: 481, Text: "no such call"})
-			return nil
-		}
-		s.send(reply{Type: "released", ID: m.ID, Cut: new(bool)})
-	default:
-		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "type: unknown"})
-	}
-	return nil
-}
-
-func (s *sock) owner() string { return "ws/" + s.identity }
-
-// forget drops a call that its caller ended. The core is told under the lock, lest that overtake a set-up sent again.
-func (s *sock) forget(key string) bool {
-	f := s.front
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c, ok := f.calls[key]
-	if ok && c.sock != nil && !c.stands {
-		c.sock.open--
-	}
-	if ok {
-		delete(f.calls, key)
-		f.Core.GiveUp(key, s.owner(), nil)
-	}
-	return ok
-}
-
-// call takes a set-up, or one sent again after a reconnect: the exchange joins it to the running call or gives
-// the recorded answer.
-func (s *sock) call(m *request, at time.Time) (code int, text string) {
-	if m.Number == "" {
-		return 400, "number: empty"
-	}
-	key := Key(s.identity, m.ID)
-	if len(m.raw()) > descMost {
-		return 413, "description leaves no room for the headers to an office"
-	}
-	setup := exchange.Setup{ID: key, Owner: s.owner(), Number: m.Number, Desc: m.raw(), Dest: -1, Retry: m.Retry,
-		Again: m.Again}
-	if m.FirstChoice != nil {
-		setup.Dest = *m.FirstChoice
-	}
-	if err := s.front.Names.Fill(&setup, m.Class, m.Tenant, m.PatienceMS, at); err != nil {
-		return 400, err.Error()
-	}
-	f := s.front
-	f.mu.Lock()
-	c, sum := f.calls[key], setup.Sum()
-	if c != nil && c.sum != sum { // joined, it would get the answer to another description
-		f.mu.Unlock()
-		return 482, "id of another call"
-	}
-	if late := !f.drainAt.IsZero() && time.Since(f.drainAt) > drainFor; c == nil && (f.refusing || late && s.open > 0) {
-		f.mu.Unlock()
-		return 503, "the instance ends"
-	}
-	if c == nil && (len(f.calls) >= callsMost || s.open >= openMost) {
-		f.mu.Unlock()
-		return 503, "too many calls"
-	}
-	if c == nil {
-		c = &call{id: m.ID, identity: s.identity, sum: sum}
-		f.calls[key] = c
-	}
-	if !c.stands {
-		if c.sock != nil {
-			c.sock.open--
-		}
-		s.open++
-	}
-	c.sock, s.asked = s, true
-	f.mu.Unlock()
-	f.Core.Arrive(setup, f)
-	return 0, ""
-}
-
-// Answer implements exchange.Caller. An answer that finds no socket is on record: the caller gets it when it
-// sends the call again.
-func (f *Front) Answer(key string, final exchange.Final) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.calls[key]
-	if c == nil {
-		return
-	}
-	if c.sock != nil && !c.stands {
-		c.sock.open--
-	}
-	if final.Verdict != exchange.Stands {
-		delete(f.calls, key)
-	} else if c.sock != nil {
-		c.stands = true
-	}
-	if c.sock != nil {
-		c.sock.send(reply{Type: final.Verdict.String(), ID: c.id, LaterMS: final.Wait.Milliseconds(),
-			description: describe(final.Desc)})
-	}
-}
-
-// Presence implements exchange.PresenceChecker. A call belongs to the socket that it came on last.
-func (f *Front) Presence(key string) exchange.Presence {
-	c, s := f.waiting(key)
-	if s == nil {
-		return exchange.Gone
-	}
-	input := s.in.Look()
-	now, at := f.waiting(key)
-	switch {
-	case now != c || at == nil: // cancelled or closed before the look, which then finds nothing unread
-		return exchange.Gone
-	case at != s: // joined from another socket meanwhile, which was heard in that moment
-		return exchange.Connected
-	case input == sip.InputEnded:
-		return exchange.Gone
-	case input == sip.InputUnread:
-		return exchange.Unheard
-	}
-	return exchange.Connected
-}
-
-// waiting gives a call that waits for its answer and the socket that it belongs to, or nil.
-func (f *Front) waiting(key string) (*call, *sock) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.calls[key]
-	if c == nil {
-		return nil, nil
-	}
-	return c, c.sock
-}
-
-// Release implements exchange.Caller. It goes to the call's socket, to another of the same caller, or to the
-// next one that the caller opens.
-func (f *Front) Release(key string, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.calls[key]
-	if c == nil {
-		return
-	}
-	to := c.sock
-	for s := range f.socks {
-		if to == nil && s.identity == c.identity {
-			to = s
-		}
-	}
-	if to == nil {
-		c.over, c.cut, c.since = true, cut, time.Now()
-		return
-	}
-	delete(f.calls, key)
-	to.send(reply{Type: "released", ID: c.id, Cut: &cut})
-}
--- /dev/null
+++ b/internal/callws/listener.go
@@ -0,0 +1,98 @@
+package callws
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"masthill/internal/sip"
+)
+
+// rawConn is the key of a request's connection in its context.
+type rawConn struct{}
+
+// limited bounds the connections held at once. Those that never became a socket make room, the oldest first: peers
+// that connect and say nothing must not keep callers out.
+type limited struct {
+	net.Listener
+	log  *slog.Logger
+	most int
+	mu   sync.Mutex
+	open map[*counted]bool
+}
+
+// counted is a connection that counts until it is closed.
+type counted struct {
+	net.Conn
+	in      *sip.Input
+	limited *limited
+	since   time.Time
+	// Under the lock of limited: it is a socket, or about to be; it has made room for another connection.
+	socket, spared bool
+}
+
+// claim makes the connection a socket, unless it has made room already. It comes before the 101: a caller that has
+// read that believes that it is connected, and must not be the one that makes room.
+func (c *counted) claim() bool {
+	c.limited.mu.Lock()
+	defer c.limited.mu.Unlock()
+	c.socket = !c.spared
+	return c.socket
+}
+
+// disclaim takes a claim back whose upgrade failed.
+func (c *counted) disclaim() {
+	c.limited.mu.Lock()
+	defer c.limited.mu.Unlock()
+	c.socket = false
+}
+
+// Read implements net.Conn.
+func (c *counted) Read(b []byte) (int, error) { return c.in.Read(b) }
+
+func (c *counted) Close() error {
+	c.limited.mu.Lock()
+	delete(c.limited.open, c)
+	c.limited.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(raw); c != nil {
+			return c, nil
+		}
+		l.log.Warn("call socket ended", "reason", sip.OverLimit, "peer", raw.RemoteAddr().String())
+		raw.Close()
+	}
+}
+
+func (l *limited) admit(raw net.Conn) net.Conn {
+	l.mu.Lock()
+	var spare *counted
+	for c := range l.open {
+		if !c.socket && !c.spared && (spare == nil || c.since.Before(spare.since)) {
+			spare = c
+		}
+	}
+	full := len(l.open) >= l.most
+	if full && spare == nil {
+		l.mu.Unlock()
+		return nil
+	}
+	c := &counted{Conn: raw, in: sip.NewInput(raw), limited: l, since: time.Now()}
+	l.open[c] = true
+	if full {
+		spare.spared = true
+	}
+	l.mu.Unlock()
+	if full {
+		spare.Close() // the server logs it as one that never became a socket
+	}
+	return c
+}
--- /dev/null
+++ b/internal/callws/socket.go
@@ -0,0 +1,136 @@
+package callws
+
+import (
+	"encoding/json"
+	"time"
+
+	"masthill/internal/exchange"
+	"masthill/internal/sip"
+)
+
+// sock is one caller's socket.
+type sock struct {
+	*conn
+	in       *sip.Input
+	front    *Front
+	identity string
+	open     int // calls without their answer
+	asked    bool
+	since    time.Time
+}
+
+// request is what a caller sends.
+type request struct {
+	Type, ID, Class, Tenant, Number string
+	PatienceMS                      *int64 `json:"patience_ms"`
+	FirstChoice                     *int   `json:"first_choice"`
+	Retry, Again                    bool
+	description
+}
+
+// reply is what a caller is told.
+type reply struct {
+	Type    string `json:"type"`
+	ID      string `json:"id,omitempty"`
+	LaterMS int64  `json:"later_ms,omitempty"`
+	Cut     *bool  `json:"cut,omitempty"`
+	Code    int    `json:"code,omitempty"`
+	Text    string `json:"text,omitempty"`
+	description
+}
+
+// take handles one message of a caller.
+func (s *sock) take(data []byte) error {
+	at := time.Now()
+	var m request
+	if json.Unmarshal(data, &m) != nil {
+		return errUnreadable
+	}
+	switch {
+	case m.ID == "" || len(m.ID) > idMost:
+		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "id: empty or over 128 bytes"})
+	case m.Type == "call":
+		if code, text := s.call(&m, at); code != 0 {
+			s.front.Log.Warn("call turned down", "code", code, "why", text, "identity", s.identity)
+			s.send(reply{Type: "error", ID: m.ID, Code: code, Text: text})
+		}
+	case m.Type == "cancel":
+		s.forget(Key(s.identity, m.ID))
+	case m.Type == "hangup":
+		if !s.forget(Key(s.identity, m.ID)) {
+			s.send(reply{Type: "error", ID: m.ID, Code: 481, Text: "no such call"})
+			return nil
+		}
+		s.send(reply{Type: "released", ID: m.ID, Cut: new(bool)})
+	default:
+		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "type: unknown"})
+	}
+	return nil
+}
+
+func (s *sock) owner() string { return "ws/" + s.identity }
+
+// forget drops a call that its caller ended. The core is told under the lock, lest that overtake a set-up sent again.
+func (s *sock) forget(key string) bool {
+	f := s.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, ok := f.calls[key]
+	if ok && c.sock != nil && !c.stands {
+		c.sock.open--
+	}
+	if ok {
+		delete(f.calls, key)
+		f.Core.GiveUp(key, s.owner(), nil)
+	}
+	return ok
+}
+
+// call takes a set-up, or one sent again after a reconnect: the exchange joins it to the running call or gives
+// the recorded answer.
+func (s *sock) call(m *request, at time.Time) (code int, text string) {
+	if m.Number == "" {
+		return 400, "number: empty"
+	}
+	key := Key(s.identity, m.ID)
+	if len(m.raw()) > descMost {
+		return 413, "description leaves no room for the headers to an office"
+	}
+	setup := exchange.Setup{ID: key, Owner: s.owner(), Number: m.Number, Desc: m.raw(), Dest: -1, Retry: m.Retry,
+		Again: m.Again}
+	if m.FirstChoice != nil {
+		setup.Dest = *m.FirstChoice
+	}
+	if err := s.front.Names.Fill(&setup, m.Class, m.Tenant, m.PatienceMS, at); err != nil {
+		return 400, err.Error()
+	}
+	f := s.front
+	f.mu.Lock()
+	c, sum := f.calls[key], setup.Sum()
+	if c != nil && c.sum != sum { // joined, it would get the answer to another description
+		f.mu.Unlock()
+		return 482, "id of another call"
+	}
+	if late := !f.drainAt.IsZero() && time.Since(f.drainAt) > drainFor; c == nil && (f.refusing || late && s.open > 0) {
+		f.mu.Unlock()
+		return 503, "the instance ends"
+	}
+	if c == nil && (len(f.calls) >= callsMost || s.open >= openMost) {
+		f.mu.Unlock()
+		return 503, "too many calls"
+	}
+	if c == nil {
+		c = &call{id: m.ID, identity: s.identity, sum: sum}
+		f.calls[key] = c
+	}
+	if !c.stands {
+		if c.sock != nil {
+			c.sock.open--
+		}
+		s.open++
+	}
+	c.sock, s.asked = s, true
+	f.mu.Unlock()
+	f.Core.Arrive(setup, f)
+	return 0, ""
+}
