--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -101,3 +101,49 @@
 	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: server, Outcome: control.Recalled, Ended: true})
 	c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
 }
+
+// withdraw gives up the attempt that is out.
+func (c *core) withdraw(cl *call, o control.Outcome) {
+	c.offices.Cancel(cl.server, cl.ID, cl.sent-1)
+	c.back(cl, Ending{Outcome: o})
+}
+
+// back takes the end of the attempt that is out.
+func (c *core) back(cl *call, e Ending) {
+	c.log.Debug("attempt ended", "call", cl.ID, "n", cl.sent-1, "server", cl.server, "outcome", e.Outcome,
+		"note", e.Note, "wait_ms", e.WaitMS, "report", e.Report, "after_ms", (c.now-cl.sentAt)/1e6)
+	cl.out = false
+	if e.Outcome == control.Overdue || e.Outcome == control.Severed || e.Outcome == control.Recalled {
+		cl.clearAt = c.now + c.set.ClearWait
+	}
+	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
+		Outcome: e.Outcome, Note: e.Note, WaitMS: e.WaitMS, Report: e.Report, Ended: c.calls[cl.ID] != cl})
+}
+
+func (c *core) stood(server uint64, id string, n int, desc []byte) {
+	c.heard[server] = c.now
+	cl := c.calls[id]
+	if cl != nil && cl.stands && cl.server == server {
+		return // told again
+	}
+	if cl == nil || !cl.out || cl.server != server || cl.sent != n+1 {
+		c.offices.Bye(server, id, n, true) // the answer crossed the end of its attempt
+		return
+	}
+	c.log.Debug("attempt stood", "call", id, "n", n, "server", server, "after_ms", (c.now-cl.sentAt)/1e6)
+	cl.out = false
+	c.final(cl, Final{Verdict: Stands, Desc: desc})
+	c.pulse()
+	c.tell(control.Event{Kind: control.Stands, Call: id, Server: server, Elapsed: c.now - cl.sentAt})
+}
+
+func (c *core) ended(server uint64, id string, n int, e Ending) {
+	if e.Outcome == control.Errored || e.Outcome == control.Saturated {
+		c.heard[server] = c.now
+	}
+	if cl := c.calls[id]; cl != nil && cl.out && cl.server == server && cl.sent == n+1 {
+		c.back(cl, e)
+	} else if e.Report != nil {
+		c.state(server, e.Report)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,10 +5,8 @@
 package exchange
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
-	"hash/maphash"
 	"log/slog"
 	"sync"
 	"time"
@@ -27,133 +25,6 @@
 	answerLead = 25 * time.Millisecond
 )
 
-// Verdict is the kind of a final answer.
-type Verdict int
-
-// The final answers.
-const (
-	Stands  Verdict = iota // an office took the call
-	Refused                // turned away; trying again is harmless
-	Failed                 // given up
-)
-
-func (v Verdict) String() string { return [...]string{"stands", "refused", "failed"}[v] }
-
-// Final is a call's one final answer.
-type Final struct {
-	Verdict Verdict
-	Desc    []byte        // of the office, where the call stands
-	Wait    time.Duration // how long the caller shall keep away; 0: no advice
-}
-
-// Setup is a call as a caller's side hands it over. Nothing in it may change afterwards.
-type Setup struct {
-	ID     string // 16 hex digits; offices know the call by it
-	Owner  string // who may join the call again or end it
-	Class  int
-	Name   string // of the class
-	Tenant string
-	Number string
-	Desc   []byte
-	Dest   int // pool of first choice
-	Retry  bool
-	Again  bool
-	Taken  time.Time // its last byte
-	Until  time.Time // its caller leaves
-}
-
-var sumSeed = maphash.MakeSeed()
-
-// Sum tells two set-ups under one id apart: it is the same for one that was sent again.
-func (s *Setup) Sum() uint64 {
-	var h maphash.Hash
-	h.SetSeed(sumSeed)
-	for _, part := range []string{s.Name, s.Tenant, s.Number} {
-		h.WriteString(part)
-		h.WriteByte(0)
-	}
-	h.Write(s.Desc)
-	return h.Sum64()
-}
-
-// Caller is where a call came from. Its methods are called by the core and must not block.
-type Caller interface {
-	Answer(id string, f Final)
-	Release(id string, cut bool) // the call stood and is over; cut: before its time
-}
-
-// Presence is what a front knows of the client of a call that waits for its answer.
-type Presence int
-
-// The states of a client.
-const (
-	Connected Presence = iota // all that it had sent until a moment ago has been handled
-	Unheard                   // older input of it waits to be read: a request to cancel may be among it
-	Gone                      // it has closed its connection, or cancelled the request
-)
-
-// PresenceChecker is a Caller that is asked for a call's client before each attempt: word of a client that has gone may
-// still be on its way to the core, or unread. Presence may be called from any goroutine and must not block.
-type PresenceChecker interface {
-	Presence(id string) Presence
-}
-
-// Desk is where a callers' side hands calls in; the Exchange is one.
-type Desk interface {
-	Arrive(s Setup, from Caller)
-	GiveUp(id, owner string, from Caller)
-	HangUp(id, owner string)
-	// Left tells that a caller is away and may come back to its call by Arrive: until then no attempt is sent.
-	Left(id, owner string)
-}
-
-// Attempt is one set-up on its way to an office.
-type Attempt struct {
-	ID, Class, Number string
-	Desc              []byte
-	N                 int // 0, 1, 2 ... within the call
-	Server            uint64
-	Wait              time.Duration // how long it is waited for
-	// Presence tells whether the client is still there, for an attempt that waits before it is written. It may be called
-	// from any goroutine and does not block.
-	Presence func() Presence
-}
-
-// Office is one entry of the list of offices.
-type Office struct {
-	control.Entry
-	Addr string
-}
-
-// Offices is the side of the offices. Its methods are called by the core and must not block.
-type Offices interface {
-	List(changed []Office, full bool)
-	Invite(a Attempt)
-	Cancel(server uint64, id string, n int)
-	Bye(server uint64, id string, n int, cut bool)
-	// Suspect tells that nothing came where something was due since that time; check: calls stand there.
-	Suspect(server uint64, since time.Time, check bool)
-}
-
-// Ending is how an attempt or a standing call ended at an office.
-type Ending struct {
-	Outcome control.Outcome
-	Note    int
-	WaitMS  int64
-	Report  []float64 // in the order of the settings' fields; nil: none
-}
-
-// Record is one call for the store of record. A call that stands has two: the one with its answer has no end yet.
-type Record struct {
-	ID, Owner, Class, Tenant, Number string
-	Verdict                          string
-	Attempts                         int
-	Server                           uint64
-	Taken, Answered, Ended           time.Time
-	Wait                             time.Duration
-	Cut                              bool
-}
-
 // Options is what an Exchange is made from.
 type Options struct {
 	Settings control.Settings
@@ -379,46 +250,6 @@
 	return float64(len(x.inbox)) / float64(max(x.most, 1))
 }
 
-// Status is what the core tells operators.
-type Status struct {
-	Open     int           `json:"open"`     // calls that wait for their answer
-	Held     int           `json:"held"`     // of these, held for a later try
-	Waiting  int           `json:"waiting"`  // of these, held by joined modules
-	Standing int           `json:"standing"` // calls
-	Taken    uint64        `json:"taken"`    // calls, since the start
-	Stands   uint64        `json:"stands"`   // final answers, since the start
-	Refused  uint64        `json:"refused"`
-	Failed   uint64        `json:"failed"`
-	Load     int           `json:"load_bytes"` // what the calls in hand hold
-	Inbox    int           `json:"inbox"`      // events that wait for the core
-	Offices  []OfficeState `json:"offices"`
-	Modules  []join.Status `json:"modules"`
-}
-
-// OfficeState is one office as listed and as believed.
-type OfficeState struct {
-	ID       string  `json:"id"` // hex
-	Addr     string  `json:"addr"`
-	Listed   string  `json:"listed"` // serving, draining
-	Warmth   float64 `json:"warmth"` // part of its capacity that it is taken to have
-	Cold     bool    `json:"cold"`
-	Down     bool    `json:"down"`
-	Marked   bool    `json:"marked"`
-	Pressed  bool    `json:"pressed"`
-	Out      int     `json:"out"`
-	Standing int     `json:"standing"`
-	DelayMS  float64 `json:"delay_ms"` // to be expected
-}
-
-// Status asks the core; the zero Status after its end.
-func (x *Exchange) Status() (s Status) {
-	x.ask(func() { s = x.core.status() })
-	x.mu.Lock()
-	s.Inbox = len(x.inbox)
-	x.mu.Unlock()
-	return s
-}
-
 // RefuseAll answers all that still waits, for an end that can't wait longer, and from then on refuses what comes.
 func (x *Exchange) RefuseAll() { x.ask(x.core.refuseAll) }
 
@@ -431,47 +262,3 @@
 	case <-x.done:
 	}
 }
-
-// alarm is one timer of the core.
-type alarm struct {
-	at   int64
-	seq  uint64 // in order of setting, where the times are equal
-	fire func()
-}
-
-type alarms []alarm
-
-func (a alarms) Len() int { return len(a) }
-func (a alarms) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(v any)   { *a = append(*a, v.(alarm)) }
-func (a *alarms) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	old[len(old)-1] = alarm{}
-	*a = old[:len(old)-1]
-	return last
-}
-
-func (c *core) after(wait time.Duration, fire func()) {
-	c.seq++
-	heap.Push(&c.alarms, alarm{c.now + int64(wait), c.seq, fire})
-}
-
-// tick moves the clock, which never goes back, and rings what is due.
-func (c *core) tick() {
-	c.now = max(c.now, c.clock().UnixNano())
-	for len(c.alarms) > 0 && c.alarms[0].at <= c.now {
-		heap.Pop(&c.alarms).(alarm).fire()
-	}
-}
-
-// rest is the time to the next alarm.
-func (c *core) rest() time.Duration {
-	if len(c.alarms) == 0 {
-		return time.Hour
-	}
-	return time.Duration(max(c.alarms[0].at-c.now, 0))
-}
