--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -91,8 +91,8 @@
 		c.Send(b)
 		return
 	}
-	if len(s.late) < releasesMost {
-		late := release{msg: b, until: time.Now().Add(releaseFor)}
+	if len(s.late) < maxPendingReleases {
+		late := release{msg: b, until: time.Now().Add(releaseTimeout)}
 		if t.conn != nil {
 			late.host = t.host
 		}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -17,43 +17,43 @@
 )
 
 const (
-	// writeFor is the deadline of a write to a caller. An answer that takes longer is not whole in time.
-	writeFor = time.Second
-	// wholeFor is how long a set-up may take from its first byte to its last: honest clients may need two seconds. One
-	// on a connection that has asked for nothing yet is to be whole youngestFor after the accept, as a peer that sends
+	// writeTimeout is the deadline of a write to a caller. An answer that takes longer is not whole in time.
+	writeTimeout = time.Second
+	// messageTimeout is how long a set-up may take from its first byte to its last: honest clients may need two seconds. One
+	// on a connection that has asked for nothing yet is to be whole firstMessageTimeout after the accept, as a peer that sends
 	// nothing whole is owed its refusal within 3 s of connecting.
-	wholeFor, youngestFor = 2500 * time.Millisecond, 2600 * time.Millisecond
-	// lingerFor is how long a caller may take to close after this side has: some round trips, and its own pause.
-	lingerFor = 300 * time.Millisecond
-	// firstFor is how long a new connection may ask for nothing, idleFor one that has no call and asked before:
+	messageTimeout, firstMessageTimeout = 2500 * time.Millisecond, 2600 * time.Millisecond
+	// lingerTimeout is how long a caller may take to close after this side has: some round trips, and its own pause.
+	lingerTimeout = 300 * time.Millisecond
+	// firstIdleTimeout is how long a new connection may ask for nothing, idleTimeout one that has no call and asked before:
 	// callers close theirs after 4 s, and one that never does must not hold its place. With a set-up open or a
-	// call standing it is looked at again every busyFor.
-	firstFor, idleFor, busyFor = 2 * time.Second, 6 * time.Second, time.Second
-	// youngFor and lateFor order who makes room for a new connection: one that has asked for nothing that long,
+	// call standing it is looked at again every busyIdleInterval.
+	firstIdleTimeout, idleTimeout, busyIdleInterval = 2 * time.Second, 6 * time.Second, time.Second
+	// youngAge and unusedAge order who makes room for a new connection: one that has asked for nothing that long,
 	// then one without a call that has not asked that long. The time of a request on its way is well below. Nor does
-	// one whose bytes still came partFor ago, as long as others do: it may only be slow.
-	youngFor, lateFor, partFor = 250 * time.Millisecond, time.Second, time.Second
-	// partingMost is the part of the places, as a divisor, that connections which make room may keep while their peers
+	// one whose bytes still came partialAge ago, as long as others do: it may only be slow.
+	youngAge, unusedAge, partialAge = 250 * time.Millisecond, time.Second, time.Second
+	// evictedShare is the part of the places, as a divisor, that connections which make room may keep while their peers
 	// still read; beyond it they are closed at once.
-	partingMost = 8
-	// openMost bounds the set-ups open on one connection, lest one caller fill the table for all: at the busiest
+	evictedShare = 8
+	// maxOpenCalls bounds the set-ups open on one connection, lest one caller fill the table for all: at the busiest
 	// rates of one instance, all its calls of two seconds.
-	openMost = 256
-	// echoMost bounds the headers that an answer repeats, as they are kept for it.
-	echoMost = 1 << 10
-	// headRoom is what a set-up may grow by on its way to an office, where the limit of a message holds too.
-	headRoom = 512
-	// turnedLogged is how many requests turned down are logged one by one on a connection; its last line has their
+	maxOpenCalls = 256
+	// maxEchoBytes bounds the headers that an answer repeats, as they are kept for it.
+	maxEchoBytes = 1 << 10
+	// headerRoom is what a set-up may grow by on its way to an office, where the limit of a message holds too.
+	headerRoom = 512
+	// maxRejectionsLogged is how many requests turned down are logged one by one on a connection; its last line has their
 	// number. A caller that sends the same again at once must not fill the log.
-	turnedLogged = 3
-	// drainFor is how long after the begin of a drain a connection that is never without a set-up may bring new ones.
-	drainFor = time.Second
-	// shutdownStep is how often an orderly end looks whether it is through.
-	shutdownStep = 2 * time.Millisecond
-	// releaseFor is how long a release waits for a connection to go out on: PROTOCOL has it sent within 8 s.
-	releaseFor = 7 * time.Second
-	// releasesMost bounds the releases that wait.
-	releasesMost = 1024
+	maxRejectionsLogged = 3
+	// drainTimeout is how long after the begin of a drain a connection that is never without a set-up may bring new ones.
+	drainTimeout = time.Second
+	// shutdownInterval is how often an orderly end looks whether it is through.
+	shutdownInterval = 2 * time.Millisecond
+	// releaseTimeout is how long a release waits for a connection to go out on: PROTOCOL has it sent within 8 s.
+	releaseTimeout = 7 * time.Second
+	// maxPendingReleases bounds the releases that wait.
+	maxPendingReleases = 1024
 	// owner marks the calls of this side: any of its connections may end a call (PROTOCOL).
 	owner = "sip"
 )
@@ -93,7 +93,7 @@
 		return false
 	}
 	spare.gone, spare.parts = true, true
-	if s.parting++; s.parting > max(s.MaxOpen/partingMost, 1) {
+	if s.parting++; s.parting > max(s.MaxOpen/evictedShare, 1) {
 		spare.Abort(sip.Evicted)
 	} else {
 		spare.End(sip.Evicted)
@@ -179,7 +179,7 @@
 // Shutdown ends all connections in order, and waits for that until ctx ends. Refuse and the core's own refusal of all
 // that waits come before it, so that every set-up that was read gets its answer first.
 func (s *Server) Shutdown(ctx context.Context) {
-	tick := time.NewTicker(shutdownStep)
+	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
 		s.mu.Lock()
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -262,19 +262,19 @@
 		asker, asked := open()
 		io.WriteString(asker, message("INVITE", id, headers))
 		<-core.told
-		time.Sleep(firstFor + time.Millisecond)
+		time.Sleep(firstIdleTimeout + time.Millisecond)
 		synctest.Wait()
 		if !ended(silent) || ended(asked) {
 			t.Errorf("after %v: silent ended %v, asked ended %v", time.Since(began), ended(silent), ended(asked))
 		}
 		s.Answer(id, exchange.Final{Verdict: exchange.Stands})
-		time.Sleep(2 * idleFor)
+		time.Sleep(2 * idleTimeout)
 		synctest.Wait()
 		if ended(asked) {
 			t.Error("ended under a call")
 		}
 		s.Release(id, false)
-		time.Sleep(idleFor + busyFor)
+		time.Sleep(idleTimeout + busyIdleInterval)
 		synctest.Wait()
 		if !ended(asked) || len(s.txns) != 0 {
 			t.Errorf("a caller that asks once and stays keeps its place; %d transactions left", len(s.txns))
@@ -373,7 +373,7 @@
 	for range 3 {
 		b.dial()
 	}
-	b.age(youngFor + time.Millisecond)
+	b.age(youngAge + time.Millisecond)
 	for range 20 {
 		b.dial()
 	}
@@ -450,7 +450,7 @@
 			began, done := time.Now(), make(chan bool)
 			go func() { s.serve(t.Context(), c); close(done) }()
 			if !early {
-				time.Sleep(firstFor - time.Millisecond)
+				time.Sleep(firstIdleTimeout - time.Millisecond)
 			}
 			text := message("INVITE", id, headers)
 			for k := range 20 {
@@ -542,10 +542,10 @@
 	p := b.dial()
 	p.write(message("INVITE", id, headers))
 	b.expect("arrive " + id)
-	b.Drain(-drainFor / 2)
+	b.Drain(-drainTimeout / 2)
 	p.write(message("INVITE", "0000000000000002", headers))
 	b.expect("arrive 0000000000000002")
-	b.Drain(-2 * drainFor)
+	b.Drain(-2 * drainTimeout)
 	p.write(message("INVITE", "0000000000000003", headers))
 	p.want(503, "", "Call-ID", "0000000000000003")
 	for _, id := range []string{id, "0000000000000002"} {
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -25,7 +25,7 @@
 func newConn(c net.Conn, s *Server) *conn {
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	cn := &conn{server: s, host: host, used: time.Now()}
-	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeFor, Whole: cn.whole, Idle: cn.idle, Farewell: cn.farewell, Linger: lingerFor,
+	cn.Conn = sip.NewConn(c, sip.Limits{Write: writeTimeout, Whole: cn.whole, Idle: cn.idle, Farewell: cn.farewell, Linger: lingerTimeout,
 		HalfCloseEnds: true})
 	return cn
 }
@@ -35,9 +35,9 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if c.asked {
-		return wholeFor
+		return messageTimeout
 	}
-	return min(wholeFor, youngestFor-time.Since(c.used))
+	return min(messageTimeout, firstMessageTimeout-time.Since(c.used))
 }
 
 // farewell is what a peer that can't be read any further is told last: its set-ups have no other way to their answers.
@@ -59,14 +59,14 @@
 	defer c.server.mu.Unlock()
 	c.spent = false
 	if c.open > 0 {
-		return busyFor
+		return busyIdleInterval
 	}
-	left := firstFor - time.Since(c.used)
+	left := firstIdleTimeout - time.Since(c.used)
 	switch {
 	case c.standing > 0:
-		left = busyFor
+		left = busyIdleInterval
 	case c.asked:
-		left = idleFor - time.Since(c.used)
+		left = idleTimeout - time.Since(c.used)
 	}
 	if wait, drains := c.leaves(); drains {
 		left = min(left, wait)
@@ -96,9 +96,9 @@
 		return -1
 	case c.slow():
 		return 5
-	case !c.asked && unused > youngFor:
+	case !c.asked && unused > youngAge:
 		return 0
-	case c.asked && c.standing == 0 && unused > lateFor:
+	case c.asked && c.standing == 0 && unused > unusedAge:
 		return 1
 	case !c.asked:
 		return 2
@@ -112,13 +112,13 @@
 // it would never end.
 func (c *conn) outstays() bool {
 	left, drains := c.leaves()
-	return drains && c.open > 0 && left < -drainFor
+	return drains && c.open > 0 && left < -drainTimeout
 }
 
 // slow tells that a request is on its way in pieces.
 func (c *conn) slow() bool {
 	heard, begun := c.Begun()
-	return begun && time.Since(heard) < partFor
+	return begun && time.Since(heard) < partialAge
 }
 
 // last is when the connection was last of use.
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -41,7 +41,7 @@
 	switch string(m.Method) {
 	case "INVITE":
 		if status, why := c.setup(m, id); status != 0 {
-			if c.turned++; c.turned <= turnedLogged {
+			if c.turned++; c.turned <= maxRejectionsLogged {
 				c.server.Log.Warn("set-up turned down", "status", status, "why", why, "peer", c.Remote())
 			}
 			c.Send(sip.Answer(m, status))
@@ -124,7 +124,7 @@
 		return 400, "CSeq does not name INVITE"
 	case len(m.User()) == 0:
 		return 400, "no number in the first line"
-	case len(m.Body) > sip.MaxMessage-headRoom-len(m.User()):
+	case len(m.Body) > sip.MaxMessage-headerRoom-len(m.User()):
 		return 413, "description leaves no room for the headers to an office"
 	}
 	number := string(m.User())
@@ -159,7 +159,7 @@
 		return 400, err.Error()
 	}
 	echo := sip.Echo(m)
-	if len(echo) > echoMost {
+	if len(echo) > maxEchoBytes {
 		return 400, "headers that an answer repeats are over 1 KiB"
 	}
 	s := c.server
@@ -168,7 +168,7 @@
 	c.stays()
 	old := s.txns[id]
 	twice := old != nil && old.conn == c && old.sum == t.sum && bytes.Equal(old.echo, t.echo)
-	gone, full := c.gone || s.refusing || c.outstays(), c.open >= openMost
+	gone, full := c.gone || s.refusing || c.outstays(), c.open >= maxOpenCalls
 	take := old == nil && !gone && !full
 	if take {
 		s.txns[id] = t
--- a/internal/callws/answers.go
+++ b/internal/callws/answers.go
@@ -16,16 +16,16 @@
 	if c == nil {
 		return
 	}
-	if c.sock != nil && !c.stands {
-		c.sock.open--
+	if c.socket != nil && !c.stands {
+		c.socket.open--
 	}
 	if final.Verdict != exchange.Stands {
 		delete(f.calls, key)
-	} else if c.sock != nil {
+	} else if c.socket != nil {
 		c.stands = true
 	}
-	if c.sock != nil {
-		c.sock.send(reply{Type: final.Verdict.String(), ID: c.id, LaterMS: final.Wait.Milliseconds(),
+	if c.socket != nil {
+		c.socket.send(reply{Type: final.Verdict.String(), ID: c.id, LaterMS: final.Wait.Milliseconds(),
 			description: describe(final.Desc)})
 	}
 }
@@ -52,14 +52,14 @@
 }
 
 // waiting gives a call that waits for its answer and the socket that it belongs to, or nil.
-func (f *Front) waiting(key string) (*call, *sock) {
+func (f *Front) waiting(key string) (*call, *socket) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.calls[key]
 	if c == nil {
 		return nil, nil
 	}
-	return c, c.sock
+	return c, c.socket
 }
 
 // Release implements exchange.Caller. It goes to the call's socket, to another of the same caller, or to the
@@ -71,8 +71,8 @@
 	if c == nil {
 		return
 	}
-	to := c.sock
-	for s := range f.socks {
+	to := c.socket
+	for s := range f.sockets {
 		if to == nil && s.identity == c.identity {
 			to = s
 		}
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -193,9 +193,9 @@
 // A connection that has been claimed for a socket never makes room, however early that is; one that has made room
 // is no socket any more. Without the claim before the 101, callers that had read it were evicted.
 func TestAClaimedConnectionMakesNoRoom(t *testing.T) {
-	l := &limited{most: 1, open: map[*counted]bool{}}
+	l := &boundedListener{most: 1, open: map[*trackedConn]bool{}}
 	pipe := func() net.Conn { c, _ := net.Pipe(); return c }
-	first := l.admit(pipe()).(*counted)
+	first := l.admit(pipe()).(*trackedConn)
 	if !first.claim() || l.admit(pipe()) != nil {
 		t.Fatal("a claimed connection made room")
 	}
@@ -220,7 +220,7 @@
 	b.Answer(key, exchange.Final{Verdict: exchange.Stands})
 	b.read(ws, `{"type":"stands","id":"c1"}`)
 	ws.CloseNow()
-	for b.sockets() > 0 { // the server has seen the close
+	for b.openSockets() > 0 { // the server has seen the close
 		time.Sleep(time.Millisecond)
 	}
 	b.Release(key, false)
@@ -260,10 +260,10 @@
 	b.open()
 	b.write(ws, setup)
 	b.expect("arrive " + key)
-	for n := range openMost {
+	for n := range maxOpenCalls {
 		b.write(ws, strings.Replace(setup, `"c1"`, fmt.Sprintf(`"d%d"`, n), 1))
 	}
-	b.read(ws, fmt.Sprintf(`{"type":"error","id":"d%d","code":503,"text":"too many calls"}`, openMost-1))
+	b.read(ws, fmt.Sprintf(`{"type":"error","id":"d%d","code":503,"text":"too many calls"}`, maxOpenCalls-1))
 	b.Answer(key, exchange.Final{Verdict: exchange.Failed})
 	b.read(ws, `{"type":"failed","id":"c1"}`)
 	b.write(ws, setup)
@@ -305,11 +305,11 @@
 	b.expect("arrive " + key)
 }
 
-// sockets counts the sockets that the front holds.
-func (b *bed) sockets() int {
+// openSockets counts the sockets that the front holds.
+func (b *bed) openSockets() int {
 	b.Front.mu.Lock()
 	defer b.Front.mu.Unlock()
-	return len(b.socks)
+	return len(b.sockets)
 }
 
 // heard takes what a server's connection hears.
@@ -374,7 +374,7 @@
 func TestGarbage(t *testing.T) {
 	netcase.Check(t, func(t *rapid.T) {
 		f := New(Options{Core: &core{told: make(chan string, 1), calls: map[string]exchange.Setup{}}, Log: netcase.Quiet()})
-		s := &sock{conn: &conn{out: sip.NewQueue(), closing: make(chan struct{})}, front: f}
+		s := &socket{conn: &conn{out: sip.NewQueue(), closing: make(chan struct{})}, front: f}
 		if err := s.take(netcase.Garbage(t, []byte(setup))); err != nil && err != errUnreadable {
 			t.Fatal(err)
 		}
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -20,14 +20,14 @@
 )
 
 const (
-	// messageMost bounds one message, as on the platform's port.
-	messageMost = sip.MaxMessage
-	// writeFor is the deadline of a write: an answer that takes longer is not whole in time.
-	writeFor = time.Second
-	// closeFor is how long a peer may take to close in turn: the program's end does not wait for it.
-	closeFor = 100 * time.Millisecond
-	// pingEvery and pingFor find a peer that has vanished without a word.
-	pingEvery, pingFor = 20 * time.Second, 5 * time.Second
+	// maxMessage bounds one message, as on the platform's port.
+	maxMessage = sip.MaxMessage
+	// writeTimeout is the deadline of a write: an answer that takes longer is not whole in time.
+	writeTimeout = time.Second
+	// closeTimeout is how long a peer may take to close in turn: the program's end does not wait for it.
+	closeTimeout = 100 * time.Millisecond
+	// pingInterval and pingTimeout find a peer that has vanished without a word.
+	pingInterval, pingTimeout = 20 * time.Second, 5 * time.Second
 )
 
 // The reasons of this front beside those of package sip.
@@ -55,7 +55,7 @@
 }
 
 func newConn(ws *websocket.Conn, raw net.Conn) *conn {
-	ws.SetReadLimit(messageMost)
+	ws.SetReadLimit(maxMessage)
 	return &conn{ws: ws, raw: raw, left: func() bool { return false }, out: sip.NewQueue(), closing: make(chan struct{})}
 }
 
@@ -108,9 +108,9 @@
 	return c.reason(err), err
 }
 
-// shut closes in order, but waits no longer for the peer than closeFor.
+// shut closes in order, but waits no longer for the peer than closeTimeout.
 func (c *conn) shut(code websocket.StatusCode, why string) {
-	cut := time.AfterFunc(closeFor, func() { c.raw.Close() })
+	cut := time.AfterFunc(closeTimeout, func() { c.raw.Close() })
 	defer cut.Stop()
 	c.ws.Close(code, why)
 }
@@ -142,7 +142,7 @@
 // the peer would miss why it was closed.
 func (c *conn) flush(ctx context.Context, batch [][]byte) error {
 	for _, b := range batch {
-		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeFor)
+		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 		err := c.ws.Write(limit, websocket.MessageText, b)
 		cancel()
 		if err != nil {
@@ -153,7 +153,7 @@
 }
 
 func (c *conn) ping(ctx context.Context) error {
-	tick := time.NewTicker(pingEvery)
+	tick := time.NewTicker(pingInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -161,7 +161,7 @@
 			return nil
 		case <-tick.C:
 		}
-		limit, cancel := context.WithTimeout(ctx, pingFor)
+		limit, cancel := context.WithTimeout(ctx, pingTimeout)
 		err := c.ws.Ping(limit)
 		cancel()
 		if err != nil && ctx.Err() == nil {
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -22,26 +22,26 @@
 const (
 	// protocol is the WebSocket subprotocol that callers ask for.
 	protocol = "callcontrol.v1"
-	// resumeFor is how long a call whose socket closed mid-set-up waits for its caller to come back, if its
+	// resumeTimeout is how long a call whose socket closed mid-set-up waits for its caller to come back, if its
 	// deadline is not sooner: time for a station's reconnect, and short against the work that an office does
 	// for a caller who has left.
-	resumeFor = 2 * time.Second
-	// sweepEvery is how often calls without a socket are looked at.
-	sweepEvery = 100 * time.Millisecond
-	// releaseFor is how long the release of a call waits for a socket of its caller.
-	releaseFor = 30 * time.Second
-	// drainFor is how long after the begin of a drain a socket that is never without a call may bring new ones.
-	drainFor = time.Second
-	// shutdownStep is how often an orderly end looks whether it is through.
-	shutdownStep = 2 * time.Millisecond
-	// openMost bounds the calls of one socket that wait for their answer, as on the platform's port.
-	openMost = 256
-	// callsMost bounds the calls of this front, idMost a caller's call id.
-	callsMost, idMost = 20000, 128
-	// descMost is what a message to an office has room for beside its headers.
-	descMost = messageMost - 1<<10
-	// headerFor is the time for an upgrade's request, so that silent connections go.
-	headerFor = 2500 * time.Millisecond
+	resumeTimeout = 2 * time.Second
+	// sweepInterval is how often calls without a socket are looked at.
+	sweepInterval = 100 * time.Millisecond
+	// releaseTimeout is how long the release of a call waits for a socket of its caller.
+	releaseTimeout = 30 * time.Second
+	// drainTimeout is how long after the begin of a drain a socket that is never without a call may bring new ones.
+	drainTimeout = time.Second
+	// shutdownInterval is how often an orderly end looks whether it is through.
+	shutdownInterval = 2 * time.Millisecond
+	// maxOpenCalls bounds the calls of one socket that wait for their answer, as on the platform's port.
+	maxOpenCalls = 256
+	// maxCalls bounds the calls of this front, maxIDBytes a caller's call id.
+	maxCalls, maxIDBytes = 20000, 128
+	// maxDescription is what a message to an office has room for beside its headers.
+	maxDescription = maxMessage - 1<<10
+	// headerTimeout is the time for an upgrade's request, so that silent connections go.
+	headerTimeout = 2500 * time.Millisecond
 )
 
 // Options is what a Front is made from.
@@ -60,19 +60,19 @@
 	mu       sync.Mutex
 	refusing bool      // nothing more is taken
 	drainAt  time.Time // from then on sockets are closed as they have nothing open; zero: no drain
-	socks    map[*sock]bool
+	sockets  map[*socket]bool
 	calls    map[string]*call // by the id that offices know
 	group    *errgroup.Group
 	ctx      context.Context
 	over     bool          // no socket joins the group any more
-	resume   time.Duration // resumeFor, but for tests
+	resume   time.Duration // resumeTimeout, but for tests
 }
 
 // call is a call of this front, until it has its refusal or its release has been told.
 type call struct {
 	id, identity string
-	sum          uint64 // of the set-up
-	sock         *sock  // nil: its socket closed
+	sum          uint64  // of the set-up
+	socket       *socket // nil: its socket closed
 	stands, over bool
 	cut          bool
 	since        time.Time // it lost its socket, or is over without one
@@ -80,7 +80,7 @@
 
 // New makes a front.
 func New(o Options) *Front {
-	return &Front{Options: o, socks: map[*sock]bool{}, calls: map[string]*call{}, resume: resumeFor}
+	return &Front{Options: o, sockets: map[*socket]bool{}, calls: map[string]*call{}, resume: resumeTimeout}
 }
 
 // Key is the id that offices know a call by: 16 hex digits of the caller's identity and its own id, so that
@@ -109,8 +109,8 @@
 	if f.drainAt.IsZero() || time.Now().Before(f.drainAt) {
 		return
 	}
-	for s := range f.socks {
-		if s.open == 0 && (s.asked || time.Since(s.since) > headerFor) {
+	for s := range f.sockets {
+		if s.open == 0 && (s.asked || time.Since(s.since) > headerTimeout) {
 			s.Close()
 		}
 	}
@@ -129,10 +129,10 @@
 	})
 	server := &http.Server{Handler: mux, ConnState: f.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, rawConn{}, c)
-	}, ReadHeaderTimeout: headerFor, IdleTimeout: headerFor,
-		MaxHeaderBytes: messageMost, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
+	}, ReadHeaderTimeout: headerTimeout, IdleTimeout: headerTimeout,
+		MaxHeaderBytes: maxMessage, ErrorLog: slog.NewLogLogger(f.Log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
-		if err := server.Serve(&limited{Listener: l, log: f.Log, most: f.MaxOpen, open: map[*counted]bool{}}); !errors.Is(err, http.ErrServerClosed) &&
+		if err := server.Serve(&boundedListener{Listener: l, log: f.Log, most: f.MaxOpen, open: map[*trackedConn]bool{}}); !errors.Is(err, http.ErrServerClosed) &&
 			!errors.Is(err, net.ErrClosed) {
 			return err
 		}
@@ -163,7 +163,7 @@
 func (f *Front) Unfinished() (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for s := range f.socks {
+	for s := range f.sockets {
 		if s.open > 0 {
 			n++
 		}
@@ -181,16 +181,16 @@
 // Shutdown ends all sockets in order, and waits for that until ctx ends. Refuse and the core's own refusal of all that
 // waits come before it, so that every call that was read gets its answer first.
 func (f *Front) Shutdown(ctx context.Context) {
-	tick := time.NewTicker(shutdownStep)
+	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
 		f.mu.Lock()
-		for s := range f.socks {
+		for s := range f.sockets {
 			if s.open == 0 {
 				s.Close()
 			}
 		}
-		left := len(f.socks)
+		left := len(f.sockets)
 		f.mu.Unlock()
 		if left == 0 {
 			return
@@ -222,7 +222,7 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
-	raw := r.Context().Value(rawConn{}).(*counted)
+	raw := r.Context().Value(rawConn{}).(*trackedConn)
 	if !raw.claim() { // it is being closed to make room
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -233,7 +233,7 @@
 		f.Log.Warn("call socket turned down", "status", http.StatusBadRequest, "peer", r.RemoteAddr, "err", err)
 		return
 	}
-	s := &sock{conn: newConn(ws, raw), in: raw.in, front: f, identity: identity, since: time.Now()}
+	s := &socket{conn: newConn(ws, raw), in: raw.in, front: f, identity: identity, since: time.Now()}
 	s.left = raw.in.Closed
 	peer := r.RemoteAddr
 	f.mu.Lock()
@@ -242,11 +242,11 @@
 		ws.CloseNow()
 		return
 	}
-	f.socks[s] = true // here, lest an orderly end pass over a socket that its caller already uses
+	f.sockets[s] = true // here, lest an orderly end pass over a socket that its caller already uses
 	f.group.Go(func() error { f.serve(f.ctx, s, peer); return nil })
 }
 
-func (f *Front) serve(ctx context.Context, s *sock, peer string) {
+func (f *Front) serve(ctx context.Context, s *socket, peer string) {
 	began := time.Now()
 	f.mu.Lock()
 	for key, c := range f.calls { // releases that found no socket
@@ -258,11 +258,11 @@
 	f.mu.Unlock()
 	reason, err := s.run(ctx, s.take)
 	f.mu.Lock()
-	delete(f.socks, s)
+	delete(f.sockets, s)
 	waiting := 0
 	for key, c := range f.calls {
-		if c.sock == s {
-			if c.sock, c.since = nil, time.Now(); !c.stands {
+		if c.socket == s {
+			if c.socket, c.since = nil, time.Now(); !c.stands {
 				waiting++
 				f.Core.Left(key, s.owner())
 			}
@@ -276,7 +276,7 @@
 // sweep gives up calls whose caller has not come back, and forgets releases that nobody came for. A standing
 // call belongs to no socket and goes on, if its caller had heard that it stands.
 func (f *Front) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
+	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -288,8 +288,8 @@
 		f.leave()
 		for key, c := range f.calls {
 			switch {
-			case c.sock != nil:
-			case c.over && time.Since(c.since) > releaseFor:
+			case c.socket != nil:
+			case c.over && time.Since(c.since) > releaseTimeout:
 				delete(f.calls, key)
 			case !c.over && !c.stands && time.Since(c.since) > f.resume:
 				delete(f.calls, key)
--- a/internal/callws/gone_test.go
+++ b/internal/callws/gone_test.go
@@ -124,7 +124,7 @@
 			first, firstRaw := b.dialRaw()
 			second, secondRaw := b.dialRaw()
 			core.Enter(corecase.ReleaseWait, func() { b.write(first, patient) })
-			owner := func() *sock { _, s := b.waiting(key); return s }
+			owner := func() *socket { _, s := b.waiting(key); return s }
 			old := owner()
 			free := core.Busy()
 			b.write(second, patient)
@@ -135,7 +135,7 @@
 				corecase.Until(t, func() bool { return b.Presence(key) == exchange.Gone })
 			} else {
 				firstRaw.Close()
-				corecase.Until(t, func() bool { return b.sockets() == 1 })
+				corecase.Until(t, func() bool { return b.openSockets() == 1 })
 				if owner() != joined {
 					t.Error("the call does not belong to the socket that joined it")
 				}
--- a/internal/callws/listener.go
+++ b/internal/callws/listener.go
@@ -12,53 +12,53 @@
 // rawConn is the key of a request's connection in its context.
 type rawConn struct{}
 
-// limited bounds the connections held at once. Those that never became a socket make room, the oldest first: peers
+// boundedListener bounds the connections held at once. Those that never became a socket make room, the oldest first: peers
 // that connect and say nothing must not keep callers out.
-type limited struct {
+type boundedListener struct {
 	net.Listener
 	log  *slog.Logger
 	most int
 	mu   sync.Mutex
-	open map[*counted]bool
+	open map[*trackedConn]bool
 }
 
-// counted is a connection that counts until it is closed.
-type counted struct {
+// trackedConn is a connection that counts until it is closed.
+type trackedConn struct {
 	net.Conn
-	in      *sip.Input
-	limited *limited
-	since   time.Time
-	// Under the lock of limited: it is a socket, or about to be; it has made room for another connection.
+	in       *sip.Input
+	listener *boundedListener
+	since    time.Time
+	// Under the lock of boundedListener: it is a socket, or about to be; it has made room for another connection.
 	socket, spared bool
 }
 
 // claim makes the connection a socket, unless it has made room already. It comes before the 101: a caller that has
 // read that believes that it is connected, and must not be the one that makes room.
-func (c *counted) claim() bool {
-	c.limited.mu.Lock()
-	defer c.limited.mu.Unlock()
+func (c *trackedConn) claim() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	c.socket = !c.spared
 	return c.socket
 }
 
 // disclaim takes a claim back whose upgrade failed.
-func (c *counted) disclaim() {
-	c.limited.mu.Lock()
-	defer c.limited.mu.Unlock()
+func (c *trackedConn) disclaim() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	c.socket = false
 }
 
 // Read implements net.Conn.
-func (c *counted) Read(b []byte) (int, error) { return c.in.Read(b) }
+func (c *trackedConn) Read(b []byte) (int, error) { return c.in.Read(b) }
 
-func (c *counted) Close() error {
-	c.limited.mu.Lock()
-	delete(c.limited.open, c)
-	c.limited.mu.Unlock()
+func (c *trackedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
 
-func (l *limited) Accept() (net.Conn, error) {
+func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
@@ -72,9 +72,9 @@
 	}
 }
 
-func (l *limited) admit(raw net.Conn) net.Conn {
+func (l *boundedListener) admit(raw net.Conn) net.Conn {
 	l.mu.Lock()
-	var spare *counted
+	var spare *trackedConn
 	for c := range l.open {
 		if !c.socket && !c.spared && (spare == nil || c.since.Before(spare.since)) {
 			spare = c
@@ -85,7 +85,7 @@
 		l.mu.Unlock()
 		return nil
 	}
-	c := &counted{Conn: raw, in: sip.NewInput(raw), limited: l, since: time.Now()}
+	c := &trackedConn{Conn: raw, in: sip.NewInput(raw), listener: l, since: time.Now()}
 	l.open[c] = true
 	if full {
 		spare.spared = true
--- a/internal/callws/socket.go
+++ b/internal/callws/socket.go
@@ -8,8 +8,8 @@
 	"masthill/internal/sip"
 )
 
-// sock is one caller's socket.
-type sock struct {
+// socket is one caller's socket.
+type socket struct {
 	*conn
 	in       *sip.Input
 	front    *Front
@@ -40,14 +40,14 @@
 }
 
 // take handles one message of a caller.
-func (s *sock) take(data []byte) error {
+func (s *socket) take(data []byte) error {
 	at := time.Now()
 	var m request
 	if json.Unmarshal(data, &m) != nil {
 		return errUnreadable
 	}
 	switch {
-	case m.ID == "" || len(m.ID) > idMost:
+	case m.ID == "" || len(m.ID) > maxIDBytes:
 		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "id: empty or over 128 bytes"})
 	case m.Type == "call":
 		if code, text := s.call(&m, at); code != 0 {
@@ -68,16 +68,16 @@
 	return nil
 }
 
-func (s *sock) owner() string { return "ws/" + s.identity }
+func (s *socket) owner() string { return "ws/" + s.identity }
 
 // forget drops a call that its caller ended. The core is told under the lock, lest that overtake a set-up sent again.
-func (s *sock) forget(key string) bool {
+func (s *socket) forget(key string) bool {
 	f := s.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, ok := f.calls[key]
-	if ok && c.sock != nil && !c.stands {
-		c.sock.open--
+	if ok && c.socket != nil && !c.stands {
+		c.socket.open--
 	}
 	if ok {
 		delete(f.calls, key)
@@ -88,12 +88,12 @@
 
 // call takes a set-up, or one sent again after a reconnect: the exchange joins it to the running call or gives
 // the recorded answer.
-func (s *sock) call(m *request, at time.Time) (code int, text string) {
+func (s *socket) call(m *request, at time.Time) (code int, text string) {
 	if m.Number == "" {
 		return 400, "number: empty"
 	}
 	key := Key(s.identity, m.ID)
-	if len(m.raw()) > descMost {
+	if len(m.raw()) > maxDescription {
 		return 413, "description leaves no room for the headers to an office"
 	}
 	setup := exchange.Setup{ID: key, Owner: s.owner(), Number: m.Number, Desc: m.raw(), Dest: -1, Retry: m.Retry,
@@ -111,11 +111,11 @@
 		f.mu.Unlock()
 		return 482, "id of another call"
 	}
-	if late := !f.drainAt.IsZero() && time.Since(f.drainAt) > drainFor; c == nil && (f.refusing || late && s.open > 0) {
+	if late := !f.drainAt.IsZero() && time.Since(f.drainAt) > drainTimeout; c == nil && (f.refusing || late && s.open > 0) {
 		f.mu.Unlock()
 		return 503, "the instance ends"
 	}
-	if c == nil && (len(f.calls) >= callsMost || s.open >= openMost) {
+	if c == nil && (len(f.calls) >= maxCalls || s.open >= maxOpenCalls) {
 		f.mu.Unlock()
 		return 503, "too many calls"
 	}
@@ -124,12 +124,12 @@
 		f.calls[key] = c
 	}
 	if !c.stands {
-		if c.sock != nil {
-			c.sock.open--
+		if c.socket != nil {
+			c.socket.open--
 		}
 		s.open++
 	}
-	c.sock, s.asked = s, true
+	c.socket, s.asked = s, true
 	f.mu.Unlock()
 	f.Core.Arrive(setup, f)
 	return 0, ""
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// unheardFirst, doubled each time, is the wait until a client whose input waits to be read is asked for again, and
-	// unheardFor how long it may stay so: its attempt begins by then, or never.
-	unheardFirst, unheardFor = time.Millisecond, 200 * time.Millisecond
+	// unheardFirstWait, doubled each time, is the wait until a client whose input waits to be read is asked for again, and
+	// unheardLimit how long it may stay so: its attempt begins by then, or never.
+	unheardFirstWait, unheardLimit = time.Millisecond, 200 * time.Millisecond
 )
 
 // presence is what the front knows of a call's client.
@@ -24,31 +24,31 @@
 // never sent.
 func (c *core) send(cl *call, a control.Action) {
 	there := presence(cl.from, cl.ID)
-	if cl.away || there == Gone {
+	if cl.disconnected || there == Gone {
 		c.unwanted(cl, a.Server)
 		return
 	}
 	room, module, why := c.chain.Room(c.now, a.Server)
-	if cl.out || c.now < cl.clearAt || !c.serving(a.Server) || !room {
-		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.out,
+	if cl.inFlight || c.now < cl.clearAt || !c.serving(a.Server) || !room {
+		c.log.Error("attempt kept back", "call", cl.ID, "server", a.Server, "out", cl.inFlight,
 			"clear_in_ms", (cl.clearAt-c.now)/1e6, "serving", c.serving(a.Server), "capped_by", module, "why", why)
-		if !cl.out {
+		if !cl.inFlight {
 			cl.sent++
 			c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: a.Server, Outcome: control.Superseded})
 		}
 		return
 	}
 	n := cl.sent
-	cl.sent, cl.out, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
+	cl.sent, cl.inFlight, cl.server, cl.sentAt = cl.sent+1, true, a.Server, c.now
 	c.chain.Did(c.now, a)
 	c.afterFor(cl, time.Duration(a.Wait), func(cl *call) {
-		if cl.out && cl.sent == n+1 {
+		if cl.inFlight && cl.sent == n+1 {
 			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
 			c.withdraw(cl, control.Overdue)
 		}
 	})
 	if there == Unheard {
-		c.askAgain(cl, a, unheardFirst, c.now+int64(min(unheardFor, time.Duration(a.Wait/2))))
+		c.askAgain(cl, a, unheardFirstWait, c.now+int64(min(unheardLimit, time.Duration(a.Wait/2))))
 		return
 	}
 	c.invite(cl, a)
@@ -76,12 +76,12 @@
 func (c *core) askAgain(cl *call, a control.Action, wait time.Duration, until int64) {
 	n := cl.sent
 	c.afterFor(cl, wait, func(cl *call) {
-		if !cl.out || cl.sent != n {
+		if !cl.inFlight || cl.sent != n {
 			return
 		}
 		switch there := presence(cl.from, cl.ID); {
-		case cl.away || there == Gone || there == Unheard && c.now >= until:
-			cl.out = false
+		case cl.disconnected || there == Gone || there == Unheard && c.now >= until:
+			cl.inFlight = false
 			c.unwanted(cl, a.Server)
 		case there == Unheard:
 			c.askAgain(cl, a, 2*wait, until)
@@ -96,7 +96,7 @@
 // unwanted ends a call whose client has gone, or can't be heard: an attempt would be work for nobody. The refusal is
 // on record, should the client come back.
 func (c *core) unwanted(cl *call, server uint64) {
-	c.log.Debug("attempt not wanted", "call", cl.ID, "server", server, "away", cl.away)
+	c.log.Debug("attempt not wanted", "call", cl.ID, "server", server, "away", cl.disconnected)
 	c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
 	c.tell(control.Event{Kind: control.Returned, Call: cl.ID, Server: server, Outcome: control.Recalled, Ended: true})
 	c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
@@ -112,7 +112,7 @@
 func (c *core) back(cl *call, e Ending) {
 	c.log.Debug("attempt ended", "call", cl.ID, "n", cl.sent-1, "server", cl.server, "outcome", e.Outcome,
 		"note", e.Note, "wait_ms", e.WaitMS, "report", e.Report, "after_ms", (c.now-cl.sentAt)/1e6)
-	cl.out = false
+	cl.inFlight = false
 	if e.Outcome == control.Overdue || e.Outcome == control.Severed || e.Outcome == control.Recalled {
 		cl.clearAt = c.now + c.set.ClearWait
 	}
@@ -123,15 +123,15 @@
 func (c *core) stood(server uint64, id string, n int, desc []byte) {
 	c.heard[server] = c.now
 	cl := c.calls[id]
-	if cl != nil && cl.stands && cl.server == server {
+	if cl != nil && cl.established && cl.server == server {
 		return // told again
 	}
-	if cl == nil || !cl.out || cl.server != server || cl.sent != n+1 {
+	if cl == nil || !cl.inFlight || cl.server != server || cl.sent != n+1 {
 		c.offices.Bye(server, id, n, true) // the answer crossed the end of its attempt
 		return
 	}
 	c.log.Debug("attempt stood", "call", id, "n", n, "server", server, "after_ms", (c.now-cl.sentAt)/1e6)
-	cl.out = false
+	cl.inFlight = false
 	c.final(cl, Final{Verdict: Stands, Desc: desc})
 	c.pulse()
 	c.tell(control.Event{Kind: control.Stands, Call: id, Server: server, Elapsed: c.now - cl.sentAt})
@@ -141,7 +141,7 @@
 	if e.Outcome == control.Errored || e.Outcome == control.Saturated {
 		c.heard[server] = c.now
 	}
-	if cl := c.calls[id]; cl != nil && cl.out && cl.server == server && cl.sent == n+1 {
+	if cl := c.calls[id]; cl != nil && cl.inFlight && cl.server == server && cl.sent == n+1 {
 		c.back(cl, e)
 	} else if e.Report != nil {
 		c.state(server, e.Report)
--- a/internal/exchange/attempt_test.go
+++ b/internal/exchange/attempt_test.go
@@ -55,7 +55,7 @@
 
 	from.is = Unheard
 	b.dial(from, "b") // the reader does not come to it
-	b.pass(unheardFor + 300*ms)
+	b.pass(unheardLimit + 300*ms)
 	b.want("answer b refused  2000ms")
 	b.dial(from, "c") // it comes to it, and the client has cancelled
 	b.pass(20 * ms)
--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -26,8 +26,8 @@
 			from.Answer(s.ID, Final{Verdict: Failed})
 			return
 		}
-		cl.away = false
-		if cl.from = from; cl.stands {
+		cl.disconnected = false
+		if cl.from = from; cl.established {
 			from.Answer(s.ID, Final{Verdict: Stands, Desc: cl.desc})
 		}
 		return
@@ -46,7 +46,7 @@
 	cl := &call{Setup: s, serial: c.serial, from: from}
 	c.calls[s.ID] = cl
 	c.open++
-	if c.load += loadEach + len(s.Desc); c.load > c.most/loadPart || c.ending {
+	if c.load += loadBytesEach + len(s.Desc); c.load > c.most/loadShare || c.ending {
 		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
 		return
 	}
@@ -54,10 +54,10 @@
 	cl.notAfter = notAfter
 	// The module ends every call in time by itself. Should it ever not, the caller is still owed an answer.
 	c.afterFor(cl, time.Duration(notAfter-c.now), func(cl *call) {
-		if cl.stands {
+		if cl.established {
 			return
 		}
-		if cl.out {
+		if cl.inFlight {
 			c.withdraw(cl, control.Overdue)
 		}
 		if c.calls[cl.ID] == cl {
@@ -86,10 +86,10 @@
 			r.Wait = 0
 		}
 		c.final(cl, Final{Verdict: Refused, Wait: time.Duration(min(max(r.Wait, 0), c.set.MaxRetryAfter))})
-	case r.Verdict == join.Hold && waited < int64(heldFor) && c.waits*loadEach < c.most/heldMost:
+	case r.Verdict == join.Hold && waited < int64(maxHold) && c.waits*loadBytesEach < c.most/heldShare:
 		cl.asked++
 		c.waits++
-		c.afterFor(cl, max(time.Duration(r.Wait), heldStep), c.admit)
+		c.afterFor(cl, max(time.Duration(r.Wait), holdStep), c.admit)
 	default:
 		if cl.asked == 0 { // decided at once, as it would be without the seam
 			waited = 0
@@ -102,7 +102,7 @@
 
 // final gives a call its one final answer.
 func (c *core) final(cl *call, f Final) {
-	if c.calls[cl.ID] != cl || cl.stands {
+	if c.calls[cl.ID] != cl || cl.established {
 		return
 	}
 	c.open--
@@ -111,7 +111,7 @@
 	c.log.Debug("answer", "call", cl.ID, "verdict", f.Verdict, "later_ms", f.Wait.Milliseconds(), "attempts",
 		cl.sent, "server", cl.server, "after_ms", (c.now-cl.Taken.UnixNano())/1e6)
 	if f.Verdict == Stands {
-		cl.stands, cl.desc = true, f.Desc
+		cl.established, cl.desc = true, f.Desc
 		c.load += len(f.Desc)
 	} else {
 		c.drop(cl)
@@ -137,7 +137,7 @@
 		c.waits--
 	}
 	delete(c.calls, cl.ID)
-	c.load -= loadEach + len(cl.Desc) + len(cl.desc)
+	c.load -= loadBytesEach + len(cl.Desc) + len(cl.desc)
 }
 
 // write hands a record to the store: one with the answer, and one more when a call that stood is over.
@@ -158,8 +158,8 @@
 	c.kept[k.id] = k
 	c.queue = append(c.queue, k)
 	c.bytes += len(k.f.Desc)
-	for len(c.queue) > c.most/keepPart/keepEach || c.bytes > c.most/keepPart ||
-		len(c.queue) > 0 && c.now-c.queue[0].at > int64(keepFor) {
+	for len(c.queue) > c.most/retainedShare/retainedBytesEach || c.bytes > c.most/retainedShare ||
+		len(c.queue) > 0 && c.now-c.queue[0].at > int64(retention) {
 		old := c.queue[0]
 		c.queue[0] = nil
 		c.queue = c.queue[1:]
@@ -175,7 +175,7 @@
 	if cl == nil || cl.Owner != owner || from != nil && cl.from != from {
 		return
 	}
-	if cl.stands { // its answer crossed the caller's leaving
+	if cl.established { // its answer crossed the caller's leaving
 		c.hangUp(id, owner)
 		return
 	}
@@ -184,14 +184,14 @@
 	c.keep(&kept{id: id, owner: owner, sum: cl.Sum(), f: Final{Verdict: Failed}, at: c.now})
 	c.write(cl, Record{Verdict: "left"})
 	c.tell(control.Event{Kind: control.Aborted, Call: id})
-	if cl.out {
+	if cl.inFlight {
 		c.withdraw(cl, control.Recalled)
 	}
 }
 
 func (c *core) left(id, owner string) {
-	if cl := c.calls[id]; cl != nil && cl.Owner == owner && !cl.stands {
-		cl.away = true
+	if cl := c.calls[id]; cl != nil && cl.Owner == owner && !cl.established {
+		cl.disconnected = true
 	}
 }
 
@@ -207,7 +207,7 @@
 
 func (c *core) hangUp(id, owner string) {
 	cl := c.calls[id]
-	if cl == nil || !cl.stands || cl.Owner != owner {
+	if cl == nil || !cl.established || cl.Owner != owner {
 		return
 	}
 	c.offices.Bye(cl.server, id, cl.sent-1, false)
@@ -217,7 +217,7 @@
 func (c *core) released(server uint64, id string, cut bool, report []float64) {
 	c.heard[server] = c.now
 	cl := c.calls[id]
-	if cl == nil || !cl.stands || cl.server != server {
+	if cl == nil || !cl.established || cl.server != server {
 		if report != nil {
 			c.state(server, report)
 		}
@@ -242,9 +242,9 @@
 func (c *core) refuseAll() {
 	c.ending = true
 	for _, cl := range c.inOrder() {
-		if !cl.stands {
+		if !cl.established {
 			c.tell(control.Event{Kind: control.Aborted, Call: cl.ID})
-			if cl.out {
+			if cl.inFlight {
 				c.withdraw(cl, control.Recalled)
 			}
 			c.final(cl, Final{Verdict: Refused, Wait: time.Duration(c.set.MaxRetryAfter)})
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -9,43 +9,43 @@
 )
 
 const (
-	// keepFor bounds the memory of final answers for callers that send a set-up again: longer than any class's
-	// deadline. At the busiest rates of one instance they are a few thousand; keepPart bounds their descriptions,
-	// and with keepEach their number, as a part of the instance's memory.
-	keepFor, keepPart, keepEach = 30 * time.Second, 24, 1 << 10
+	// retention bounds the memory of final answers for callers that send a set-up again: longer than any class's
+	// deadline. At the busiest rates of one instance they are a few thousand; retainedShare bounds their descriptions,
+	// and with retainedBytesEach their number, as a part of the instance's memory.
+	retention, retainedShare, retainedBytesEach = 30 * time.Second, 24, 1 << 10
 	// releaseMargin is added to the told release wait: the module counts from its event, the rule from when
 	// the CANCEL has been written.
 	releaseMargin = 15 * int64(time.Millisecond)
-	// quietFor is the silence of an office after which the calls that stand there are doubted: its reports
-	// come about once a second while anything changes. quietEvery is how often that is looked at.
-	quietFor, quietEvery = 3 * time.Second, time.Second
-	// loadPart bounds what all calls in hand hold, as a part of the instance's memory, with loadEach for a call
+	// silenceLimit is the silence of an office after which the calls that stand there are doubted: its reports
+	// come about once a second while anything changes. silenceCheckInterval is how often that is looked at.
+	silenceLimit, silenceCheckInterval = 3 * time.Second, time.Second
+	// loadShare bounds what all calls in hand hold, as a part of the instance's memory, with loadBytesEach for a call
 	// beside its descriptions. Beyond it new calls are refused at once.
-	loadPart, loadEach = 4, 1 << 10
-	// unknownMost bounds the memory of servers that were on a list and have gone.
-	unknownMost = 1024
-	// heldFor is how long joined modules may hold a call before control sees it, in all; heldStep is the least wait
-	// between two looks, heldMost the part of the instance's memory that calls held so may take, with loadEach for one.
+	loadShare, loadBytesEach = 4, 1 << 10
+	// maxDepartedServers bounds the memory of servers that were on a list and have gone.
+	maxDepartedServers = 1024
+	// maxHold is how long joined modules may hold a call before control sees it, in all; holdStep is the least wait
+	// between two looks, heldShare the part of the instance's memory that calls held so may take, with loadBytesEach for one.
 	// Beyond any of them control decides at once: no module can keep a call from its decision.
-	heldFor, heldStep, heldMost = time.Second, 5 * time.Millisecond, 16
+	maxHold, holdStep, heldShare = time.Second, 5 * time.Millisecond, 16
 )
 
 // call is a call in hand: waiting for its answer, or standing.
 type call struct {
 	Setup
-	serial   uint64 // no other call has it, also under the same id
-	from     Caller
-	sent     int  // attempts so far
-	out      bool // the last of them is out
-	server   uint64
-	sentAt   int64
-	clearAt  int64 // no attempt before this
-	notAfter int64 // of its decisions
-	asked    int   // how often joined modules held it; -1: control has it
-	away     bool  // its caller left and may come back
-	stands   bool
-	desc     []byte
-	answered int64
+	serial       uint64 // no other call has it, also under the same id
+	from         Caller
+	sent         int  // attempts so far
+	inFlight     bool // the last of them is out
+	server       uint64
+	sentAt       int64
+	clearAt      int64 // no attempt before this
+	notAfter     int64 // of its decisions
+	asked        int   // how often joined modules held it; -1: control has it
+	disconnected bool  // its caller left and may come back
+	established  bool
+	desc         []byte
+	answered     int64
 }
 
 // core is the state that one goroutine owns.
@@ -129,14 +129,14 @@
 		return // the list comes unasked
 	}
 	cl := c.calls[a.Call]
-	if cl == nil || cl.stands {
+	if cl == nil || cl.established {
 		return
 	}
 	switch a.Kind {
 	case control.Send:
 		c.send(cl, a)
 	case control.Cancel:
-		if cl.out && cl.sent-1 == a.Attempt {
+		if cl.inFlight && cl.sent-1 == a.Attempt {
 			c.offices.Suspect(cl.server, time.Unix(0, cl.sentAt), false)
 			c.withdraw(cl, control.Recalled)
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// inboxPart and inboxEach bound the events that wait for the core, over which the sides' readers wait in turn:
+	// inboxShare and inboxBytesEach bound the events that wait for the core, over which the sides' readers wait in turn:
 	// a part of the instance's memory, if each holds the longest message. The core takes some hundred thousand a
 	// second, so this is some milliseconds' work.
-	inboxPart, inboxEach = 16, 16 << 10
+	inboxShare, inboxBytesEach = 16, 16 << 10
 	// answerLead is how long before its caller leaves the core looks at a call as over: the answer has to be
 	// written and read whole before that, on a core that other instances share.
 	answerLead = 25 * time.Millisecond
@@ -66,7 +66,7 @@
 	x := &Exchange{wake: make(chan struct{}, 1), done: make(chan struct{})}
 	x.room = sync.NewCond(&x.mu)
 	x.core = newCore(o, module)
-	x.most = x.core.most / inboxPart / inboxEach
+	x.most = x.core.most / inboxShare / inboxBytesEach
 	return x, nil
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -147,7 +147,7 @@
 	cl := b.calls["a"]
 	b.send(cl, control.Action{Kind: control.Send, Call: "a", Server: 11, Wait: int64(time.Second)})
 	b.want() // a second attempt out
-	cl.out, cl.clearAt = false, b.now+1
+	cl.inFlight, cl.clearAt = false, b.now+1
 	b.send(cl, control.Action{Kind: control.Send, Call: "a", Server: 11, Wait: int64(time.Second)})
 	cl.clearAt = 0
 	b.send(cl, control.Action{Kind: control.Send, Call: "a", Server: 12, Wait: int64(time.Second)})
@@ -163,7 +163,7 @@
 func TestWhatIsRefusedIsNotKept(t *testing.T) {
 	b := newBed(t)
 	names := Names{Classes: []Class{{Name: "open-log", Deadline: 9 * time.Second}}}
-	day, s := patienceMost.Milliseconds(), Setup{ID: "a", Number: "17", Dest: -1, Desc: make([]byte, 16<<10)}
+	day, s := maxPatience.Milliseconds(), Setup{ID: "a", Number: "17", Dest: -1, Desc: make([]byte, 16<<10)}
 	if err := names.Fill(&s, "open-log", "", &day, b.at); err != nil || s.Until.Sub(s.Taken) != 9*time.Second {
 		t.Fatalf("patience %v, %v", s.Until.Sub(s.Taken), err)
 	}
@@ -216,7 +216,7 @@
 	b.said = nil
 	b.call("b", 3*time.Second)
 	b.want("answer b refused  200ms")
-	b.pass(keepFor + time.Second)
+	b.pass(retention + time.Second)
 	b.call("c", time.Second)
 	b.ended(10, "c", 0, Ending{Outcome: control.Superseded})
 	if b.kept["a"] != nil || len(b.queue) != 1 {
--- a/internal/exchange/goodput_test.go
+++ b/internal/exchange/goodput_test.go
@@ -45,7 +45,7 @@
 				}
 				out := 0
 				for _, cl := range b.calls {
-					if cl.out {
+					if cl.inFlight {
 						out++
 					}
 				}
--- a/internal/exchange/join_test.go
+++ b/internal/exchange/join_test.go
@@ -126,7 +126,7 @@
 			t.Fatal("without a bound")
 		}
 	}
-	if most := 64 << 20 / inboxPart / inboxEach; taken < most/2 || taken > most/2+1 || x.InboxUsed() > 0.6 {
+	if most := 64 << 20 / inboxShare / inboxBytesEach; taken < most/2 || taken > most/2+1 || x.InboxUsed() > 0.6 {
 		t.Errorf("%d taken, of a bound of %d", taken, most)
 	}
 	done := make(chan struct{})
--- a/internal/exchange/names.go
+++ b/internal/exchange/names.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// patienceMost is a day: no caller waits longer, and much larger figures would overflow.
-const patienceMost = 24 * time.Hour
+// maxPatience is a day: no caller waits longer, and much larger figures would overflow.
+const maxPatience = 24 * time.Hour
 
 // Class is one class of call, by its name in the settings.
 type Class struct {
@@ -24,8 +24,8 @@
 	Cells   []int // pools that a call may name as its first choice; empty: any
 }
 
-// numberMost bounds a number called: much more than any plan of numbers, and little in an office's first line.
-const numberMost = 128
+// maxNumber bounds a number called: much more than any plan of numbers, and little in an office's first line.
+const maxNumber = 128
 
 // Fill sets class, tenant and times of a set-up whose last byte came at that time, and checks its number and first
 // choice. A patience beyond the class's deadline counts as that: later the call is worth nothing, and what is kept for
@@ -39,7 +39,7 @@
 	if tenant != "" && !slices.Contains(n.Tenants, tenant) {
 		return fmt.Errorf("unknown tenant %q", tenant)
 	}
-	if len(s.Number) > numberMost || strings.ContainsFunc(s.Number, func(c rune) bool { return c <= ' ' || c > '~' || c == '@' }) {
+	if len(s.Number) > maxNumber || strings.ContainsFunc(s.Number, func(c rune) bool { return c <= ' ' || c > '~' || c == '@' }) {
 		return errors.New("number is too long, or no visible ASCII")
 	}
 	if s.Dest != -1 && (s.Dest < 0 || len(n.Cells) > 0 && !slices.Contains(n.Cells, s.Dest)) {
@@ -47,7 +47,7 @@
 	}
 	patience := n.Classes[k].Deadline
 	if patienceMS != nil {
-		if *patienceMS <= 0 || *patienceMS > patienceMost.Milliseconds() {
+		if *patienceMS <= 0 || *patienceMS > maxPatience.Milliseconds() {
 			return errors.New("patience is no time between 1 ms and a day")
 		}
 		patience = min(time.Duration(*patienceMS)*time.Millisecond, patience)
--- a/internal/exchange/servers.go
+++ b/internal/exchange/servers.go
@@ -11,8 +11,8 @@
 func (c *core) quiet() {
 	c.watch = false
 	for _, cl := range c.calls {
-		if cl.stands && c.now-c.heard[cl.server] > int64(quietFor) {
-			c.offices.Suspect(cl.server, time.Unix(0, c.now-int64(quietFor)), true)
+		if cl.established && c.now-c.heard[cl.server] > int64(silenceLimit) {
+			c.offices.Suspect(cl.server, time.Unix(0, c.now-int64(silenceLimit)), true)
 		}
 	}
 	c.pulse()
@@ -21,7 +21,7 @@
 func (c *core) pulse() {
 	if !c.watch && len(c.calls) > 0 {
 		c.watch = true
-		c.after(quietEvery, c.quiet)
+		c.after(silenceCheckInterval, c.quiet)
 	}
 }
 
@@ -29,7 +29,7 @@
 // start. The list tells of a start seconds late, and by then calls may stand at the new process.
 func (c *core) lost(server uint64, before int64) {
 	for _, cl := range c.inOrder() {
-		if cl.stands && cl.server == server && cl.sentAt < before {
+		if cl.established && cl.server == server && cl.sentAt < before {
 			c.log.Info("call cut with its office", "call", cl.ID, "server", server)
 			c.over(cl, Ending{Outcome: control.Severed}, true)
 			cl.from.Release(cl.ID, true)
@@ -70,7 +70,7 @@
 		ev.Entries = append(ev.Entries, o.Entry)
 	}
 	for id, o := range c.known {
-		if o.State == control.Out && len(c.known) > unknownMost {
+		if o.State == control.Out && len(c.known) > maxDepartedServers {
 			delete(c.known, id)
 			delete(c.heard, id)
 		}
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// lingerFor and lingerBytes bound the end of a connection whose peer was told something of late: its input is read
+	// lingerTimeout and maxLingerBytes bound the end of a connection whose peer was told something of late: its input is read
 	// on that long.
-	lingerFor, lingerBytes = 700 * time.Millisecond, 1 << 20
+	lingerTimeout, maxLingerBytes = 700 * time.Millisecond, 1 << 20
 )
 
 // Reason says in one code why a connection ended.
@@ -243,7 +243,7 @@
 // rest gives what has come already, or the reason for which no more is waited for. A read after its deadline does not
 // look: on a core that others share, a message may have come long before, and a close over it would lose it.
 func (p *patient) rest(b []byte, why error) (n int, err error) {
-	if p.late > lingerBytes { // a peer that never stops sending
+	if p.late > maxLingerBytes { // a peer that never stops sending
 		return 0, why
 	}
 	n, err = p.in.ReadNow(b)
@@ -264,7 +264,7 @@
 		if !c.Send(c.Farewell(why)) {
 			return
 		}
-		linger = lingerFor
+		linger = lingerTimeout
 	case !errors.Is(why, errClosed) && !errors.Is(why, errIdle):
 		return
 	}
@@ -275,10 +275,10 @@
 		return
 	}
 	until := time.Now().Add(linger)
-	if time.Since(time.Unix(0, c.wrote.Load())) > lingerFor || c.net.SetReadDeadline(until) != nil {
+	if time.Since(time.Unix(0, c.wrote.Load())) > lingerTimeout || c.net.SetReadDeadline(until) != nil {
 		return
 	}
-	for read := 0; read < lingerBytes; {
+	for read := 0; read < maxLingerBytes; {
 		n, err := c.net.Read(r.buf)
 		read += n
 		switch {
--- a/internal/sip/input.go
+++ b/internal/sip/input.go
@@ -12,9 +12,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// freshFor is how old input may be that nobody has handled yet, for its peer still to count as heard. What a peer asks
+// freshness is how old input may be that nobody has handled yet, for its peer still to count as heard. What a peer asks
 // for is to have its effect within 0.1 s; the rest of that is for what follows the look.
-const freshFor = 50 * time.Millisecond
+const freshness = 50 * time.Millisecond
 
 // InputState is what is known of a peer's input.
 type InputState int
@@ -167,7 +167,7 @@
 	return closed
 }
 
-func fresh(at *atomic.Int64) bool { return time.Now().UnixNano()-at.Load() <= int64(freshFor) }
+func fresh(at *atomic.Int64) bool { return time.Now().UnixNano()-at.Load() <= int64(freshness) }
 
 // poll asks the kernel whether unread input is there, and whether the peer has closed its side or reset the connection.
 func (i *Input) poll() (came, closed bool) {
--- a/internal/sip/queue.go
+++ b/internal/sip/queue.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// queueBytes bounds what waits for a peer to read: some thousand answers or set-ups, as hundreds may be due
+	// maxQueueBytes bounds what waits for a peer to read: some thousand answers or set-ups, as hundreds may be due
 	// in one moment, and little beside the 32 MB of the smallest instance. Beyond it the peer does not read.
-	queueBytes = 512 << 10
+	maxQueueBytes = 512 << 10
 	// pauseBytes is what may wait while more is read from the same peer: one that asks faster than it reads its
 	// answers waits itself.
 	pauseBytes = 64 << 10
-	// closedEvery is how often a reader that waits for its peer to read looks whether that has closed its side.
-	closedEvery = 25 * time.Millisecond
+	// closedInterval is how often a reader that waits for its peer to read looks whether that has closed its side.
+	closedInterval = 25 * time.Millisecond
 )
 
 // Queue holds the messages that wait for a peer to read, bounded in bytes.
@@ -35,7 +35,7 @@
 // Put queues one message and never blocks; false: the peer does not read.
 func (q *Queue) Put(b []byte) bool {
 	q.mu.Lock()
-	fits := q.size+len(b) <= queueBytes
+	fits := q.size+len(b) <= maxQueueBytes
 	if fits {
 		q.waiting, q.size = append(q.waiting, b), q.size+len(b)
 	}
@@ -80,7 +80,7 @@
 	if q.low() {
 		return nil
 	}
-	look := time.NewTicker(closedEvery)
+	look := time.NewTicker(closedInterval)
 	defer look.Stop()
 	for !q.low() {
 		select {
