Credit of sparse instances for a cold server does not lapse

Cause: with 300 instances each has a call for a given server every 20 s; their calls bound the sum, and lapsing credits left cold servers idle.

Change: a credit lapses only where over coldSparse (0.1) sends are due in a window.

--- a/control/cold.go
+++ b/control/cold.go
@@ -19,8 +19,8 @@
 // coldRoom tells whether a cold server may get one more send from this front. Each front earns credit at its
 // part of the server's present capacity and pays one for a send; the first credit is drawn at random, so that
 // fronts with a part far below one send a window spread out and together keep the budget, also when many
-// servers return at once. A whole credit that stays unused lapses, the sooner the more calls the front has, or
-// all fronts would hold one after a pause. One that has borne nothing yet goes by its own calls offered. Harm:
+// servers return at once. A whole credit that stays unused lapses, or all would hold one after a pause; not
+// at fronts of few calls, which bound the sum by themselves. One that has borne nothing yet goes by its own calls offered. Harm:
 // fronts whose calls shifted to this server only now are held to what they bore before.
 func (c *Controller) coldRoom(s *server) bool {
 	w := c.warmth(s)
@@ -31,7 +31,7 @@
 	pace = max(pace, coldLeast*w*c.rate(&c.offered)/max(c.listed, 1))
 	window := float64(c.set.FallWindow) / float64(second)
 	s.credit, s.creditAt = s.credit+pace*float64(c.now-s.creditAt)/float64(second), c.now
-	if kept := coldKept * (w + pace*window); kept < 1 {
+	if kept := coldKept * (w + pace*window); kept < 1 && pace*window > coldSparse {
 		s.credit -= max(math.Ceil(s.credit-1-kept), 0)
 	} else {
 		s.credit = min(s.credit, max(1, pace*window/coldBurst))
--- a/control/control.go
+++ b/control/control.go
@@ -73,11 +73,11 @@
 	// beatEvery is how often unanswered set-ups are looked at; missMost is how long one tells anything.
 	// stillLeast is how late a beat shows that this front itself stood still.
 	beatEvery, missMost, stillLeast = second / 10, 8 * second, second / 20
-	// coldPace and coldPart bound sends to a cold server: a multiple of its present fair part, and the part
-	// of the fall budget used at most, as repeats and rejected work count there too. coldLeast is the part of
-	// the offered calls by which a front goes before it has borne any; coldBurst, as a divisor, the part of a
-	// window's budget that unused credit may save up; coldKept, how much more is earned before a whole one lapses.
-	coldPace, coldPart, coldLeast, coldBurst, coldKept = 1.4, 0.6, 0.8, 4, 0.3
+	// coldPace and coldPart bound sends to a cold server: a multiple of its present fair part, and the part of the
+	// fall budget used at most, as repeats and rejected work count there too. coldLeast is the part of the offered
+	// calls by which a front goes before it has borne any; coldBurst, as a divisor, the part of a window's budget that
+	// unused credit may save up; coldKept, what more it earns until one lapses, where over coldSparse are due a window.
+	coldPace, coldPart, coldLeast, coldBurst, coldKept, coldSparse = 1.4, 0.6, 0.8, 4, 0.3, 0.1
 	// bornSpan is the averaging time of the load borne by warm servers, from which capacity is guessed.
 	// unitSpan is how slowly the most of it is forgotten: longer than a server is slow, drains or warms.
 	bornSpan, unitSpan = 8 * float64(second), 60 * float64(second)
