--- a/control/cold.go
+++ b/control/cold.go
@@ -16,12 +16,12 @@
 	return c.set.ColdFrom + (1-c.set.ColdFrom)*float64(max(age, 0))/float64(c.set.ColdSpan)
 }
 
-// coldRoom tells whether a cold server may get one more send from this front. Each front earns credit at its
-// part of the server's present capacity and pays one for a send; the first credit is drawn at random, so that
-// fronts with a part far below one send a window spread out and together keep the budget, also when many
-// servers return at once. A whole credit that stays unused lapses, or all would hold one after a pause; not
-// at fronts of few calls, which bound the sum by themselves. One that has borne nothing yet goes by its own calls offered. Harm:
-// fronts whose calls shifted to this server only now are held to what they bore before.
+// coldRoom tells whether a cold server may get one more send from this front. Each front earns credit at its part of
+// the server's present capacity and pays one for a send; the first credit is drawn at random, so that fronts with a
+// part far below one send a window spread out and together keep the budget, also when many servers return at once. A
+// whole credit that stays unused lapses, or all would hold one after a pause; not at fronts of few calls, whose calls
+// bound the sum. A front that has borne nothing yet goes by its own calls offered. Harm: fronts whose calls shifted
+// to this server only now are held to what they bore before.
 func (c *Controller) coldRoom(s *server) bool {
 	w := c.warmth(s)
 	if w >= 1 {
