--- a/cmd/masthill-lab/scale.go
+++ b/cmd/masthill-lab/scale.go
@@ -136,7 +136,7 @@
 			return err
 		}
 	}
-	return nil
+	return c.write(r) // with nothing new, too: fits and the plot are made anew
 }
 
 type scaleTrustCmd struct {
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -105,7 +105,7 @@
 	if len(f.Command) == 0 {
 		return newLocal(f.ctx, &f.Spec), nil
 	}
-	return newRemote(&f.Spec, f.Command)
+	return newRemote(f.ctx, &f.Spec, f.Command)
 }
 
 // entry is a server on the list. Nobody connects to it: hollow members have no calls.
--- a/lab/scale/process.go
+++ b/lab/scale/process.go
@@ -152,8 +152,9 @@
 // endFor is how long a group's process may take to end once it is told nothing more.
 const endFor = 5 * time.Second
 
-// newRemote starts a group's process. command is the program that serves, with its arguments.
-func newRemote(s *Spec, command []string) (*remote, error) {
+// newRemote starts a group's process, which ends with ctx at the latest. command is the program that serves, with its
+// arguments.
+func newRemote(ctx context.Context, s *Spec, command []string) (*remote, error) {
 	cmd := exec.Command(command[0], command[1:]...)
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
 	cmd.Stderr = os.Stderr
@@ -169,8 +170,10 @@
 		return nil, err
 	}
 	r := &remote{cmd: cmd, in: in, out: json.NewDecoder(bufio.NewReader(out)), over: make(chan struct{})}
+	stop := context.AfterFunc(ctx, func() { cmd.Process.Kill() }) // it may be amid an order that takes long
 	go func() {
 		cmd.Wait()
+		stop()
 		close(r.over)
 	}()
 	if _, err := r.do(order{Do: doBegin, Spec: s}); err != nil {
--- a/lab/scale/steady.go
+++ b/lab/scale/steady.go
@@ -20,7 +20,8 @@
 	SentDatagrams float64 `json:"sent_datagrams_s"`
 	SentBytes     float64 `json:"sent_datagram_bytes_s"` // payload
 	SentStream    float64 `json:"sent_stream_bytes_s"`
-	SentWire      float64 `json:"sent_wire_bytes_s"` // all sent, with the headers of datagrams
+	SentWire      float64 `json:"sent_wire_bytes_s"`                // all sent, with the headers of datagrams
+	MostWire      float64 `json:"most_sent_wire_bytes_s,omitempty"` // of the member that sends most
 	GotDatagrams  float64 `json:"got_datagrams_s"`
 	GotBytes      float64 `json:"got_datagram_bytes_s"`
 	GotStream     float64 `json:"got_stream_bytes_s"`
@@ -258,6 +259,7 @@
 	c.GotBytes += rate(func(t peers.Traffic) int64 { return t.GotDatagramBytes })
 	c.GotStream += rate(func(t peers.Traffic) int64 { return t.GotStreamBytes })
 	c.Dropped += float64(b.Dropped-a.Dropped) / seconds
+	c.MostWire = max(c.MostWire, rate(func(t peers.Traffic) int64 { return t.SentDatagramBytes + t.SentStreamBytes + headers*t.SentDatagrams }))
 }
 
 // mean makes a sum the mean of its members.
