Servers: a connect for which this process had no descriptor tells nothing of the server

A connect that failed for want of a descriptor, or of room in the servers' share, counted like one that never came up: after 3.5 s without a connection the server was taken for dead and all its calls were cut. It fails only what waits for it now. TestALackOfDescriptorsIsNoDeath fails without it for both errors.

--- a/internal/office/link.go
+++ b/internal/office/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"masthill/control"
+	"masthill/internal/descriptors"
 	"masthill/internal/exchange"
 )
 
@@ -174,6 +175,10 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
+	if descriptors.Exhausted(err) || errors.Is(err, descriptors.ErrShareTaken) {
+		l.notTried(err)
+		return
+	}
 	now := time.Now()
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	l.pool.mu.Lock()
@@ -199,6 +204,14 @@
 	}
 }
 
+// notTried takes a connect for which this process had no descriptor. It tells nothing of the server.
+func (l *link) notTried(err error) {
+	l.pool.mu.Lock()
+	l.fail(control.RefusedConn)
+	l.pool.mu.Unlock()
+	l.pool.Log.Warn("office connect failed", "server", l.server, "addr", l.addr, "gone", false, "err", err)
+}
+
 // probeAt arranges for the connect that may prove the server dead. It does not wait for the growing pause between
 // connects, as clients are owed the release of their calls in a fixed time. Called under the lock.
 func (l *link) probeAt(now time.Time) {
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"masthill/control"
+	"masthill/internal/descriptors"
 	"masthill/internal/exchange"
 	"masthill/internal/netcase"
 	"masthill/internal/sip"
@@ -45,10 +46,11 @@
 	core
 	*Pool
 	dialled chan net.Conn
-	refuse  atomic.Bool // connects are refused
-	silent  atomic.Bool // connects do not come up
-	reset   atomic.Bool // connections that end do so by a reset
-	unheard atomic.Bool // the list is not heard
+	refuse  atomic.Bool           // connects are refused
+	silent  atomic.Bool           // connects do not come up
+	reset   atomic.Bool           // connections that end do so by a reset
+	unheard atomic.Bool           // the list is not heard
+	failure atomic.Pointer[error] // of connects, beside the others; nil: none
 }
 
 func newBed(t *testing.T) *bed {
@@ -58,6 +60,9 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
+		if err := b.failure.Load(); err != nil {
+			return nil, *err
+		}
 		if b.refuse.Load() {
 			return nil, syscall.ECONNREFUSED
 		}
@@ -227,6 +232,27 @@
 	}
 }
 
+// A process that has no descriptor for a connect learns nothing of the server: its calls there go on.
+func TestALackOfDescriptorsIsNoDeath(t *testing.T) {
+	for _, failure := range []error{descriptors.ErrShareTaken, fmt.Errorf("socket: %w", syscall.EMFILE)} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t)
+			server := <-b.dialled
+			b.failure.Store(&failure)
+			server.Close()
+			time.Sleep(time.Minute)
+			b.invite(0)
+			expect(t, b.told, "ended 9b1f03aa5c7e2d41 0 4 note 0 wait 0 []")
+			synctest.Wait()
+			if len(b.told) > 0 {
+				t.Errorf("%v: told %q", failure, <-b.told)
+			}
+			b.failure.Store(nil)
+			<-b.dialled // the connects go on
+		})
+	}
+}
+
 // A machine that vanishes leaves its connections open and silent. Attempts must go over a new one, and where
 // that does not come up, what stood there is cut: nothing else would tell its callers.
 func TestVanishedMachine(t *testing.T) {
