--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -103,11 +105,14 @@
 	return r
 }
 
-func TestADeadMachineIsKnownToAll(t *testing.T) {
-	r := struck(t, FaultMachine, 40, 0, "")
+func TestADeadAllocatorIsKnownToAll(t *testing.T) {
+	r := struck(t, FaultAllocator, 40, 10, "")
 	if r.AllKnowS < 0 || r.Struck != 1 || r.Note != "" {
 		t.Errorf("not all know: %+v", r)
 	}
+	if r.Budgets.Overspent > 0 || r.Budgets.Rivals > 0 || r.Budgets.Claims < 40 || r.Budgets.MostInUse == 0 {
+		t.Errorf("budgets: %+v", r.Budgets)
+	}
 }
 
 func TestACutRegionEndsWithAllKnowing(t *testing.T) {
@@ -277,3 +282,13 @@
 		}
 	}
 }
+
+// An interrupted run ends with all that it started, and says that it was interrupted.
+func TestAnInterruptedRunEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(2*time.Second, cancel)
+	_, err := Steady{Layout: small(6, 0), Warm: time.Minute, For: time.Minute}.Run(ctx)
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+}
