--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// With a slower clock the same happens, by that clock.
+func TestALostAllocatorBySlowerClock(t *testing.T) {
+	l := small(6, pressing)
+	l.Slow = 2
+	var r *Fault
+	err := Strikes{Layout: l, Kinds: []string{FaultAllocator}, Each: 6, Rest: time.Second,
+		Told: func(_ *Point, f *Fault) error { r = f; return nil }}.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.AllKnowS < 0 || r.Note != "" || r.Budgets.Overspent > 0 || r.Budgets.Claims < 6 {
+		t.Errorf("%+v", r)
+	}
+}
+
 // A build whose allocator keeps no books is caught.
 func TestABuildWithoutBooksIsCaught(t *testing.T) {
 	if r := struck(t, FaultAllocator, 10, pressing, lease.Book); r.Budgets.Overspent == 0 {
