Fleet: a supervisor takes over what the one before it launched in its last instant

A supervisor that is killed between launching an instance and that instance's claim of its folder leaves a process that the next one does not see: it launches a second one, the loser's end counts as a crash (which turns a rollout back), and the winner is never taken over, as only a supervisor's start did that. An instance that closes its listeners while its supervisor is gone lost its address, too, and a look at the lock in the instant of a claim made the claim fail.

Change: keep takes over whatever holds the folder; a launch that finds it claimed exits with a code of its own and is no crash; addresses of listening sockets are part of the state that outlives a supervisor; a claim is tried again for 0.1 s; sockets that could not be taken over at first are taken once the instance answers.

--- a/cmd/masthill/inspect.go
+++ b/cmd/masthill/inspect.go
@@ -122,7 +122,11 @@
 }
 
 func (c launchCmd) Run() error {
-	if err := fleet.Claim(c.Dir, c.Generation, c.Program); err != nil {
+	err := fleet.Claim(c.Dir, c.Generation, c.Program)
+	if errors.Is(err, fleet.ErrClaimed) {
+		return coded{fleet.ExitClaimed, err}
+	}
+	if err != nil {
 		return coded{exitFailed, err}
 	}
 	if os.Getenv("LISTEN_FDS") != "" {
--- a/cmd/masthill/standin_test.go
+++ b/cmd/masthill/standin_test.go
@@ -24,6 +24,9 @@
 // The program under test is this test binary itself, started with MASTHILL_TEST_RUN set.
 func TestMain(m *testing.M) {
 	if os.Getenv("MASTHILL_TEST_RUN") != "" {
+		if len(os.Args) > 1 && os.Args[1] == "launch" {
+			waitForFile(os.Getenv(launchGate))
+		}
 		main()
 		return
 	}
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,6 +9,9 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 // The files of an instance's folder.
@@ -16,6 +20,19 @@
 	runFile  = "run.json"
 )
 
+// ExitClaimed is the exit code of a launched process that found its folder claimed by another one.
+const ExitClaimed = 75
+
+// ErrClaimed tells that another process holds an instance's folder.
+var ErrClaimed = errors.New("another process runs there")
+
+// A supervisor that looks whether an instance runs holds the lock, shared, for an instant: a claim tries again for that
+// long before it takes the folder for another process's.
+const (
+	claimRetryEvery = 5 * time.Millisecond
+	claimRetries    = 20
+)
+
 // claimed is what an instance's process notes of itself once it holds the lock.
 type claimed struct {
 	PID        int    `json:"pid"`
@@ -36,8 +53,8 @@
 		return err
 	}
 	f.Close()
-	if err := syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return fmt.Errorf("%s: another process runs there", dir)
+	if err := lockFolder(fd, nil); err != nil {
+		return fmt.Errorf("%s: %w", dir, err)
 	}
 	text, err := json.Marshal(claimed{os.Getpid(), generation, program})
 	if err != nil {
@@ -46,6 +63,17 @@
 	return replace(filepath.Join(dir, runFile), text)
 }
 
+// lockFolder takes the lock of an instance's folder for good. contended is told of each try in vain.
+func lockFolder(fd int, contended backoff.Notify) error {
+	lock := func() (struct{}, error) { return struct{}{}, syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB) }
+	_, err := backoff.Retry(context.Background(), lock, backoff.WithBackOff(backoff.NewConstantBackOff(claimRetryEvery)),
+		backoff.WithMaxTries(claimRetries), backoff.WithNotify(contended))
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return ErrClaimed
+	}
+	return err
+}
+
 // running tells whether an instance's process runs, and what it noted of itself. A process that has the lock and has
 // not noted anything yet is told with a pid of 0.
 func running(dir string) (c claimed, is bool) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"masthill/control/rollout"
 	"masthill/internal/config"
@@ -57,6 +58,34 @@
 	s.lock.Close()
 }
 
+// A supervisor that looks at the lock in the instant of the claim does not make it fail; another instance does.
+func TestAClaimInTheInstantOfALook(t *testing.T) {
+	path := filepath.Join(t.TempDir(), lockFile)
+	open := func() int {
+		f, err := os.Create(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { f.Close() })
+		return int(f.Fd())
+	}
+	look := open()
+	if err := syscall.Flock(look, syscall.LOCK_SH); err != nil {
+		t.Fatal(err)
+	}
+	tries := 0
+	contended := func(error, time.Duration) {
+		tries++
+		syscall.Flock(look, syscall.LOCK_UN)
+	}
+	if err := lockFolder(open(), contended); err != nil || tries != 1 {
+		t.Errorf("%v after %d tries in vain", err, tries)
+	}
+	if err := lockFolder(open(), nil); !errors.Is(err, ErrClaimed) {
+		t.Error("a second instance", err)
+	}
+}
+
 // Without its control socket a supervisor starts nothing, and says so.
 func TestNoControlSocket(t *testing.T) {
 	spec := newSpec(t)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -27,6 +27,8 @@
 	logMost = 16 << 20
 	// checkFor bounds the check of an instance's files by its program.
 	checkFor = 5 * time.Second
+	// callersSocket and callWSSocket name an instance's listening sockets.
+	callersSocket, callWSSocket = "callers", "callws"
 )
 
 // member is one instance as the supervisor's loop sees it. All of it belongs to the loop.
@@ -58,7 +60,7 @@
 func newMember(s *Supervisor, n int) *member {
 	name, dir := s.spec.instance(n)
 	m := &member{s: s, n: n, name: name, dir: dir, phase: rollout.Down, since: time.Now(), listeners: map[string]*os.File{},
-		addrs: map[string]string{}, why: "first", wait: backoff.NewExponentialBackOff()}
+		addrs: s.addresses(name), why: "first", wait: backoff.NewExponentialBackOff()}
 	m.wait.InitialInterval, m.wait.MaxInterval, m.wait.Multiplier = backoffFirst, backoffMost, 2
 	return m
 }
@@ -77,36 +79,59 @@
 	if !is {
 		return false
 	}
-	m.pid, m.gen, m.child, m.started = c.PID, c.Generation, false, time.Now()
+	m.child, m.started = false, time.Now()
 	m.enter(rollout.Starting)
+	m.noted(c)
+	m.closeListeners() // opened for a process that lost the folder to this one
 	files, err := ctl.TakeListeners(ctx, m.socket())
-	if err != nil { // its sockets end with it; the next process opens new ones
+	if err != nil { // its sockets end with it; the next process opens new ones, at the same addresses
 		m.s.log.Warn("listening sockets not taken over", "instance", m.name, "err", err)
 	}
+	m.hold(files)
+	m.s.log.Info("instance taken over", "instance", m.name, "pid", m.pid, "generation", m.gen, "sockets", len(files))
+	return true
+}
+
+// noted takes up what the instance's process has noted of itself, if it has yet.
+func (m *member) noted(c claimed) {
+	if c.PID > 0 {
+		m.pid, m.gen = c.PID, c.Generation
+	}
+}
+
+// closeListeners lets go of the listening sockets that are held for the instance.
+func (m *member) closeListeners() {
+	for name, f := range m.listeners {
+		f.Close()
+		delete(m.listeners, name)
+	}
+}
+
+// hold keeps copies of the instance's listening sockets for the processes that follow.
+func (m *member) hold(files map[string]*os.File) {
 	for name, f := range files {
+		if m.listeners[name] != nil {
+			f.Close()
+			continue
+		}
 		m.listeners[name] = f
 		if l, err := net.FileListener(f); err == nil {
 			m.addrs[name] = l.Addr().String()
 			l.Close()
 		}
 	}
-	m.s.log.Info("instance taken over", "instance", m.name, "pid", m.pid, "generation", m.gen, "sockets", len(files))
-	return true
 }
 
 // open opens the listening sockets that are not held yet.
 func (m *member) open() error {
-	for name, base := range map[string]string{"callers": m.s.spec.Listen, "callws": m.s.spec.CallWS} {
+	for name, base := range map[string]string{callersSocket: m.s.spec.Listen, callWSSocket: m.s.spec.CallWS} {
 		if base == "" || m.listeners[name] != nil {
 			continue
 		}
-		addr, err := nth(base, m.n)
+		addr, err := m.address(name, base)
 		if err != nil {
 			return err
 		}
-		if was := m.addrs[name]; was != "" {
-			addr = was // a port of its own choice stays its own
-		}
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			return err
@@ -122,6 +147,23 @@
 	return nil
 }
 
+// address is where a listening socket of the instance is to be: a port that was chosen for it once stays its own, over
+// the ends of processes and of supervisors, as clients know it by that.
+func (m *member) address(name, base string) (string, error) {
+	wanted, err := nth(base, m.n)
+	if err != nil {
+		return "", err
+	}
+	host, port, err := net.SplitHostPort(wanted)
+	if err != nil || port != "0" {
+		return wanted, err
+	}
+	if chosenHost, _, err := net.SplitHostPort(m.addrs[name]); err == nil && chosenHost == host {
+		return m.addrs[name], nil
+	}
+	return wanted, nil
+}
+
 // files writes the instance's files from the templates.
 func (m *member) files() error {
 	if err := os.MkdirAll(filepath.Join(m.dir, "tmp"), 0o700); err != nil {
@@ -273,6 +315,12 @@
 		m.asked, m.retryAt = false, time.Time{}
 		return
 	}
+	if code == ExitClaimed {
+		if _, is := running(m.dir); is { // a supervisor before this one had launched it already; keep takes it over
+			m.s.log.Info("instance runs already", "instance", m.name)
+			return
+		}
+	}
 	m.ends++
 	m.crashes++
 	verdict, young := rollout.Judge(rollout.Exit{Code: code, Lived: int64(lived)}, m.young)
@@ -299,9 +347,7 @@
 func (m *member) look() {
 	if !m.child {
 		if c, is := running(m.dir); is {
-			if c.PID > 0 {
-				m.pid = c.PID
-			}
+			m.noted(c)
 		} else if m.pid > 0 || m.phase == rollout.Starting { // the latter: it ended before it had noted its pid
 			m.ended(-1) // another's child: how it ended nobody tells
 		}
@@ -311,11 +357,16 @@
 		return
 	}
 	m.asking = true
-	pid := m.pid
+	pid, bare := m.pid, len(m.listeners) == 0
 	m.s.group.Go(func() error {
 		st, err := ctl.Ask(m.s.ctx, m.socket())
+		var files map[string]*os.File
+		if err == nil && bare { // taken over before it answered on its socket
+			files, _ = ctl.TakeListeners(m.s.ctx, m.socket())
+		}
 		m.s.post(func() {
 			m.asking = false
+			m.hold(files)
 			if err != nil || m.pid != pid || st.PID != pid {
 				return
 			}
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -37,6 +37,8 @@
 	Programs   map[string]string `json:"programs"`   // by generation
 	Rollout    *rollout.Rollout  `json:"rollout,omitempty"`
 	Outcome    *Outcome          `json:"outcome,omitempty"` // of the last rollout
+	// Addresses are those of the instances' listening sockets, by instance and socket.
+	Addresses map[string]map[string]string `json:"addresses,omitempty"`
 }
 
 // Outcome is how a rollout ended.
@@ -95,6 +97,9 @@
 	if s.state.Programs == nil {
 		s.state.Programs = map[string]string{}
 	}
+	if s.state.Addresses == nil {
+		s.state.Addresses = map[string]map[string]string{}
+	}
 	program := spec.Program
 	if program == "" {
 		program = self
@@ -113,6 +118,14 @@
 	return s, nil
 }
 
+// addresses are those of an instance's listening sockets. The map is a part of the state that outlives the supervisor.
+func (s *Supervisor) addresses(instance string) map[string]string {
+	if s.state.Addresses[instance] == nil {
+		s.state.Addresses[instance] = map[string]string{}
+	}
+	return s.state.Addresses[instance]
+}
+
 // generation makes a new one for a program, and forgets the oldest.
 func (s *Supervisor) generation(program string) string {
 	s.state.Last++
@@ -170,9 +183,7 @@
 	})
 	err = g.Wait()
 	for _, m := range s.members {
-		for _, f := range m.listeners {
-			f.Close()
-		}
+		m.closeListeners()
 	}
 	return err
 }
@@ -220,10 +231,13 @@
 
 // keep starts an instance that is down and is to run.
 func (s *Supervisor) keep(m *member) {
-	if m.phase != rollout.Down || m.pid > 0 || time.Now().Before(m.retryAt) {
+	if m.phase != rollout.Down || m.pid > 0 {
+		return
+	}
+	if m.adopt(s.ctx) { // a supervisor before this one had launched it, and it has claimed its folder only now
 		return
 	}
-	if _, is := running(m.dir); is { // a process of before that has not ended yet
+	if time.Now().Before(m.retryAt) {
 		return
 	}
 	if err := m.start(); err != nil {
