--- a/cmd/masthill/operation_test.go
+++ b/cmd/masthill/operation_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,10 +17,15 @@
 	"masthill/internal/sip"
 )
 
-// free gives an address that nobody listens at.
+// freeHosts counts the loopback addresses that free has given.
+var freeHosts atomic.Int64
+
+// free gives an address that nobody listens at, on a loopback host of its own: on a shared one, another test's listener or a
+// connection's own port could take the port before the program does.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	process, n := os.Getpid(), freeHosts.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+process>>8%64, process%256, 1+n%254))
 	if err != nil {
 		t.Fatal(err)
 	}
