Configuration releases: signed, staged by zone, acknowledged, halted and rolled back

Need: nothing carried a change of configuration to a fleet (first row of docs/CAPACITY.md): a file on each machine and SIGHUP, and nothing told whether all had it.

Change: control/distribution decides, pure: a release is signed by the operators and staged by zone; a few servers keep the newest and the last good one and follow each other; an instance follows one server, applies a release when its zone's turn has come, and goes back when it is halted, by an operator or by instances that could not apply it. Ages are told from the last word of a majority of the servers. internal/releases is the shell: JSON over HTTP, one question a second. Instances change tenants' fractions, callers' tokens and log levels while they run; what takes a restart is refused before it is published. masthill config: keygen, check, serve, publish, halt, status. Off without [distribution].

Sizes are not measured yet.

--- a/cmd/masthill/fleet.go
+++ b/cmd/masthill/fleet.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return coded{exitUsage, err}
 	}
-	log, err := logger(own)
+	log, _, err := logger(own)
 	if err != nil {
 		return coded{exitUsage, err}
 	}
--- a/cmd/masthill/main.go
+++ b/cmd/masthill/main.go
@@ -38,6 +38,7 @@
 	Status  statusCmd  `cmd:"" help:"Tell what an instance does, over its control socket."`
 	Levels  levelsCmd  `cmd:"" help:"Print the last changes of the level of service, of one instance or of a fleet side by side."`
 	Peers   peersCmd   `cmd:"" help:"Tell what an instance knows of the others: members, budgets held, counts, judgements."`
+	Config  configCmd  `cmd:"" help:"Make, publish and serve configuration releases, and follow them through a fleet."`
 	Fleet   fleetCmd   `cmd:"" help:"Run and change many instances on this machine."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Help    helpCmd    `cmd:"" help:"Print this."`
--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -46,7 +46,7 @@
 // is asked, and what needs the core comes behind it.
 var subsystems = []func(*instance) (part, error){
 	snapshots, allocating, talking, recovering, levelling, sharing, bounding, recording, deciding, calling, placing, following, controlling,
-	administering, socket,
+	configuring, administering, socket,
 }
 
 // joins adds a decision module beside control.
@@ -178,11 +178,11 @@
 // sharing holds members to their shares, by the whole fleet's counts where instances talk.
 func sharing(in *instance) (part, error) {
 	if in.own.Shares.Enabled {
-		one := shares.New(in.p.Settings, in.p.Shares, in.p.Planned, in.p.Seed, in.started.UnixNano())
+		in.shares = shares.New(in.p.Settings, in.p.Shares, in.p.Planned, in.p.Seed, in.started.UnixNano())
 		if in.shared != nil {
-			one.Of(in.shared)
+			in.shares.Of(in.shared)
 		}
-		in.joins(one)
+		in.joins(in.shares)
 	}
 	return part{}, nil
 }
@@ -281,7 +281,7 @@
 	}
 	f := callws.New(callws.Options{Core: in.core, Log: in.log.With(logs.Part, "callws"), Names: in.p.Names, Callers: in.own.CallWS.Callers, Ready: in.state.Ready,
 		MaxOpen: in.descriptors.budget.WebSocket.Places})
-	in.fronts[f] = l
+	in.fronts[f], in.controls = l, f
 	bounded := in.descriptors.attach(&in.descriptors.webSocket, f, l)
 	in.log.Info("serving call control", "listen", l.Addr().String())
 	return part{run: func(ctx context.Context) error { return f.Serve(ctx, bounded) }}, nil
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -20,7 +20,9 @@
 	"masthill/control/levels"
 	"masthill/control/recovery"
 	"masthill/control/shared"
+	"masthill/control/shares"
 	"masthill/internal/caller"
+	"masthill/internal/callws"
 	"masthill/internal/config"
 	"masthill/internal/ctl"
 	"masthill/internal/exchange"
@@ -77,30 +79,39 @@
 		return coded{exitUsage, fmt.Errorf("configuration: %w", faults)}
 	}
 	debug.FreeOSMemory() // the schema and its compiler are needed no more
-	log, err := logger(own)
+	log, levels, err := logger(own)
 	if err != nil {
 		return coded{exitUsage, err}
 	}
-	return serve(p, own, s, log.With("node", p.Name))
+	return serve(p, own, s, log.With("node", p.Name), levels)
 }
 
 // logger makes the log that the settings ask for. MASTHILL_LOG=debug comes before their level, for all parts.
-func logger(own *config.Project) (*slog.Logger, error) {
-	o := logs.Options{Out: os.Stderr, JSON: own.Log.Format == "json", Repeats: own.Log.Repeats, Levels: map[string]slog.Level{}}
-	level := own.Log.Level
+func logger(own *config.Project) (*slog.Logger, *logs.Levels, error) {
+	general, parts, err := logLevels(own.Log.Level, own.Log.Levels)
+	if err != nil {
+		return nil, nil, err
+	}
+	levels := logs.NewLevels(general, parts)
+	return logs.New(logs.Options{Out: os.Stderr, JSON: own.Log.Format == "json", Repeats: own.Log.Repeats, Levels: levels}), levels, nil
+}
+
+// logLevels reads the names of a general level and of the levels by part.
+func logLevels(general string, byPart map[string]string) (slog.Level, map[string]slog.Level, error) {
 	if name := os.Getenv("MASTHILL_LOG"); name != "" {
-		level = name
+		general = name
 	}
-	var err error
-	if o.Level, err = logs.Level(level); err != nil {
-		return nil, fmt.Errorf("MASTHILL_LOG: %w", err)
+	level, err := logs.Level(general)
+	if err != nil {
+		return 0, nil, fmt.Errorf("MASTHILL_LOG: %w", err)
 	}
-	for part, name := range own.Log.Levels {
-		if o.Levels[part], err = logs.Level(name); err != nil {
-			return nil, fmt.Errorf("log.levels.%s: %w", part, err)
+	parts := map[string]slog.Level{}
+	for part, name := range byPart {
+		if parts[part], err = logs.Level(name); err != nil {
+			return 0, nil, fmt.Errorf("log.levels.%s: %w", part, err)
 		}
 	}
-	return logs.New(o), nil
+	return level, parts, nil
 }
 
 // instance is one running session controller, put together from its parts.
@@ -108,6 +119,7 @@
 	p           *config.Platform
 	own         *config.Project
 	log         *slog.Logger
+	logLevels   *logs.Levels
 	options     exchange.Options // of the core, until it is made
 	known       *state.Snapshot  // of the process before; nil: none
 	passed      map[string]net.Listener
@@ -121,6 +133,8 @@
 	recovery    *recovery.Recovery      // nil: off
 	levels      *levels.Levels          // nil: off
 	shared      *shared.Shared          // nil: off
+	shares      *shares.Shares          // nil: off
+	controls    *callws.Front           // nil: off
 	peers       *peers.Peers            // nil: off
 	parts       []part
 	descriptors *allocation
@@ -132,13 +146,13 @@
 	atWarning   atomic.Value // string
 }
 
-func serve(p *config.Platform, own *config.Project, signals signals, log *slog.Logger) error {
+func serve(p *config.Platform, own *config.Project, signals signals, log *slog.Logger, logLevels *logs.Levels) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
 	if own.Old {
 		log.Warn("settings under an old name", "file", own.File, "why", oldName)
 	}
-	in := &instance{p: p, own: own, log: log, started: time.Now(), fronts: map[front]*listener.Listener{}, listeners: map[string]net.Listener{}}
+	in := &instance{p: p, own: own, log: log, logLevels: logLevels, started: time.Now(), fronts: map[front]*listener.Listener{}, listeners: map[string]net.Listener{}}
 	var err error
 	if in.passed, err = notify.Listeners(os.Getenv); err != nil {
 		return err
--- a/control/shares/shares.go
+++ b/control/shares/shares.go
@@ -147,16 +147,13 @@
 func New(s control.Settings, tenants []Tenant, planned float64, seed uint64, now int64) *Shares {
 	m := &Shares{set: s, rng: rand.New(rand.NewPCG(seed, 0x736861726573)), began: now, since: now, members: map[string]*member{},
 		waiting: map[string]bool{}, planned: planned / float64(max(s.GroupSize, 1)), filledAt: now, steppedA: now}
-	sum := 0.0
-	for _, t := range tenants {
-		sum += max(t.Fraction, 0)
-	}
 	for _, t := range tenants {
 		if m.members[t.Name] == nil {
-			m.members[t.Name] = &member{fraction: max(t.Fraction, 0) / max(sum, 1)}
+			m.members[t.Name] = &member{}
 			m.names = append(m.names, t.Name)
 		}
 	}
+	m.SetFractions(tenants)
 	if m.members[others] == nil {
 		m.members[others] = &member{fraction: unknownFraction}
 		m.names = append(m.names, others)
@@ -164,6 +161,20 @@
 	return m
 }
 
+// SetFractions changes the fractions of members that the settings name; others are passed over. What a member has not
+// used of its part stays its own.
+func (m *Shares) SetFractions(tenants []Tenant) {
+	sum := 0.0
+	for _, t := range tenants {
+		sum += max(t.Fraction, 0)
+	}
+	for _, t := range tenants {
+		if one := m.members[t.Name]; one != nil {
+			one.fraction = max(t.Fraction, 0) / max(sum, 1)
+		}
+	}
+}
+
 // Name implements join.Module.
 func (m *Shares) Name() string { return "shares" }
 
--- a/control/shares/shares_test.go
+++ b/control/shares/shares_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"reflect"
 	"testing"
@@ -260,3 +261,18 @@
 		t.Errorf("%d of 300 calls within the member's part refused", refused)
 	}
 }
+
+// New fractions count from then on, for members that the settings name, and never add up to more than the whole.
+func TestNewFractions(t *testing.T) {
+	m := New(control.Settings{}, []Tenant{{Name: "a", Fraction: 0.5}, {Name: "b", Fraction: 0.5}}, 10, 1, 0)
+	m.member("a").tokens = 3
+	m.SetFractions([]Tenant{{Name: "a", Fraction: 0.9}, {Name: "b", Fraction: 0.9}, {Name: "unknown", Fraction: 1}})
+	for name, want := range map[string]float64{"a": 0.9 / 2.8, "b": 0.9 / 2.8, "": unknownFraction} {
+		if got := m.member(name).fraction; math.Abs(got-want) > 1e-9 {
+			t.Errorf("%q has %v, wanted %v", name, got, want)
+		}
+	}
+	if m.member("a").tokens != 3 {
+		t.Error("what a member has not used is gone")
+	}
+}
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -383,3 +383,29 @@
 			heard{make(chan string, 1)})
 	})
 }
+
+// A caller whose token changes is answered what it has asked, takes no further call and is closed then; the others stay.
+func TestATokenChanges(t *testing.T) {
+	b := newBed(t, 10)
+	ws := b.open()
+	b.write(ws, setup)
+	b.expect("arrive " + key)
+	const another = "another-token-0123456789"
+	b.SetCallers(map[string]string{"station-7": another})
+	if _, err := b.dial(token); err == nil {
+		t.Error("the token of before opens a socket")
+	}
+	fresh, err := b.dial(another)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.write(ws, strings.Replace(setup, "c1", "c2", 1))
+	b.read(ws, `{"type":"error","id":"c2","code":401,"text":"the token has changed"}`)
+	b.Answer(key, exchange.Final{Verdict: exchange.Stands})
+	b.read(ws, `{"type":"stands","id":"c1"}`)
+	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("after the answer: %v", err)
+	}
+	b.write(fresh, strings.Replace(setup, "c1", "c3", 1))
+	b.expect("arrive " + Key("station-7", "c3"))
+}
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -102,6 +102,19 @@
 // SetMaxOpen changes how many connections are held at once. Of those beyond, the ones that never became a socket make room.
 func (f *Front) SetMaxOpen(n int) { f.accepts.setMost(n) }
 
+// SetCallers changes who may connect. A socket whose caller has another token now takes no further calls, and is closed once
+// all that it has taken are answered.
+func (f *Front) SetCallers(callers map[string]string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s := range f.sockets {
+		if callers[s.identity] != f.Callers[s.identity] {
+			s.revoked = true
+		}
+	}
+	f.Callers = callers
+}
+
 // Resume ends a drain: sockets are kept again.
 func (f *Front) Resume() {
 	f.mu.Lock()
@@ -109,8 +122,13 @@
 	f.drainAt = time.Time{}
 }
 
-// leave closes the sockets that a drain has no more use for. Called under the lock.
+// leave closes the sockets that a drain has no more use for, and those of callers whose token has changed. Called under the lock.
 func (f *Front) leave() {
+	for s := range f.sockets {
+		if s.revoked && s.open == 0 {
+			s.Close()
+		}
+	}
 	if f.drainAt.IsZero() || time.Now().Before(f.drainAt) {
 		return
 	}
@@ -212,7 +230,10 @@
 // identify finds the caller by its token.
 func (f *Front) identify(r *http.Request) (identity string, ok bool) {
 	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	for name, known := range f.Callers {
+	f.mu.Lock()
+	callers := f.Callers
+	f.mu.Unlock()
+	for name, known := range callers {
 		if found && subtle.ConstantTimeCompare([]byte(token), []byte(known)) == 1 {
 			identity, ok = name, true
 		}
--- a/internal/callws/socket.go
+++ b/internal/callws/socket.go
@@ -16,6 +16,7 @@
 	identity string
 	open     int // calls without their answer
 	asked    bool
+	revoked  bool // its caller has another token now, or none
 	since    time.Time
 }
 
@@ -115,6 +116,10 @@
 		f.mu.Unlock()
 		return 503, "the instance ends"
 	}
+	if c == nil && s.revoked {
+		f.mu.Unlock()
+		return 401, "the token has changed"
+	}
 	if c == nil && (len(f.calls) >= maxCalls || s.open >= maxOpenCalls) {
 		f.mu.Unlock()
 		return 503, "too many calls"
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"masthill/control/shares"
 	"masthill/internal/netcase"
 )
 
@@ -163,3 +164,56 @@
 		}
 	}
 }
+
+func TestDistribution(t *testing.T) {
+	none := func(string) string { return "" }
+	good := "[distribution]\nservers = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\nfleet = \"harvest\"\n" +
+		"keys = [\"MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=\"]\nmax_age = \"5s\"\n"
+	p, err := ParseProject("x", good, none)
+	if err != nil || len(p.Distribution.Public) != 1 || p.Distribution.MaxAge != 5*time.Second {
+		t.Fatalf("%+v: %v", p, err)
+	}
+	for change, want := range map[[2]string]string{
+		{`127.0.0.1:2`, `here`}:                                "x:2: distribution.servers",
+		{`127.0.0.1:2`, `127.0.0.1:1`}:                         "x:2: distribution.servers: \"127.0.0.1:1\" stands there twice",
+		{`fleet = "harvest"`, ``}:                              "x:1: distribution.fleet: missing",
+		{`MDEyMzQ1Njc4OWFiY2RlZj`, `x`}:                        "x:4: distribution.keys: key 1",
+		{`"MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="`, ``}: "x:4: distribution.keys: missing",
+		{`"5s"`, `"1s"`}:                                       "x:5: distribution.max_age",
+		{`max_age`, `dir = "d"#`}:                              "x:5: distribution.dir",
+	} {
+		_, err := ParseProject("x", strings.Replace(good, change[0], change[1], 1), none)
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: wanted %q, got %v", change, want, err)
+		}
+	}
+}
+
+func TestLive(t *testing.T) {
+	env := func(name string) string { return strings.Repeat(name, 8) }
+	live, err := ParseLive("release 1", "[shares.fractions]\na = 0.5\n[callws.callers]\nx = \"env:ABC\"\n[log]\nlevel = \"debug\"\n", env)
+	if err != nil || live.CallWS.Callers["x"] != env("ABC") {
+		t.Fatalf("%+v: %v", live, err)
+	}
+	own := []shares.Tenant{{Name: "a", Fraction: 0.2}, {Name: "b", Fraction: 0.8}}
+	if got, err := live.TenantFractions(own); err != nil || got[0].Fraction != 0.5 || got[1].Fraction != 0.8 || own[0].Fraction != 0.2 {
+		t.Errorf("%+v, %v, own %+v", got, err, own)
+	}
+	if _, err := live.TenantFractions(own[1:]); err == nil || !strings.Contains(err.Error(), "shares.fractions.a: no such tenant") {
+		t.Error(err)
+	}
+	for text, want := range map[string]string{
+		"[store]\ndriver = \"sqlite\"\n":                       "release 1:1: store: unknown key",
+		"[shares]\nenabled = true\n":                           "release 1:2: shares.enabled: unknown key",
+		"[shares.fractions]\na = 0\n":                          "release 1:1: shares.fractions: nobody",
+		"[shares.fractions]\na = 1.5\n":                        "release 1:2: shares.fractions.a",
+		"[callws.callers]\nx = \"short\"\n":                    "release 1:2: callws.callers.x",
+		"[log]\nlevel = \"loud\"\n":                            "release 1:2: log.level",
+		"[log\n":                                               "release 1:2:",
+		"[callws.callers]\nx = \"env:ABC\"\ny = \"env:ABC\"\n": "release 1:3: callws.callers.y: the same token",
+	} {
+		if _, err := ParseLive("release 1", text, env); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: wanted %q, got %v", text, want, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/distribution.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+)
+
+// Distribution are the settings of an instance that takes configuration releases.
+type Distribution struct {
+	Servers []string            `toml:"servers"` // empty: off
+	Fleet   string              `toml:"fleet"`
+	Zone    string              `toml:"zone"`
+	Keys    []string            `toml:"keys"`
+	Public  []ed25519.PublicKey `toml:"-"` // what the keys say
+	MaxAge  time.Duration       `toml:"max_age"`
+	Dir     string              `toml:"dir"` // empty: nothing is kept over the instance's end
+}
+
+// minMaxAge is a few questions to a server; defaultMaxAge leaves room for a change of servers.
+const minMaxAge, defaultMaxAge = 3 * time.Second, 10 * time.Second
+
+func (p *Project) checkDistribution(getenv func(string) string, fault func(key, format string, a ...any)) {
+	s := &p.Distribution
+	if s.MaxAge == 0 {
+		s.MaxAge = defaultMaxAge
+	}
+	if len(s.Servers) == 0 {
+		return
+	}
+	for k, server := range s.Servers {
+		if _, _, err := net.SplitHostPort(server); err != nil {
+			fault("distribution.servers", "%q: %v", server, err)
+		}
+		if slices.Contains(s.Servers[:k], server) {
+			fault("distribution.servers", "%q stands there twice", server)
+		}
+	}
+	if s.Fleet == "" {
+		fault("distribution.fleet", "missing")
+	}
+	if len(s.Keys) == 0 {
+		fault("distribution.keys", "missing: no release could be told from a forged one")
+	}
+	for k, text := range s.Keys {
+		text, err := secret(text, getenv)
+		var key ed25519.PublicKey
+		if err == nil {
+			key, err = ParsePublicKey(text)
+		}
+		if err != nil {
+			fault("distribution.keys", "key %d: %v", k+1, err)
+			continue
+		}
+		s.Public = append(s.Public, key)
+	}
+	if s.MaxAge < minMaxAge {
+		fault("distribution.max_age", "%v is under %v: one lost question would count", s.MaxAge, minMaxAge)
+	}
+}
+
+// ParsePublicKey reads a public key of the operators.
+func ParsePublicKey(text string) (ed25519.PublicKey, error) {
+	b, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	if len(b) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("%d bytes: wanted %d", len(b), ed25519.PublicKeySize)
+	}
+	return b, nil
+}
--- a/internal/config/project.go
+++ b/internal/config/project.go
@@ -54,8 +54,9 @@
 	Goodput struct {
 		Enabled bool `toml:"enabled"`
 	} `toml:"goodput"`
-	Peers Peers `toml:"peers"`
-	State struct {
+	Peers        Peers        `toml:"peers"`
+	Distribution Distribution `toml:"distribution"`
+	State        struct {
 		Dir     string        `toml:"dir"` // empty: off
 		Every   time.Duration `toml:"every"`
 		MostAge time.Duration `toml:"most_age"`
@@ -124,13 +125,15 @@
 	p.checkStore(getenv, fault)
 	p.checkCallWS(getenv, fault)
 	p.checkPeers(getenv, fault)
+	p.checkDistribution(getenv, fault)
 	if p.State.Every < 100*time.Millisecond {
 		fault("state.every", "%v is under 100ms: a snapshot is written that often", p.State.Every)
 	}
 	if p.State.MostAge < p.State.Every {
 		fault("state.most_age", "%v is under state.every: every snapshot would be too old", p.State.MostAge)
 	}
-	for key, path := range map[string]string{"state.dir": p.State.Dir, "socket.path": p.Socket.Path, "peers.audit": p.Peers.Audit} {
+	for key, path := range map[string]string{"state.dir": p.State.Dir, "socket.path": p.Socket.Path, "peers.audit": p.Peers.Audit,
+		"distribution.dir": p.Distribution.Dir} {
 		if path != "" && !filepath.IsAbs(path) {
 			fault(key, "%q is no absolute path", path)
 		}
@@ -204,24 +207,7 @@
 	if len(p.CallWS.Callers) == 0 {
 		fault("callws.callers", "no caller could connect")
 	}
-	names := make([]string, 0, len(p.CallWS.Callers))
-	for name := range p.CallWS.Callers {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	owner := map[string]string{}
-	for _, name := range names {
-		token, err := secret(p.CallWS.Callers[name], getenv)
-		switch {
-		case err != nil:
-			fault("callws.callers."+name, "%v", err)
-		case len(token) < tokenLeast:
-			fault("callws.callers."+name, "a token has %d characters at least", tokenLeast)
-		case owner[token] != "":
-			fault("callws.callers."+name, "the same token as another's")
-		}
-		p.CallWS.Callers[name], owner[token] = token, name
-	}
+	checkTokens("callws.callers", p.CallWS.Callers, getenv, fault)
 }
 
 // sorted puts faults in the order of their lines.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -18,6 +18,7 @@
 
 	"masthill/control/levels"
 	"masthill/internal/exchange"
+	"masthill/internal/releases"
 )
 
 const (
@@ -60,6 +61,8 @@
 	ConfigWarning string          `json:"config_warning,omitempty"`
 	Levels        []levels.Change `json:"levels,omitempty"` // the last changes, the oldest first
 	Peers         *Peers          `json:"peers,omitempty"`  // nil: it knows of no others
+	// Release is the configuration release that is in force; nil: it takes none.
+	Release *releases.MemberStatus `json:"release,omitempty"`
 }
 
 // Listen opens the socket. A socket that nobody listens on any more, left by a process that died, makes room; one that
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,12 +26,48 @@
 type Options struct {
 	Out     io.Writer
 	JSON    bool
-	Level   slog.Level
-	Levels  map[string]slog.Level // by part
-	Repeats int                   // lines of one message and part in a second; 0: no bound
-	Now     func() time.Time      // nil: the system's
+	Levels  *Levels          // nil: info for all
+	Repeats int              // lines of one message and part in a second; 0: no bound
+	Now     func() time.Time // nil: the system's
 }
 
+// Levels are the least levels that are written. They may change while loggers use them.
+type Levels struct {
+	current atomic.Pointer[levelsByPart]
+}
+
+type levelsByPart struct {
+	general slog.Level
+	parts   map[string]slog.Level
+}
+
+// NewLevels makes levels: a general one, and those of parts that have their own.
+func NewLevels(general slog.Level, parts map[string]slog.Level) *Levels {
+	l := &Levels{}
+	l.Set(general, parts)
+	return l
+}
+
+// Set changes the levels, for loggers that are there already, too.
+func (l *Levels) Set(general slog.Level, parts map[string]slog.Level) {
+	l.current.Store(&levelsByPart{general, parts})
+}
+
+// of is the level of a part.
+func (l *Levels) of(part string) slog.Level {
+	now := l.current.Load()
+	if len(now.parts) == 0 {
+		return now.general
+	}
+	if level, ok := now.parts[part]; ok {
+		return level
+	}
+	return now.general
+}
+
+// everything is under any level: what is written is decided by Levels, not by the handlers of log/slog.
+const everything = slog.Level(math.MinInt)
+
 // Level reads a level's name.
 func Level(name string) (l slog.Level, err error) {
 	if err = l.UnmarshalText([]byte(name)); err != nil {
@@ -43,15 +81,14 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	least := o.Level
-	for _, l := range o.Levels {
-		least = min(least, l)
+	if o.Levels == nil {
+		o.Levels = NewLevels(slog.LevelInfo, nil)
 	}
-	var h slog.Handler = slog.NewTextHandler(o.Out, &slog.HandlerOptions{Level: least})
+	var h slog.Handler = slog.NewTextHandler(o.Out, &slog.HandlerOptions{Level: everything})
 	if o.JSON {
-		h = slog.NewJSONHandler(o.Out, &slog.HandlerOptions{Level: least})
+		h = slog.NewJSONHandler(o.Out, &slog.HandlerOptions{Level: everything})
 	}
-	return slog.New(&handler{Handler: h, level: o.Level, o: &o, shared: &counts{seen: map[key]*count{}}})
+	return slog.New(&handler{Handler: h, o: &o, shared: &counts{seen: map[key]*count{}}})
 }
 
 type key struct{ part, message string }
@@ -71,12 +108,11 @@
 type handler struct {
 	slog.Handler
 	part   string
-	level  slog.Level
 	o      *Options
 	shared *counts
 }
 
-func (h *handler) Enabled(_ context.Context, l slog.Level) bool { return l >= h.level }
+func (h *handler) Enabled(_ context.Context, l slog.Level) bool { return l >= h.o.Levels.of(h.part) }
 
 func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
 	next := *h
@@ -84,10 +120,6 @@
 	for _, a := range attrs {
 		if a.Key == Part {
 			next.part = a.Value.String()
-			next.level = h.o.Level
-			if l, ok := h.o.Levels[next.part]; ok {
-				next.level = l
-			}
 		}
 	}
 	return &next
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -11,8 +11,8 @@
 func TestLevelsByPartAndRepeats(t *testing.T) {
 	var out bytes.Buffer
 	now := time.Unix(1000, 0)
-	log := New(Options{Out: &out, Level: slog.LevelInfo, Levels: map[string]slog.Level{"core": slog.LevelDebug, "list": slog.LevelError},
-		Repeats: 3, Now: func() time.Time { return now }})
+	levels := NewLevels(slog.LevelInfo, map[string]slog.Level{"core": slog.LevelDebug, "list": slog.LevelError})
+	log := New(Options{Out: &out, Levels: levels, Repeats: 3, Now: func() time.Time { return now }})
 	core, list := log.With(Part, "core"), log.With(Part, "list")
 	core.Debug("seen")
 	log.Debug("unseen")
@@ -28,6 +28,12 @@
 	if n := strings.Count(text, "msg=flood"); n != 6 { // three of each part
 		t.Errorf("%d lines", n)
 	}
+	levels.Set(slog.LevelWarn, map[string]slog.Level{"list": slog.LevelInfo})
+	core.Info("unseen after the change")
+	list.Info("seen after the change")
+	if text := out.String(); strings.Contains(text, "unseen") || !strings.Contains(text, "seen after the change") {
+		t.Error(text)
+	}
 	now = now.Add(time.Second)
 	core.Warn("flood")
 	if !strings.Contains(out.String(), "left_out=7") {
--- /dev/null
+++ b/internal/releases/server.go
@@ -0,0 +1,260 @@
+package releases
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"masthill/control/distribution"
+)
+
+const (
+	// maxConnections bounds a server's connections: a fleet's instances twice over, as they change servers.
+	maxConnections = 2048
+	// headerTimeout bounds the head of a request, idleTimeout the pause between two on a connection.
+	headerTimeout, idleTimeout = time.Second, 10 * time.Second
+	// retryPause is the pause after a question to another server that failed.
+	retryPause = 500 * time.Millisecond
+	// keptFile holds what a server keeps over its end.
+	keptFile = "server.json"
+)
+
+// ServerOptions is what a server needs to know.
+type ServerOptions struct {
+	Name      string // its address as the other servers and the instances name it
+	Others    []string
+	Fleet     string
+	Keys      []ed25519.PublicKey
+	HaltAfter int
+	Dir       string // where releases are kept
+	Log       *slog.Logger
+	Now       func() int64 // nil: the system's clock
+}
+
+// Server keeps and serves releases.
+type Server struct {
+	options ServerOptions
+	saver   *saver
+	client  *Client
+
+	mu      sync.Mutex
+	replica *distribution.Replica
+	news    chan struct{} // closed when the head has changed
+	tag     string        // of the head that news was made for
+}
+
+// NewServer makes a server from what the one before it kept.
+func NewServer(options ServerOptions) *Server {
+	if options.Now == nil {
+		options.Now = func() int64 { return time.Now().UnixNano() }
+	}
+	path := filepath.Join(options.Dir, keptFile)
+	var kept distribution.Kept
+	load(path, &kept, options.Log)
+	s := &Server{options: options, saver: newSaver(path, options.Log), client: NewClient(nil), news: make(chan struct{}),
+		replica: distribution.NewReplica(distribution.ReplicaConfig{Name: options.Name, Fleet: options.Fleet, Others: options.Others,
+			Keys: options.Keys, HaltAfter: options.HaltAfter}, kept)}
+	s.tag = tagOf(s.replica.Head(options.Now()))
+	return s
+}
+
+// tagOf tells heads apart that somebody has to hear of.
+func tagOf(h distribution.Head) string {
+	return fmt.Sprintf("%s/%d/%d/%t/%d", h.Server, h.Version, h.Good, h.Halted != "", h.Failures)
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: transferTimeout,
+		WriteTimeout: transferTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxPoll,
+		ErrorLog: slog.NewLogLogger(s.options.Log.Handler(), slog.LevelDebug)}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := server.Serve(netutil.LimitListener(l, maxConnections)); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	g.Go(func() error { s.saver.run(ctx.Done()); return nil })
+	for _, other := range s.options.Others {
+		g.Go(func() error { s.follow(ctx, other); return nil })
+	}
+	return g.Wait()
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/poll", s.answerPoll)
+	mux.HandleFunc("GET /v1/releases/{version}", s.answerFetch)
+	mux.HandleFunc("POST /v1/releases", func(w http.ResponseWriter, r *http.Request) {
+		var release distribution.Release
+		s.answerOrder(w, r, &release, func() error { return s.replica.Publish(s.options.Now(), release) })
+	})
+	mux.HandleFunc("POST /v1/halt", func(w http.ResponseWriter, r *http.Request) {
+		var order distribution.HaltOrder
+		s.answerOrder(w, r, &order, func() error { return s.replica.Halt(order) })
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		status := s.replica.Status(s.options.Now())
+		s.mu.Unlock()
+		answerJSON(w, status)
+	})
+	return mux
+}
+
+func answerJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(value)
+}
+
+// read decodes a request's body; where it cannot, it has answered.
+func read(w http.ResponseWriter, r *http.Request, into any, most int64) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, most)).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answerPoll takes what an instance tells, and answers once there is news, or after pollWait.
+func (s *Server) answerPoll(w http.ResponseWriter, r *http.Request) {
+	var request pollRequest
+	if !read(w, r, &request, maxPoll) {
+		return
+	}
+	s.change(func() { s.replica.Acknowledge(s.options.Now(), request.Acknowledgement) })
+	wait := time.NewTimer(pollWait)
+	defer wait.Stop()
+	for {
+		s.mu.Lock()
+		answer := pollAnswer{Head: s.replica.Head(s.options.Now())}
+		answer.Tag = tagOf(answer.Head)
+		news := s.news
+		s.mu.Unlock()
+		if answer.Tag != request.Seen {
+			answerJSON(w, answer)
+			return
+		}
+		select {
+		case <-news:
+		case <-r.Context().Done():
+			return
+		case <-wait.C:
+			request.Seen = ""
+		}
+	}
+}
+
+func (s *Server) answerFetch(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.PathValue("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "no version", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	release := s.replica.Release(distribution.Version(version))
+	s.mu.Unlock()
+	if release == nil {
+		http.Error(w, ErrNotThere.Error(), http.StatusNotFound)
+		return
+	}
+	answerJSON(w, release)
+}
+
+// answerOrder takes an operator's order.
+func (s *Server) answerOrder(w http.ResponseWriter, r *http.Request, order any, do func() error) {
+	if !read(w, r, order, maxTransfer) {
+		return
+	}
+	var err error
+	s.change(func() { err = do() })
+	if err != nil {
+		s.options.Log.Warn("order refused", "reason", "unfit", "peer", r.RemoteAddr, "err", err)
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+// change changes the state, and tells all that wait where the head is another one.
+func (s *Server) change(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+	head := s.replica.Head(s.options.Now())
+	tag := tagOf(head)
+	if tag == s.tag {
+		return
+	}
+	s.options.Log.Info("newest release", "version", head.Version, "good", head.Good, "halted", head.Halted, "failures", head.Failures)
+	s.tag = tag
+	close(s.news)
+	s.news = make(chan struct{})
+	s.saver.put(s.replica.Kept())
+}
+
+// follow follows another server until ctx ends.
+func (s *Server) follow(ctx context.Context, other string) {
+	seen := ""
+	for ctx.Err() == nil {
+		answer, err := s.client.poll(ctx, other, pollRequest{Seen: seen})
+		if err == nil {
+			seen = answer.Tag
+			err = s.hear(ctx, other, answer.Head)
+		}
+		if err == nil {
+			continue
+		}
+		s.options.Log.Warn("other server", "reason", "not followed", "server", other, "err", err)
+		seen = ""
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// hear takes another server's head, and fetches what this one lacks.
+func (s *Server) hear(ctx context.Context, other string, head distribution.Head) error {
+	if head.Server != other {
+		return fmt.Errorf("it calls itself %q", head.Server)
+	}
+	var wanted distribution.Version
+	s.change(func() { wanted = s.replica.HearServer(s.options.Now(), head) })
+	if wanted == 0 {
+		return nil
+	}
+	release, err := s.client.Fetch(ctx, other, wanted)
+	if errors.Is(err, ErrNotThere) && wanted != head.Version {
+		return nil // it has not copied that one yet
+	}
+	if err != nil {
+		return err
+	}
+	s.change(func() {
+		if wanted == head.Version {
+			err = s.replica.Copy(s.options.Now(), release, head)
+		} else {
+			err = s.replica.CopyGood(release)
+		}
+	})
+	if errors.Is(err, distribution.ErrOld) { // it came from elsewhere meanwhile
+		return nil
+	}
+	return err
+}
