--- /dev/null
+++ b/internal/fleet/orders.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"masthill/control/rollout"
+)
+
+// Rollout begins to replace all instances: by a new program, or by the same one (empty). The program first reads the
+// files that the instances will get; a fault in them replaces nothing.
+func (s *Supervisor) Rollout(ctx context.Context, program string) (err error) {
+	why := "upgrade"
+	var first *member
+	s.ask(func() {
+		switch {
+		case s.state.Rollout != nil:
+			err = errors.New("a rollout is under way")
+		case s.down:
+			err = errors.New("the fleet is going down")
+		default:
+			first = s.members[0]
+		}
+		if program == "" {
+			why, program = "restart", s.state.Programs[s.state.Generation]
+		}
+	})
+	if err != nil || first == nil {
+		return errors.Join(err, ctx.Err())
+	}
+	if program, err = filepath.Abs(program); err != nil {
+		return err
+	}
+	if err := s.checkAll(ctx, program); err != nil {
+		return err
+	}
+	s.ask(func() {
+		if s.state.Rollout != nil {
+			err = errors.New("a rollout is under way")
+			return
+		}
+		from := s.state.Generation
+		s.state.Generation = s.generation(program)
+		s.state.Rollout = &rollout.Rollout{From: from, To: s.state.Generation, Began: time.Now().UnixNano(), Why: why}
+		s.state.Outcome, s.step = nil, rollout.Step{}
+		s.write()
+		s.log.Info("rollout begins", "why", why, "from", from, "to", s.state.Generation, "program", program)
+	})
+	return err
+}
+
+// checkAll writes the files anew and has a program read them; the running instances have read theirs long ago.
+func (s *Supervisor) checkAll(ctx context.Context, program string) error {
+	var all []*member
+	var err error
+	s.ask(func() {
+		for _, m := range s.members {
+			all = append(all, m)
+			err = errors.Join(err, m.files())
+		}
+	})
+	for _, m := range all {
+		err = errors.Join(err, m.check(ctx, program))
+	}
+	return err
+}
+
+// Reload writes the files anew, and has every instance read them. An instance that was given up is tried again.
+func (s *Supervisor) Reload(ctx context.Context) error {
+	var program string
+	s.ask(func() { program = s.state.Programs[s.state.Generation] })
+	if err := s.checkAll(ctx, program); err != nil {
+		return err
+	}
+	s.ask(func() {
+		for _, m := range s.members {
+			if m.pid > 0 && !m.asked {
+				syscall.Kill(m.pid, syscall.SIGHUP)
+			}
+			if m.phase == rollout.Failed {
+				m.failed, m.young, m.retryAt = "", 0, time.Time{}
+				m.enter(rollout.Down)
+			}
+		}
+	})
+	return nil
+}
+
+// Down ends all instances and the supervisor.
+func (s *Supervisor) Down() { s.ask(func() { s.down = true }) }
--- /dev/null
+++ b/internal/fleet/rollout.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"time"
+
+	"masthill/control/rollout"
+)
+
+// roll carries out the next step of the rollout under way.
+func (s *Supervisor) roll() {
+	r := s.state.Rollout
+	if r == nil {
+		return
+	}
+	var seen []rollout.Seen
+	for _, m := range s.members {
+		seen = append(seen, rollout.Seen{Name: m.name, Generation: m.gen, Phase: m.phase, Since: m.since.UnixNano(), Crashes: m.crashes})
+	}
+	before := s.step
+	s.step = r.Next(time.Now().UnixNano(), s.spec.limits(), seen, s.cold())
+	if s.step.State != before.State || s.step.Reason != before.Reason {
+		s.log.Info("rollout", "state", s.step.State, "reason", s.step.Reason, "detail", s.step.Detail, "left", s.step.Left)
+	}
+	for _, name := range s.step.Replace {
+		for _, m := range s.members {
+			if m.name != name {
+				continue
+			}
+			m.gen, m.crashes, m.young, m.failed, m.retryAt, m.why = s.step.As, 0, 0, "", time.Time{}, r.Why
+			m.wait.Reset()
+			if m.phase == rollout.Failed {
+				m.enter(rollout.Down)
+			}
+			m.stop()
+		}
+	}
+	switch s.step.State {
+	case rollout.Done, rollout.Turned, rollout.Halted:
+		s.state.Outcome = &Outcome{State: s.step.State, Reason: s.step.Reason, Detail: s.step.Detail, To: r.To,
+			Took: float64(time.Now().UnixNano()-r.Began) / 1e9}
+		if s.step.State == rollout.Turned {
+			s.state.Generation = r.From
+		}
+		s.state.Rollout = nil
+		s.log.Info("rollout ended", "state", s.step.State, "reason", s.step.Reason, "detail", s.step.Detail)
+	}
+}
+
+// cold counts the offices that any instance believes to be cold.
+func (s *Supervisor) cold() int {
+	cold := map[string]bool{}
+	for _, m := range s.members {
+		if m.status == nil {
+			continue
+		}
+		for _, o := range m.status.Core.Offices {
+			if o.Cold && o.Listed == "serving" {
+				cold[o.ID] = true
+			}
+		}
+	}
+	return len(cold)
+}
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -4,12 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io/fs"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"sort"
 	"strconv"
 	"sync"
 	"syscall"
@@ -41,15 +39,6 @@
 	Addresses map[string]map[string]string `json:"addresses,omitempty"`
 }
 
-// Outcome is how a rollout ended.
-type Outcome struct {
-	State  rollout.State `json:"state"`
-	Reason string        `json:"reason,omitempty"`
-	Detail string        `json:"detail,omitempty"`
-	To     string        `json:"to"`
-	Took   float64       `json:"took_s"`
-}
-
 // Supervisor runs a fleet. One goroutine, the loop, owns its state; everything else posts to it.
 type Supervisor struct {
 	spec  *Spec
@@ -246,62 +235,6 @@
 	}
 }
 
-// roll carries out the next step of the rollout under way.
-func (s *Supervisor) roll() {
-	r := s.state.Rollout
-	if r == nil {
-		return
-	}
-	var seen []rollout.Seen
-	for _, m := range s.members {
-		seen = append(seen, rollout.Seen{Name: m.name, Generation: m.gen, Phase: m.phase, Since: m.since.UnixNano(), Crashes: m.crashes})
-	}
-	before := s.step
-	s.step = r.Next(time.Now().UnixNano(), s.spec.limits(), seen, s.cold())
-	if s.step.State != before.State || s.step.Reason != before.Reason {
-		s.log.Info("rollout", "state", s.step.State, "reason", s.step.Reason, "detail", s.step.Detail, "left", s.step.Left)
-	}
-	for _, name := range s.step.Replace {
-		for _, m := range s.members {
-			if m.name != name {
-				continue
-			}
-			m.gen, m.crashes, m.young, m.failed, m.retryAt, m.why = s.step.As, 0, 0, "", time.Time{}, r.Why
-			m.wait.Reset()
-			if m.phase == rollout.Failed {
-				m.enter(rollout.Down)
-			}
-			m.stop()
-		}
-	}
-	switch s.step.State {
-	case rollout.Done, rollout.Turned, rollout.Halted:
-		s.state.Outcome = &Outcome{State: s.step.State, Reason: s.step.Reason, Detail: s.step.Detail, To: r.To,
-			Took: float64(time.Now().UnixNano()-r.Began) / 1e9}
-		if s.step.State == rollout.Turned {
-			s.state.Generation = r.From
-		}
-		s.state.Rollout = nil
-		s.log.Info("rollout ended", "state", s.step.State, "reason", s.step.Reason, "detail", s.step.Detail)
-	}
-}
-
-// cold counts the offices that any instance believes to be cold.
-func (s *Supervisor) cold() int {
-	cold := map[string]bool{}
-	for _, m := range s.members {
-		if m.status == nil {
-			continue
-		}
-		for _, o := range m.status.Core.Offices {
-			if o.Cold && o.Listed == "serving" {
-				cold[o.ID] = true
-			}
-		}
-	}
-	return len(cold)
-}
-
 // end ends all instances in order; it tells when all are gone.
 func (s *Supervisor) end() bool {
 	left := 0
@@ -326,137 +259,3 @@
 	}
 	s.wrote = string(text)
 }
-
-// Rollout begins to replace all instances: by a new program, or by the same one (empty). The program first reads the
-// files that the instances will get; a fault in them replaces nothing.
-func (s *Supervisor) Rollout(ctx context.Context, program string) (err error) {
-	why := "upgrade"
-	var first *member
-	s.ask(func() {
-		switch {
-		case s.state.Rollout != nil:
-			err = errors.New("a rollout is under way")
-		case s.down:
-			err = errors.New("the fleet is going down")
-		default:
-			first = s.members[0]
-		}
-		if program == "" {
-			why, program = "restart", s.state.Programs[s.state.Generation]
-		}
-	})
-	if err != nil || first == nil {
-		return errors.Join(err, ctx.Err())
-	}
-	if program, err = filepath.Abs(program); err != nil {
-		return err
-	}
-	if err := s.checkAll(ctx, program); err != nil {
-		return err
-	}
-	s.ask(func() {
-		if s.state.Rollout != nil {
-			err = errors.New("a rollout is under way")
-			return
-		}
-		from := s.state.Generation
-		s.state.Generation = s.generation(program)
-		s.state.Rollout = &rollout.Rollout{From: from, To: s.state.Generation, Began: time.Now().UnixNano(), Why: why}
-		s.state.Outcome, s.step = nil, rollout.Step{}
-		s.write()
-		s.log.Info("rollout begins", "why", why, "from", from, "to", s.state.Generation, "program", program)
-	})
-	return err
-}
-
-// checkAll writes the files anew and has a program read them; the running instances have read theirs long ago.
-func (s *Supervisor) checkAll(ctx context.Context, program string) error {
-	var all []*member
-	var err error
-	s.ask(func() {
-		for _, m := range s.members {
-			all = append(all, m)
-			err = errors.Join(err, m.files())
-		}
-	})
-	for _, m := range all {
-		err = errors.Join(err, m.check(ctx, program))
-	}
-	return err
-}
-
-// Reload writes the files anew, and has every instance read them. An instance that was given up is tried again.
-func (s *Supervisor) Reload(ctx context.Context) error {
-	var program string
-	s.ask(func() { program = s.state.Programs[s.state.Generation] })
-	if err := s.checkAll(ctx, program); err != nil {
-		return err
-	}
-	s.ask(func() {
-		for _, m := range s.members {
-			if m.pid > 0 && !m.asked {
-				syscall.Kill(m.pid, syscall.SIGHUP)
-			}
-			if m.phase == rollout.Failed {
-				m.failed, m.young, m.retryAt = "", 0, time.Time{}
-				m.enter(rollout.Down)
-			}
-		}
-	})
-	return nil
-}
-
-// Down ends all instances and the supervisor.
-func (s *Supervisor) Down() { s.ask(func() { s.down = true }) }
-
-// Status is what a fleet tells operators.
-type Status struct {
-	Name       string         `json:"name"`
-	PID        int            `json:"pid"`
-	Generation string         `json:"generation"`
-	Program    string         `json:"program"`
-	Rollout    *rollout.Step  `json:"rollout,omitempty"` // under way
-	Outcome    *Outcome       `json:"outcome,omitempty"` // of the last one
-	Instances  []MemberStatus `json:"instances"`
-}
-
-// MemberStatus is one instance.
-type MemberStatus struct {
-	Name       string        `json:"name"`
-	PID        int           `json:"pid"`
-	Phase      rollout.Phase `json:"phase"`
-	ForS       float64       `json:"for_s"`
-	Generation string        `json:"generation"`
-	Listen     string        `json:"listen"`
-	Socket     string        `json:"socket"`
-	Ends       int           `json:"ends_unasked"`
-	Failed     string        `json:"failed,omitempty"`
-	Open       int           `json:"open"`
-	Standing   int           `json:"standing"`
-	MemoryMB   float64       `json:"memory_mb"`
-}
-
-// Status looks at everything.
-func (s *Supervisor) Status() (st Status) {
-	s.ask(func() {
-		st = Status{Name: s.spec.Name, PID: os.Getpid(), Generation: s.state.Generation, Program: s.state.Programs[s.state.Generation], Outcome: s.state.Outcome}
-		if s.state.Rollout != nil {
-			step := s.step
-			st.Rollout = &step
-		}
-		for _, m := range s.members {
-			one := MemberStatus{Name: m.name, PID: m.pid, Phase: m.phase, ForS: time.Since(m.since).Seconds(), Generation: m.gen,
-				Listen: m.addrs["callers"], Socket: m.socket(), Ends: m.ends, Failed: m.failed}
-			if m.status != nil {
-				one.Open, one.Standing, one.MemoryMB = m.status.Core.Open, m.status.Core.Standing, m.status.MemoryMB
-			}
-			st.Instances = append(st.Instances, one)
-		}
-		sort.Slice(st.Instances, func(i, j int) bool {
-			return len(st.Instances[i].Name) < len(st.Instances[j].Name) || len(st.Instances[i].Name) == len(st.Instances[j].Name) && st.Instances[i].Name < st.Instances[j].Name
-		})
-	})
-	return st
-}
-
-func (s Status) String() string { return fmt.Sprintf("fleet %s of %d", s.Name, len(s.Instances)) }
