Outlier detection: only servers with a bad report are evaluated

A server of which no bad report is kept, and whose decision rests on none, cannot be avoided.

Change: the detector keeps the set of suspects and evaluates those alone; an observation of another server makes nothing due. A decision whose last reports have expired is evaluated once more, so that it no longer stays on the operators' list for good.

--- a/control/shared/outlier/decision.go
+++ b/control/shared/outlier/decision.go
@@ -47,22 +47,30 @@
 	return all
 }
 
-// refresh evaluates all servers if something is new or the last evaluation is old.
+// refresh evaluates the suspects if something is new of them or the last evaluation is old. Its cost goes by their number and
+// not by that of the servers, as it may come before each call.
 func (d *Detector) refresh(now int64) {
 	if !d.dirty && now-d.evaluatedAt < refreshInterval {
 		return
 	}
 	d.evaluatedAt, d.dirty = now, false
 	var decisions []Decision
-	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+	for _, id := range slices.Sorted(maps.Keys(d.suspects)) {
 		s := d.servers[id]
 		s.secondHand = slices.DeleteFunc(s.secondHand, func(o observation) bool { return now-o.seenAt >= d.cfg.Retention })
-		if len(s.secondHand) > 0 || s.decision.Avoided {
+		if len(s.secondHand) > 0 || s.decision.Avoided || len(s.decision.Observers) > 0 {
 			decisions = append(decisions, d.evaluate(now, id, s))
 		}
 	}
 	d.limit(decisions)
 	d.apply(decisions)
+	maps.DeleteFunc(d.suspects, func(id uint64, _ bool) bool { return !d.servers[id].isSuspect() })
+}
+
+// isSuspect tells whether a bad observation of the server is kept, or its decision rests on one.
+func (s *serverState) isSuspect() bool {
+	bad := func(o observation) bool { return o.kind.bad() }
+	return s.decision.Avoided || len(s.decision.Observers) > 0 || s.hasOwn && bad(s.own) || slices.ContainsFunc(s.secondHand, bad)
 }
 
 // limit keeps the number of avoided servers within bounds. The servers with the most bad reports come first.
--- a/control/shared/outlier/detector.go
+++ b/control/shared/outlier/detector.go
@@ -45,9 +45,10 @@
 	name, machine string
 	rng           *rand.Rand
 	servers       map[uint64]*serverState
+	suspects      map[uint64]bool // servers with a bad report, or with a decision that rests on one: all others are not avoided
 	listed        int
 	evaluatedAt   int64
-	dirty         bool // something was received or observed since
+	dirty         bool // something was received or observed of a suspect since
 	onChange      func(Decision)
 }
 
@@ -63,6 +64,7 @@
 		machine:  machine,
 		rng:      rand.New(rand.NewPCG(seed, 0x6a75646765)),
 		servers:  map[uint64]*serverState{},
+		suspects: map[uint64]bool{},
 		onChange: onChange,
 	}
 }
@@ -80,6 +82,7 @@
 		}
 	}
 	maps.DeleteFunc(d.servers, func(id uint64, _ *serverState) bool { return !listed[id] })
+	maps.DeleteFunc(d.suspects, func(id uint64, _ bool) bool { return !listed[id] })
 	d.listed, d.dirty = len(listed), true
 }
 
@@ -99,7 +102,15 @@
 		s.own.streak = 1
 	}
 	s.own.kind, s.own.seenAt, s.hasOwn = k, now, true
-	d.dirty = true
+	d.heard(id, k)
+}
+
+// heard notes that an observation of a server has come. Of a server that nobody has seen bad it decides nothing.
+func (d *Detector) heard(id uint64, k Kind) {
+	if k.bad() {
+		d.suspects[id] = true
+	}
+	d.dirty = d.dirty || d.suspects[id]
 }
 
 // Broadcast makes the health report for the other instances. It is bounded, so bad news comes first, then the youngest.
@@ -138,7 +149,7 @@
 			continue
 		}
 		s.keep(observation{m.Machine, m.From, r.Kind, now - r.AgeMS*1e6, r.Run})
-		d.dirty = true
+		d.heard(r.Server, r.Kind)
 	}
 }
 
