Peers: as many members try the seeds and the lost ones in any fleet

Need: docs/CAPACITY.md, second row: every member exchanged the whole list of members with up to three seeds every 24 s, which at 470 is 1.33 MB/s at a seed, 190 times its budget. Each member also tried three lost ones every 3 s for an hour. One member's success is enough for all, as gossip spreads it.

Change: of a fleet some 16 members try lost ones every 3 s and every sixth second one tries one seed; a small fleet's members try the seeds as rarely as before. NotifyConflict reads this member's description under the lock.

TestAConflictWhileLeaving is for the race detector; it has not been seen to fail without the lock.

--- a/internal/peers/delegate.go
+++ b/internal/peers/delegate.go
@@ -68,7 +68,9 @@
 	if known.Name != p.options.Name {
 		return
 	}
+	p.mu.Lock()
 	own := p.self
+	p.mu.Unlock()
 	otherIsFirst := info.Started < own.Started || info.Started == own.Started && info.Epoch < own.Epoch
 	if otherIsFirst {
 		p.mu.Lock()
--- a/internal/peers/end_test.go
+++ b/internal/peers/end_test.go
@@ -33,3 +33,21 @@
 	cancel()
 	<-done
 }
+
+// A conflict of names is looked at while the member leaves. The race detector sees what is read without the lock.
+func TestAConflictWhileLeaving(t *testing.T) {
+	a := begin(t, Options{Name: "a"})
+	until(t, "it runs", func() bool { return a.list.Load() != nil })
+	about, err := Encode(memberInfo{Epoch: 7, Started: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, other := &memberlist.Node{Name: "a"}, &memberlist.Node{Name: "a", Meta: about}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		(*delegate)(a.Peers).NotifyConflict(known, other)
+	}()
+	a.end()
+	<-done
+}
--- a/internal/peers/join.go
+++ b/internal/peers/join.go
@@ -20,8 +20,11 @@
 	firstRejoin = 200 * time.Millisecond
 	// retention is for how long lost members are tried.
 	retention = time.Hour
-	// seedsOneIn is how rarely the seeds are tried while other members are alive, in case there are two fleets that never met.
-	seedsOneIn = 8
+	// lostTries and seedTries are how many members of a fleet try lost members, and one of the seeds, in a rejoinInterval. The
+	// latter is for two fleets that never met. One that succeeds is enough for all, so these do not grow with the fleet: each
+	// try exchanges the whole list of members. maxSeedShare bounds the part of a small fleet that tries the seeds.
+	lostTries, seedTries = 16.0, 0.5
+	maxSeedShare         = 1.0 / 8
 )
 
 // joinLoop looks for other members until ctx ends: first by the seeds and the saved addresses, and again while there are
@@ -33,13 +36,14 @@
 	interval := backoff.NewExponentialBackOff()
 	interval.InitialInterval, interval.MaxInterval = firstRejoin, rejoinInterval
 	for {
-		alive, candidates := p.rejoinCandidates()
+		alive, lost := p.rejoinCandidates()
 		nameTaken := p.nameTaken()
-		if alive <= 1 || nameTaken || rng.IntN(seedsOneIn) == 0 {
-			candidates = append(append(candidates, p.options.Seeds...), saved...)
+		known := addresses{lost: lost, seeds: p.options.Seeds, saved: saved}
+		if alive <= 1 || nameTaken {
+			p.join(ctx, known.any(rng))
+		} else {
+			p.join(ctx, known.dueShare(rng, alive))
 		}
-		rng.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
-		p.join(ctx, candidates[:min(len(candidates), rejoinAttempts)])
 		if ctx.Err() != nil {
 			return
 		}
@@ -64,6 +68,31 @@
 	}
 }
 
+// addresses are those by which other members may be found.
+type addresses struct {
+	lost  []string // members that were lost recently
+	seeds []string
+	saved []string // members of the process before
+}
+
+// any draws from all addresses: nobody else is heard.
+func (a addresses) any(rng *rand.Rand) []string {
+	all := slices.Concat(a.lost, a.seeds, a.saved)
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), rejoinAttempts)]
+}
+
+// dueShare draws what one of so many members that hear each other tries in a rejoinInterval.
+func (a addresses) dueShare(rng *rand.Rand, alive int) (tried []string) {
+	if rng.Float64() < lostTries/float64(alive) {
+		tried = addresses{lost: a.lost}.any(rng)
+	}
+	if len(a.seeds) > 0 && rng.Float64() < min(seedTries/float64(alive), maxSeedShare) {
+		tried = append(tried, a.seeds[rng.IntN(len(a.seeds))])
+	}
+	return tried
+}
+
 // rejoinCandidates counts the members that are alive, this one too, and lists those that were lost recently.
 func (p *Peers) rejoinCandidates() (alive int, lost []string) {
 	p.mu.Lock()
