--- a/cmd/masthill-lab/scale.go
+++ b/cmd/masthill-lab/scale.go
@@ -15,6 +15,7 @@
 	Steady scaleSteadyCmd `cmd:"" default:"withargs" help:"A fleet at rest, at several sizes."`
 	Trust  scaleTrustCmd  `cmd:"" help:"The same size all real and all hollow."`
 	Faults scaleFaultsCmd `cmd:"" help:"A fleet that something happens to."`
+	Config scaleConfigCmd `cmd:"" help:"Configuration releases: servers in processes, and members that are that part alone."`
 	Group  scaleGroupCmd  `cmd:"" hidden:"" help:"Serve a group of hollow members; the others start it."`
 }
 
--- /dev/null
+++ b/cmd/masthill-lab/scaleconfig.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"masthill/lab/scale"
+)
+
+// scaleConfigCmd measures configuration releases by the fleet's size.
+type scaleConfigCmd struct {
+	Sizes   []int         `default:"120,240,470" help:"Members."`
+	Servers int           `default:"5" help:"Configuration servers, each in a process."`
+	Changes int           `default:"5" help:"Releases, one after the other."`
+	Rest    time.Duration `default:"4s" help:"When all zones but the first take a release."`
+	Content int           `default:"4096" help:"Bytes of a release."`
+	Warm    time.Duration `default:"5s" help:"Before the measurement."`
+	For     time.Duration `default:"20s" help:"Of the measurement at rest."`
+	Cut     time.Duration `default:"20s" help:"How long a region is cut off, and all servers are lost."`
+	Faults  bool          `help:"Have servers lost and members cut off, too."`
+	Program string        `default:"bin/masthill" help:"The program that serves releases." placeholder:"PATH"`
+	Seed    uint64        `default:"1" help:"Seed of all draws."`
+	JSON    string        `name:"json" help:"Write the results there, after each size." placeholder:"FILE"`
+}
+
+// maxConfigServers bounds the configuration servers of a run.
+const maxConfigServers = 9
+
+func (c scaleConfigCmd) Run(ctx context.Context) error {
+	if c.Servers < 1 || c.Servers > maxConfigServers {
+		return fmt.Errorf("%d servers: 1 to %d", c.Servers, maxConfigServers)
+	}
+	program, err := filepath.Abs(c.Program)
+	if err != nil {
+		return err
+	}
+	r := &scale.Results{}
+	for _, size := range c.Sizes {
+		if size < 3 || size > scaleMost {
+			return fmt.Errorf("%d members: 3 to %d", size, scaleMost)
+		}
+		cost, err := c.measure(ctx, program, size)
+		if err != nil {
+			return err
+		}
+		r.Releases = append(r.Releases, cost)
+		if c.JSON != "" {
+			if err := r.Write(c.JSON); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c scaleConfigCmd) measure(ctx context.Context, program string, size int) (*scale.ReleaseCost, error) {
+	dir, err := os.MkdirTemp("", "scaleconfig")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	return scale.Releases{Size: size, Zones: zones, Program: program, Dir: dir, Servers: c.Servers, Changes: c.Changes, Rest: c.Rest, Content: c.Content,
+		Warm: min(c.Warm, scaleForMost), For: min(c.For, scaleForMost), Cut: min(c.Cut, scaleForMost), Faults: c.Faults, Seed: c.Seed,
+		Progress: os.Stdout}.Run(ctx)
+}
--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -98,7 +98,8 @@
 	}
 	log := in.log.With(logs.Part, "descriptors")
 	in.descriptors = newAllocation(descriptors.Demand{Limit: in.p.Sockets, Peers: peers, Operators: in.p.Admin != "",
-		WebSocket: in.own.CallWS.Listen != "", Control: in.own.Socket.Path != "", Store: in.own.Store.Driver != ""},
+		WebSocket: in.own.CallWS.Listen != "", Control: in.own.Socket.Path != "", Store: in.own.Store.Driver != "",
+		Releases: len(in.own.Distribution.Servers) > 0},
 		in.p.MemoryMB<<20/connPart/connEach, log)
 	if in.p.Admin == "" {
 		return part{}, nil
--- a/control/distribution/distribution_test.go
+++ b/control/distribution/distribution_test.go
@@ -254,8 +254,7 @@
 	if head := again.Head(12 * second); head.Version != 2 || head.Good != 1 || head.Elapsed != 2*time.Second {
 		t.Errorf("%+v", head)
 	}
-	release := f.held[2]
-	back := NewFollower(f.config, &release, f.Newest())
+	back := NewFollower(f.config, f.RunningRelease(), f.Newest())
 	if back.Running() != 2 || back.Acknowledge(0).State != Stale {
 		t.Errorf("%+v", back.Acknowledge(0))
 	}
--- a/control/distribution/follower.go
+++ b/control/distribution/follower.go
@@ -29,7 +29,7 @@
 // Follower decides for one instance which release it runs. It is not safe for concurrent use.
 type Follower struct {
 	config  FollowerConfig
-	held    map[Version]Release // verified: the newest, the running and the last good one
+	held    map[Version]heldRelease // verified: the newest, the running and the last good one
 	newest  Version
 	running Version
 	head    Head // the last one that counts
@@ -39,11 +39,17 @@
 	detail  string
 }
 
+// heldRelease is a release with its digest, which each answer of a server is held against.
+type heldRelease struct {
+	Release
+	digest Digest
+}
+
 // NewFollower makes the state of an instance that runs a release of before, or none (nil), and knows of a newest version.
 func NewFollower(config FollowerConfig, running *Release, newest Version) *Follower {
-	f := &Follower{config: config, held: map[Version]Release{}, newest: newest}
+	f := &Follower{config: config, held: map[Version]heldRelease{}, newest: newest}
 	if running != nil && running.Verify(config.Fleet, config.Keys) == nil {
-		f.held[running.Version] = *running
+		f.held[running.Version] = heldRelease{*running, running.Digest()}
 		f.running, f.newest = running.Version, max(newest, running.Version)
 	}
 	return f
@@ -56,7 +62,7 @@
 		return fmt.Errorf("%w: it tells version %d, known is %d", ErrStaleServer, head.Version, f.newest)
 	}
 	release, held := f.held[head.Version]
-	if held && release.Digest() != head.Digest {
+	if held && release.digest != head.Digest {
 		return fmt.Errorf("%w: version %d", ErrConflict, head.Version)
 	}
 	f.head = head
@@ -85,9 +91,10 @@
 	if err := release.Verify(f.config.Fleet, f.config.Keys); err != nil {
 		return err
 	}
+	digest := release.Digest()
 	switch release.Version {
 	case f.head.Version:
-		if release.Digest() != f.head.Digest {
+		if digest != f.head.Digest {
 			return fmt.Errorf("%w: version %d", ErrMismatch, release.Version)
 		}
 		f.newest, f.heardAt, f.heard = release.Version, now, true
@@ -95,7 +102,7 @@
 	default:
 		return fmt.Errorf("%w: version %d", ErrMismatch, release.Version)
 	}
-	f.held[release.Version] = release
+	f.held[release.Version] = heldRelease{release, digest}
 	f.forget()
 	return nil
 }
@@ -119,8 +126,8 @@
 	if target == 0 {
 		return Release{}, true
 	}
-	release, ok = f.held[target]
-	return release, ok
+	held, ok := f.held[target]
+	return held.Release, ok
 }
 
 // target is the version that the instance is to run.
@@ -169,11 +176,11 @@
 
 // RunningRelease is the release that is in force; nil: the instance's own files alone.
 func (f *Follower) RunningRelease() *Release {
-	release, ok := f.held[f.running]
+	held, ok := f.held[f.running]
 	if !ok {
 		return nil
 	}
-	return &release
+	return &held.Release
 }
 
 // Acknowledge is what the instance tells of itself.
--- a/control/distribution/replica.go
+++ b/control/distribution/replica.go
@@ -60,6 +60,7 @@
 type Replica struct {
 	config  ReplicaConfig
 	kept    Kept
+	digest  Digest // of the newest release: each question is answered with it
 	members map[string]memberState
 	others  map[string]otherServer
 }
@@ -74,7 +75,11 @@
 	if kept.Newest == nil {
 		kept = Kept{}
 	}
-	return &Replica{config: config, kept: kept, members: map[string]memberState{}, others: map[string]otherServer{}}
+	r := &Replica{config: config, kept: kept, members: map[string]memberState{}, others: map[string]otherServer{}}
+	if kept.Newest != nil {
+		r.digest = kept.Newest.Digest()
+	}
+	return r
 }
 
 // Kept is what is to be kept over the server's end.
@@ -82,7 +87,7 @@
 
 // Publish takes a release from the operators.
 func (r *Replica) Publish(now int64, release Release) error {
-	if r.kept.Newest != nil && release.Digest() == r.kept.Newest.Digest() {
+	if r.kept.Newest != nil && release.Digest() == r.digest {
 		return nil // the publisher tries again
 	}
 	if newest := r.kept.Newest; newest != nil && r.kept.Halted == "" && release.Version > newest.Version {
@@ -110,6 +115,7 @@
 		return fmt.Errorf("%w: version %d, newest is %d", ErrOld, release.Version, r.kept.Newest.Version)
 	}
 	r.kept = Kept{Newest: &release, GoodVersion: good, Good: r.Release(good), Published: published}
+	r.digest = release.Digest()
 	return nil
 }
 
@@ -181,7 +187,7 @@
 		return head.Version
 	}
 	if head.Version == r.kept.Newest.Version {
-		if head.Digest != r.kept.Newest.Digest() {
+		if head.Digest != r.digest {
 			r.halt(ErrConflict.Error())
 		} else if head.Halted != "" {
 			r.halt(head.Halted)
@@ -244,7 +250,7 @@
 func (r *Replica) Head(now int64) Head {
 	head := Head{Server: r.config.Name, Lag: r.lag(now)}
 	if r.kept.Newest != nil {
-		head.Version, head.Digest, head.Elapsed = r.kept.Newest.Version, r.kept.Newest.Digest(), r.elapsed(now)
+		head.Version, head.Digest, head.Elapsed = r.kept.Newest.Version, r.digest, r.elapsed(now)
 		head.Halted, head.Failures = r.kept.Halted, r.failures()
 	}
 	head.Good = r.kept.GoodVersion
--- a/internal/descriptors/budget.go
+++ b/internal/descriptors/budget.go
@@ -12,6 +12,8 @@
 	operatorsRuntime = 4
 	// controlRuntime is the control socket with its connections, storeRuntime the database's files or connection.
 	controlRuntime, storeRuntime = 9, 8
+	// releasesRuntime is the connection to a configuration server, the one that replaces it, and the file of the release.
+	releasesRuntime = 3
 	// discoveryShare is three connects that hang beside each other, and the stream before that is being closed.
 	discoveryShare = 4
 	// minOperators and maxOperators bound the operators' connections; one in operatorsDivisor of the limit is theirs, in an
@@ -42,6 +44,7 @@
 	WebSocket bool // there is a WebSocket front
 	Control   bool // there is a control socket
 	Store     bool // calls are recorded
+	Releases  bool // configuration releases are followed
 }
 
 // Budget is the share of each user. The shares add up to Total, which is the limit or this process's half of it.
@@ -99,6 +102,9 @@
 	if d.Store {
 		n += storeRuntime
 	}
+	if d.Releases {
+		n += releasesRuntime
+	}
 	return n
 }
 
--- a/internal/descriptors/budget_test.go
+++ b/internal/descriptors/budget_test.go
@@ -19,10 +19,10 @@
 // goes without. Half of 96 is not enough for a control socket and a store as well; docs/operation.md says so.
 func TestSharesAddUp(t *testing.T) {
 	for _, limit := range []int{96, 128, 192, 256, 384, 512, 1024, 4096} {
-		for parts := range 32 {
+		for parts := range 64 {
 			for _, servers := range []int{0, 1, 4, 24, 100, 5000} {
 				d := Demand{Limit: limit, Servers: servers, Upgrade: parts&1 > 0, Operators: parts&2 > 0, WebSocket: parts&4 > 0, Control: parts&8 > 0,
-					Store: parts&16 > 0}
+					Store: parts&16 > 0, Releases: parts&32 > 0}
 				if limit < 128 && d.Upgrade && (d.Control || d.Store) {
 					continue
 				}
--- a/internal/releases/member.go
+++ b/internal/releases/member.go
@@ -119,6 +119,7 @@
 		server := m.pick()
 		began := time.Now()
 		err := m.follow(ctx, server)
+		m.client.Close() // none is kept to a server that is not followed
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/releases/server.go
+++ b/internal/releases/server.go
@@ -23,8 +23,8 @@
 const (
 	// maxConnections bounds a server's connections: a fleet's instances twice over, as they change servers.
 	maxConnections = 2048
-	// headerTimeout bounds the head of a request, idleTimeout the pause between two on a connection.
-	headerTimeout, idleTimeout = time.Second, 10 * time.Second
+	// headerTimeout bounds the head of a request, requestTimeout all of it, idleTimeout the pause between two on a connection.
+	headerTimeout, requestTimeout, idleTimeout = time.Second, 3 * time.Second, 10 * time.Second
 	// retryPause is the pause after a question to another server that failed.
 	retryPause = 500 * time.Millisecond
 	// keptFile holds what a server keeps over its end.
@@ -77,7 +77,7 @@
 
 // Serve answers until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: transferTimeout,
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		WriteTimeout: transferTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxPoll,
 		ErrorLog: slog.NewLogLogger(s.options.Log.Handler(), slog.LevelDebug)}
 	g, ctx := errgroup.WithContext(ctx)
--- /dev/null
+++ b/lab/scale/releases.go
@@ -0,0 +1,453 @@
+package scale
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+
+	"masthill/control/distribution"
+	"masthill/internal/releases"
+)
+
+// Releases is a fleet that takes configuration releases: servers in processes of their own, and hollow members, which are an
+// instance's side of it alone.
+type Releases struct {
+	Size     int
+	Zones    int
+	Program  string // that serves releases
+	Dir      string
+	Servers  int
+	Changes  int           // releases, one after the other
+	Rest     time.Duration // when all zones but the first take a release
+	Content  int           // bytes
+	Warm     time.Duration
+	For      time.Duration // measured at rest
+	Cut      time.Duration // how long the servers are lost, and a region cut off
+	Faults   bool
+	Seed     uint64
+	Progress io.Writer
+}
+
+// ReleaseCost is what distribution costs at one size.
+type ReleaseCost struct {
+	Size    int `json:"size"`
+	Servers int `json:"servers"`
+	Changes int `json:"changes"`
+	// The costs of a member, a second: sent and received, with the headers of IP and TCP. At rest nothing is published.
+	RestBytes    float64 `json:"rest_wire_bytes_s"`
+	RestSegments float64 `json:"rest_segments_s"`
+	RestCPU      float64 `json:"rest_cpu_percent"`
+	BusyBytes    float64 `json:"busy_wire_bytes_s"` // while releases come one after the other
+	BusyCPU      float64 `json:"busy_cpu_percent"`
+	ChangeBytes  float64 `json:"change_wire_bytes"` // that one release adds
+	Memory       float64 `json:"memory_mb"`         // resident, of the process over its members
+	Heap         float64 `json:"heap_mb"`
+	AgeP99       float64 `json:"age_p99_ms"` // of what a member knows, at rest
+	AgeMax       float64 `json:"age_max_ms"`
+	// The costs of the busiest server, a second.
+	ServerCPU    float64 `json:"server_cpu_percent"`
+	ServerMemory float64 `json:"server_memory_mb"`
+	ServerBytes  float64 `json:"server_wire_bytes_s"` // of all members' traffic, over the servers
+	// From the publication until a release is in force: over all members and releases.
+	InForceP99  float64        `json:"in_force_p99_ms"`
+	InForceMax  float64        `json:"in_force_max_ms"`
+	Missing     int            `json:"missing"` // members without a release, over all releases
+	Faults      []ReleaseFault `json:"faults,omitempty"`
+	OthersCores float64        `json:"others_cores"`
+	Load        float64        `json:"load_average"`
+}
+
+// ReleaseFault is what a fault did to a fleet that takes releases.
+type ReleaseFault struct {
+	Kind       string  `json:"kind"`
+	Struck     int     `json:"struck"`
+	InForceP99 float64 `json:"in_force_p99_ms"` // of the release published meanwhile, at the members that were not struck
+	InForceMax float64 `json:"in_force_max_ms"`
+	HealedMS   float64 `json:"healed_ms"` // from the fault's end until all members ran the newest release
+	StaleMS    float64 `json:"stale_ms"`  // the greatest age that was told
+	Wrong      int     `json:"wrong"`     // members that told less than the time since they could hear
+	PeakBytes  float64 `json:"peak_wire_bytes_s"`
+}
+
+const (
+	releaseFleet = "scale"
+	// releaseWait bounds the wait until all members run a release, beyond its last stage.
+	releaseWait = 30 * time.Second
+	// releaseMaxAge is when a member counts as stale.
+	releaseMaxAge = 10 * time.Second
+	// serverReady bounds the start of a server.
+	serverReady = 10 * time.Second
+)
+
+// releaseRun is a run under way.
+type releaseRun struct {
+	Releases
+	ctx     context.Context
+	key     ed25519.PrivateKey
+	addrs   []string
+	servers []*exec.Cmd // nil: killed
+	client  *releases.Client
+	members []*releases.Member
+	tap     *wiretap
+	version distribution.Version
+	result  *ReleaseCost
+
+	mu      sync.Mutex
+	inForce map[distribution.Version]map[int]time.Time
+}
+
+// Run plays everything and gives the costs.
+func (r Releases) Run(ctx context.Context) (*ReleaseCost, error) {
+	seed := make([]byte, ed25519.SeedSize)
+	seed[0] = byte(r.Seed)
+	run := &releaseRun{Releases: r, key: ed25519.NewKeyFromSeed(seed), client: releases.NewClient(nil), tap: newWiretap(),
+		result:  &ReleaseCost{Size: r.Size, Servers: r.Servers, Changes: r.Changes},
+		inForce: map[distribution.Version]map[int]time.Time{}}
+	at, held, err := place(r.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer held.Close()
+	for k := range r.Servers {
+		run.addrs = append(run.addrs, fmt.Sprintf("%s.254.%d:2910", at, 1+k))
+	}
+	run.servers = make([]*exec.Cmd, r.Servers)
+	defer run.stopServers()
+	for k := range r.Servers {
+		if err := run.serve(k); err != nil {
+			return nil, err
+		}
+	}
+	g, inner := errgroup.WithContext(ctx)
+	inner, stop := context.WithCancel(inner)
+	run.ctx = inner
+	run.startMembers(g)
+	err = run.play()
+	stop()
+	if groupErr := g.Wait(); err == nil {
+		err = groupErr
+	}
+	return run.result, err
+}
+
+func (r *releaseRun) say(format string, args ...any) {
+	Steady{Progress: r.Progress}.say(format, args...)
+}
+
+// serve starts a server, and waits until it answers.
+func (r *releaseRun) serve(k int) error {
+	public := base64.StdEncoding.EncodeToString(r.key.Public().(ed25519.PublicKey))
+	cmd := exec.Command(r.Program, "config", "serve", "--fleet", releaseFleet, "--servers", strings.Join(r.addrs, ","), "--listen", r.addrs[k],
+		"--dir", filepath.Join(r.Dir, fmt.Sprint("server", k)), "--keys", public)
+	log, err := os.OpenFile(filepath.Join(r.Dir, fmt.Sprintf("server%d.log", k)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	r.servers[k] = cmd
+	for end := time.Now().Add(serverReady); ; time.Sleep(20 * time.Millisecond) {
+		if _, err = r.client.Status(context.Background(), r.addrs[k]); err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("server %d: %w", k, err)
+		}
+	}
+}
+
+func (r *releaseRun) kill(k int) {
+	if r.servers[k] != nil {
+		r.servers[k].Process.Kill()
+		r.servers[k].Wait()
+		r.servers[k] = nil
+	}
+}
+
+func (r *releaseRun) stopServers() {
+	for _, cmd := range r.servers {
+		if cmd != nil {
+			cmd.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	for _, cmd := range r.servers {
+		if cmd != nil {
+			cmd.Wait()
+		}
+	}
+}
+
+func (r *releaseRun) zone(k int) string { return fmt.Sprintf("zone-%d", k%max(r.Zones, 1)) }
+
+// startMembers starts all members.
+func (r *releaseRun) startMembers(g *errgroup.Group) {
+	quiet := slog.New(slog.DiscardHandler)
+	for k := range r.Size {
+		m := releases.NewMember(releases.MemberOptions{Name: fmt.Sprintf("n%d", k), Zone: r.zone(k), Fleet: releaseFleet, Servers: r.addrs,
+			Keys: []ed25519.PublicKey{r.key.Public().(ed25519.PublicKey)}, MaxAge: releaseMaxAge, Seed: r.Seed + uint64(k), Log: quiet,
+			Dial: r.tap.dial(k), Apply: func(release *distribution.Release) error { r.applied(k, release); return nil }})
+		r.members = append(r.members, m)
+		g.Go(func() error { return m.Run(r.ctx) })
+	}
+}
+
+func (r *releaseRun) applied(k int, release *distribution.Release) {
+	if release == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inForce[release.Version] == nil {
+		r.inForce[release.Version] = map[int]time.Time{}
+	}
+	r.inForce[release.Version][k] = time.Now()
+}
+
+// publish publishes a release at a majority of the servers.
+func (r *releaseRun) publish() (time.Time, error) {
+	r.version++
+	release := distribution.Release{Fleet: releaseFleet, Version: r.version, Content: []byte("# " + strings.Repeat("x", max(r.Content-2, 0))),
+		Stages: []distribution.Stage{{Zones: []string{r.zone(0)}}, {After: r.Rest}}}
+	release.Sign(r.key)
+	began := time.Now()
+	for end := began.Add(releaseWait); ; {
+		accepted := 0
+		var last error
+		for _, addr := range r.addrs {
+			if err := r.client.Publish(r.ctx, addr, release); err == nil {
+				accepted++
+			} else {
+				last = err
+			}
+		}
+		if accepted > len(r.addrs)/2 {
+			return began, nil
+		}
+		if time.Now().After(end) || r.ctx.Err() != nil {
+			return began, fmt.Errorf("version %d at %d servers: %w", r.version, accepted, last)
+		}
+		if err := r.pass(200 * time.Millisecond); err != nil {
+			return began, err
+		}
+		began = time.Now() // the release before was under way; this one begins now
+	}
+}
+
+func (r *releaseRun) pass(d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-r.ctx.Done():
+		return context.Cause(r.ctx)
+	}
+}
+
+// await waits until members run a version, and gives how long each took, in milliseconds; missing is how many do not in time.
+func (r *releaseRun) await(version distribution.Version, began time.Time, members []int) (took []float64, missing int, err error) {
+	for end := time.Now().Add(r.Rest + releaseWait); ; {
+		took = took[:0]
+		r.mu.Lock()
+		for _, k := range members {
+			if at, ok := r.inForce[version][k]; ok {
+				took = append(took, float64(at.Sub(began).Microseconds())/1000)
+			}
+		}
+		r.mu.Unlock()
+		if missing = len(members) - len(took); missing == 0 || time.Now().After(end) {
+			slices.Sort(took)
+			return took, missing, nil
+		}
+		if err := r.pass(20 * time.Millisecond); err != nil {
+			return nil, missing, err
+		}
+	}
+}
+
+// all are the numbers of all members but some.
+func (r *releaseRun) all(but ...int) (members []int) {
+	for k := range r.Size {
+		if !slices.Contains(but, k) {
+			members = append(members, k)
+		}
+	}
+	return members
+}
+
+// p99 is the 99th percentile of sorted values.
+func p99(sorted []float64) float64 {
+	if len(sorted) == 0 {
+		return math.NaN()
+	}
+	return stat.Quantile(0.99, stat.Empirical, sorted, nil)
+}
+
+// use is what the run has used so far.
+type use struct {
+	at      time.Time
+	cpu     time.Duration
+	servers []time.Duration
+	wire    wire
+}
+
+func (r *releaseRun) use() use {
+	u := use{at: time.Now(), cpu: cpuOf(os.Getpid()), wire: r.tap.carried()}
+	for _, cmd := range r.servers {
+		if cmd != nil {
+			u.servers = append(u.servers, cpuOf(cmd.Process.Pid))
+		}
+	}
+	return u
+}
+
+// each is a member's bytes, segments and processor time, a second, from one look to another.
+func (r *releaseRun) each(from, to use) (bytes, segments, cpu float64) {
+	seconds, n := to.at.Sub(from.at).Seconds(), float64(r.Size)
+	carried := to.wire.minus(from.wire)
+	return float64(carried.withHeaders()) / seconds / n, float64(carried.Segments) / seconds / n, 100 * (to.cpu - from.cpu).Seconds() / seconds / n
+}
+
+// play measures the fleet at rest, with releases one after the other, and under faults.
+func (r *releaseRun) play() error {
+	machine := LookAtMachine()
+	if err := r.settled(); err != nil {
+		return err
+	}
+	if err := r.pass(r.Warm); err != nil {
+		return err
+	}
+	rest, err := r.rest()
+	if err != nil {
+		return err
+	}
+	if err := r.changes(rest); err != nil {
+		return err
+	}
+	r.result.OthersCores, r.result.Load = max(cores(machine, LookAtMachine())-r.ownCores(machine), 0), LookAtMachine().Load
+	r.say("%d members: %.0f bytes a second and %.3f%% of a core at rest, %.0f while changes come; in force after %.0f ms (p99), %.0f ms at most; a server %.2f%%, %.1f MB",
+		r.Size, r.result.RestBytes, r.result.RestCPU, r.result.BusyBytes, r.result.InForceP99, r.result.InForceMax, r.result.ServerCPU, r.result.ServerMemory)
+	if !r.Faults {
+		return nil
+	}
+	return r.faults()
+}
+
+// ownCores is what the run's own processes used of the machine since a look at it, in cores.
+func (r *releaseRun) ownCores(since Machine) float64 {
+	u := r.use()
+	used := u.cpu
+	for _, cpu := range u.servers {
+		used += cpu
+	}
+	return used.Seconds() / (float64(time.Now().UnixNano()-since.At) / 1e9)
+}
+
+// settled waits until all members have heard a server.
+func (r *releaseRun) settled() error {
+	for end := time.Now().Add(releaseWait); ; {
+		heard := 0
+		for _, m := range r.members {
+			if m.Status().AgeMS >= 0 {
+				heard++
+			}
+		}
+		if heard == r.Size {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d of %d members have heard a server", heard, r.Size)
+		}
+		if err := r.pass(50 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
+// rest measures the fleet without changes.
+func (r *releaseRun) rest() (use, error) {
+	before := r.use()
+	var ages []float64
+	for end := time.Now().Add(r.For); time.Now().Before(end); {
+		if err := r.pass(r.For / 10); err != nil {
+			return before, err
+		}
+		for _, m := range r.members {
+			ages = append(ages, float64(m.Status().AgeMS))
+		}
+	}
+	after := r.use()
+	c := r.result
+	c.RestBytes, c.RestSegments, c.RestCPU = r.each(before, after)
+	slices.Sort(ages)
+	c.AgeP99, c.AgeMax = p99(ages), ages[len(ages)-1]
+	c.ServerBytes = c.RestBytes * float64(r.Size) / float64(r.Servers)
+	return after, nil
+}
+
+// changes publishes releases one after the other and measures how soon they are in force.
+func (r *releaseRun) changes(before use) error {
+	c := r.result
+	var took []float64
+	for range r.Changes {
+		began, err := r.publish()
+		if err != nil {
+			return err
+		}
+		one, missing, err := r.await(r.version, began, r.all())
+		if err != nil {
+			return err
+		}
+		took, c.Missing = append(took, one...), c.Missing+missing
+	}
+	slices.Sort(took)
+	if len(took) > 0 {
+		c.InForceP99, c.InForceMax = p99(took), took[len(took)-1]
+	}
+	after := r.use()
+	c.BusyBytes, _, c.BusyCPU = r.each(before, after)
+	c.ChangeBytes = (c.BusyBytes - c.RestBytes) * after.at.Sub(before.at).Seconds() / float64(max(r.Changes, 1))
+	for k := range after.servers {
+		c.ServerCPU = max(c.ServerCPU, 100*(after.servers[k]-before.servers[k]).Seconds()/after.at.Sub(before.at).Seconds())
+		c.ServerMemory = max(c.ServerMemory, float64(residentOf(r.servers[k].Process.Pid))/1e6)
+	}
+	runtime.GC()
+	var heap runtime.MemStats
+	runtime.ReadMemStats(&heap)
+	c.Heap, c.Memory = float64(heap.HeapAlloc)/1e6/float64(r.Size), float64(residentOf(os.Getpid()))/1e6/float64(r.Size)
+	return nil
+}
+
+// releaseLines fits the costs of distribution over sizes.
+func releaseLines(all []*ReleaseCost) []Line {
+	var sizes, bytes, cpu, memory, inForce, server []float64
+	for _, c := range all {
+		sizes, bytes, cpu = append(sizes, float64(c.Size)), append(bytes, c.RestBytes), append(cpu, c.RestCPU)
+		memory, inForce, server = append(memory, c.Memory), append(inForce, c.InForceMax), append(server, c.ServerCPU)
+	}
+	const of = "members"
+	return []Line{
+		Fit("bytes of a member a second, at rest, both ways, with headers", of, sizes, bytes),
+		Fit("processor of a member at rest, percent of a core", of, sizes, cpu),
+		Fit("memory of a member, MB", of, sizes, memory),
+		Fit("a release in force everywhere, ms", of, sizes, inForce),
+		Fit("processor of the busiest server, percent of a core", of, sizes, server),
+	}
+}
--- /dev/null
+++ b/lab/scale/releases_faults.go
@@ -0,0 +1,162 @@
+package scale
+
+import (
+	"time"
+
+	"masthill/control/distribution"
+)
+
+// faults plays all that may happen to servers and members, one after the other.
+func (r *releaseRun) faults() error {
+	for _, play := range []func(*ReleaseFault) error{r.serverLost, r.serversRestarted, r.regionCutOff, r.allServersLost} {
+		fault := &ReleaseFault{}
+		if err := play(fault); err != nil {
+			return err
+		}
+		r.result.Faults = append(r.result.Faults, *fault)
+		r.say("  %s: %d struck; in force elsewhere after %.0f ms (p99), %.0f at most; healed after %.0f ms; greatest age told %.0f ms, %d told too little; %.0f bytes a second at most",
+			fault.Kind, fault.Struck, fault.InForceP99, fault.InForceMax, fault.HealedMS, fault.StaleMS, fault.Wrong, fault.PeakBytes)
+	}
+	return nil
+}
+
+// watch samples the fleet's bytes, and the ages that some members tell, until it is stopped. Those members can hear nothing
+// from a time on.
+func (r *releaseRun) watch(fault *ReleaseFault, deaf []int, since time.Time) (stop func()) {
+	quit, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		before := r.use()
+		for {
+			select {
+			case <-quit:
+				return
+			case <-time.After(time.Second):
+			}
+			now := r.use()
+			bytes, _, _ := r.each(before, now)
+			fault.PeakBytes, before = max(fault.PeakBytes, bytes), now
+			for _, k := range deaf {
+				least := time.Since(since)
+				age := r.members[k].Status().AgeMS
+				fault.StaleMS = max(fault.StaleMS, float64(age))
+				if age < least.Milliseconds() {
+					fault.Wrong++
+				}
+			}
+		}
+	}()
+	return func() { close(quit); <-done }
+}
+
+// change publishes a release during a fault, and waits for the members that were not struck.
+func (r *releaseRun) change(fault *ReleaseFault, members []int) error {
+	began, err := r.publish()
+	if err != nil {
+		return err
+	}
+	took, missing, err := r.await(r.version, began, members)
+	if err != nil {
+		return err
+	}
+	r.result.Missing += missing
+	if len(took) > 0 {
+		fault.InForceP99, fault.InForceMax = p99(took), took[len(took)-1]
+	}
+	return nil
+}
+
+// healed waits until all members run a version.
+func (r *releaseRun) healed(fault *ReleaseFault, version distribution.Version) error {
+	began := time.Now()
+	_, missing, err := r.await(version, began, r.all())
+	if err != nil {
+		return err
+	}
+	fault.HealedMS = float64(time.Since(began).Milliseconds())
+	if missing > 0 {
+		fault.HealedMS = -1
+	}
+	return nil
+}
+
+// serverLost kills one server in the midst of a release.
+func (r *releaseRun) serverLost(fault *ReleaseFault) error {
+	fault.Kind, fault.Struck = "one server lost", 1
+	stop := r.watch(fault, nil, time.Now())
+	defer stop()
+	kill := time.AfterFunc(r.Rest/2, func() { r.kill(0) })
+	defer kill.Stop()
+	if err := r.change(fault, r.all()); err != nil {
+		return err
+	}
+	return r.healed(fault, r.version)
+}
+
+// serversRestarted restarts all servers, one after the other, with a release among them.
+func (r *releaseRun) serversRestarted(fault *ReleaseFault) error {
+	fault.Kind, fault.Struck = "servers restarted", r.Servers
+	stop := r.watch(fault, nil, time.Now())
+	defer stop()
+	for k := range r.Servers {
+		r.kill(k)
+		if err := r.serve(k); err != nil {
+			return err
+		}
+		if k == r.Servers/2 {
+			if err := r.change(fault, r.all()); err != nil {
+				return err
+			}
+		}
+		if err := r.pass(time.Second); err != nil {
+			return err
+		}
+	}
+	return r.healed(fault, r.version)
+}
+
+// regionCutOff cuts a third of the members off from all servers, and publishes a release meanwhile.
+func (r *releaseRun) regionCutOff(fault *ReleaseFault) error {
+	var cut []int
+	for k := range r.Size / 3 {
+		cut = append(cut, r.Size-1-k)
+	}
+	fault.Kind, fault.Struck = "region cut off", len(cut)
+	r.tap.cutOff(cut...)
+	began := time.Now()
+	stop := r.watch(fault, cut, began)
+	if err := r.change(fault, r.all(cut...)); err != nil {
+		stop()
+		return err
+	}
+	err := r.pass(time.Until(began.Add(r.Cut)))
+	stop()
+	if err != nil {
+		return err
+	}
+	r.tap.cutOff()
+	return r.healed(fault, r.version)
+}
+
+// allServersLost kills all servers; when they are back, a release is published.
+func (r *releaseRun) allServersLost(fault *ReleaseFault) error {
+	fault.Kind, fault.Struck = "all servers lost", r.Servers
+	for k := range r.Servers {
+		r.kill(k)
+	}
+	stop := r.watch(fault, r.all(), time.Now())
+	err := r.pass(r.Cut)
+	stop()
+	if err != nil {
+		return err
+	}
+	for k := range r.Servers {
+		if err := r.serve(k); err != nil {
+			return err
+		}
+	}
+	if _, err := r.publish(); err != nil {
+		return err
+	}
+	return r.healed(fault, r.version)
+}
--- /dev/null
+++ b/lab/scale/releases_test.go
@@ -0,0 +1,47 @@
+package scale
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// releaseBytes is the most that configuration releases may cost a member at rest, in bytes a second with all headers: one
+// question a second and its answer.
+const releaseBytes = 1500
+
+// What releases cost a member at rest has its bound, and does not grow with the fleet; a lost server and a cut region end
+// with all members at the newest release, and ages are told in full meanwhile.
+func TestReleasesStayUnderTheirBound(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "masthill")
+	if out, err := exec.Command("go", "build", "-o", program, "masthill/cmd/masthill").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	var costs []*ReleaseCost
+	for n, size := range []int{20, 40} {
+		cost, err := Releases{Size: size, Zones: 2, Program: program, Dir: t.TempDir(), Servers: 3, Changes: 1, Content: 1024, For: 4 * time.Second,
+			Cut: 2 * time.Second, Faults: size == 40, Seed: uint64(50 + n)}.Run(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cost.RestBytes <= 0 || cost.RestBytes > releaseBytes {
+			t.Errorf("%d members: %.0f bytes a second, and %d are the most", size, cost.RestBytes, releaseBytes)
+		}
+		if cost.Missing > 0 {
+			t.Errorf("%d members: %d times a release did not come", size, cost.Missing)
+		}
+		costs = append(costs, cost)
+	}
+	if few, many := costs[0].RestBytes, costs[1].RestBytes; many > 1.1*few {
+		t.Errorf("%.0f bytes a second for each of 20 members, and %.0f for each of 40", few, many)
+	}
+	if n := len(costs[1].Faults); n != 4 {
+		t.Fatalf("%d faults", n)
+	}
+	for _, fault := range costs[1].Faults {
+		if fault.HealedMS < 0 || fault.Wrong > 0 {
+			t.Errorf("%+v", fault)
+		}
+	}
+}
--- a/lab/scale/results.go
+++ b/lab/scale/results.go
@@ -15,8 +15,11 @@
 	Points []*Point `json:"points"`
 	Faults []*Fault `json:"faults,omitempty"`
 	Trust  []Trust  `json:"trust,omitempty"`
-	Lines  []Line   `json:"lines,omitempty"` // of the points without made-up calls
-	Busy   []Line   `json:"lines_with_calls,omitempty"`
+	// Releases are the costs of configuration releases, by size.
+	Releases      []*ReleaseCost `json:"releases,omitempty"`
+	ReleasesLines []Line         `json:"releases_lines,omitempty"`
+	Lines         []Line         `json:"lines,omitempty"` // of the points without made-up calls
+	Busy          []Line         `json:"lines_with_calls,omitempty"`
 }
 
 // Read reads results; a file that is not there has none.
@@ -52,6 +55,9 @@
 	if len(busy) >= 3 {
 		r.Busy = Lines(busy)
 	}
+	if len(r.Releases) >= 3 {
+		r.ReleasesLines = releaseLines(r.Releases)
+	}
 	text, err := json.MarshalIndent(r, "", " ")
 	if err != nil {
 		return err
--- /dev/null
+++ b/lab/scale/wiretap.go
@@ -0,0 +1,126 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// segmentHeaders are the bytes that IPv4 and TCP with timestamps add to a segment.
+const segmentHeaders = 52
+
+// wire is what connections have carried, both ways.
+type wire struct {
+	Bytes    int64 // payload
+	Segments int64
+}
+
+func (w wire) minus(o wire) wire { return wire{w.Bytes - o.Bytes, w.Segments - o.Segments} }
+
+// withHeaders is the bytes on the network.
+func (w wire) withHeaders() int64 { return w.Bytes + segmentHeaders*w.Segments }
+
+// wiretap counts what the connections of some members carry, and can cut members off.
+type wiretap struct {
+	mu    sync.Mutex
+	ended wire
+	open  map[*tappedConn]bool
+	cut   map[int]bool
+}
+
+var errCut = errors.New("cut off")
+
+func newWiretap() *wiretap { return &wiretap{open: map[*tappedConn]bool{}, cut: map[int]bool{}} }
+
+// dial makes the dialer of a member.
+func (t *wiretap) dial(member int) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if t.isCut(member) {
+			return nil, errCut
+		}
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		one := &tappedConn{TCPConn: c.(*net.TCPConn), tap: t, member: member}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.open[one] = true
+		return one, nil
+	}
+}
+
+func (t *wiretap) isCut(member int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cut[member]
+}
+
+// cutOff cuts members off, in place of those before.
+func (t *wiretap) cutOff(members ...int) {
+	t.mu.Lock()
+	clear(t.cut)
+	for _, k := range members {
+		t.cut[k] = true
+	}
+	var struck []*tappedConn
+	for c := range t.open {
+		if t.cut[c.member] {
+			struck = append(struck, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range struck {
+		c.Close()
+	}
+}
+
+// carried is what all connections have carried since the beginning.
+func (t *wiretap) carried() wire {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := t.ended
+	for c := range t.open {
+		now := c.carried()
+		all.Bytes, all.Segments = all.Bytes+now.Bytes, all.Segments+now.Segments
+	}
+	return all
+}
+
+// tappedConn is a connection whose traffic is counted by the kernel.
+type tappedConn struct {
+	*net.TCPConn
+	tap    *wiretap
+	member int
+}
+
+// carried reads the kernel's counts.
+func (c *tappedConn) carried() (w wire) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return w
+	}
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), syscall.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			w = wire{int64(info.Bytes_acked + info.Bytes_received), int64(info.Segs_out) + int64(info.Segs_in)}
+		}
+	})
+	return w
+}
+
+// Close implements net.Conn.
+func (c *tappedConn) Close() error {
+	c.tap.mu.Lock()
+	if c.tap.open[c] {
+		now := c.carried()
+		c.tap.ended = wire{c.tap.ended.Bytes + now.Bytes, c.tap.ended.Segments + now.Segments}
+		delete(c.tap.open, c)
+	}
+	c.tap.mu.Unlock()
+	return c.TCPConn.Close()
+}
