--- a/cmd/masthill/releases_test.go
+++ b/cmd/masthill/releases_test.go
@@ -27,12 +27,11 @@
 
 // releaseBed is a fleet that takes configuration releases: servers and instances in processes of their own.
 type releaseBed struct {
-	t           *testing.T
-	dir, key    string
-	public      string
-	servers     []string
-	processes   []*exec.Cmd // of the servers
-	serverFiles []string
+	t         *testing.T
+	dir, key  string
+	public    string
+	servers   []string
+	processes []*exec.Cmd // of the servers
 }
 
 func newReleaseBed(t *testing.T, servers int) *releaseBed {
