--- a/lab/scale/releases.go
+++ b/lab/scale/releases.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,7 +18,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"gonum.org/v1/gonum/stat"
 
 	"masthill/control/distribution"
 	"masthill/internal/releases"
@@ -44,47 +42,6 @@
 	Progress io.Writer
 }
 
-// ReleaseCost is what distribution costs at one size.
-type ReleaseCost struct {
-	Size    int `json:"size"`
-	Servers int `json:"servers"`
-	Changes int `json:"changes"`
-	// The costs of a member, a second: sent and received, with the headers of IP and TCP. At rest nothing is published.
-	RestBytes    float64 `json:"rest_wire_bytes_s"`
-	RestSegments float64 `json:"rest_segments_s"`
-	RestCPU      float64 `json:"rest_cpu_percent"`
-	BusyBytes    float64 `json:"busy_wire_bytes_s"` // while releases come one after the other
-	BusyCPU      float64 `json:"busy_cpu_percent"`
-	ChangeBytes  float64 `json:"change_wire_bytes"` // that one release adds
-	Memory       float64 `json:"memory_mb"`         // resident, of the process over its members
-	Heap         float64 `json:"heap_mb"`
-	AgeP99       float64 `json:"age_p99_ms"` // of what a member knows, at rest
-	AgeMax       float64 `json:"age_max_ms"`
-	// The costs of the busiest server, a second.
-	ServerCPU    float64 `json:"server_cpu_percent"`
-	ServerMemory float64 `json:"server_memory_mb"`
-	ServerBytes  float64 `json:"server_wire_bytes_s"` // of all members' traffic, over the servers
-	// From the publication until a release is in force: over all members and releases.
-	InForceP99  float64        `json:"in_force_p99_ms"`
-	InForceMax  float64        `json:"in_force_max_ms"`
-	Missing     int            `json:"missing"` // members without a release, over all releases
-	Faults      []ReleaseFault `json:"faults,omitempty"`
-	OthersCores float64        `json:"others_cores"`
-	Load        float64        `json:"load_average"`
-}
-
-// ReleaseFault is what a fault did to a fleet that takes releases.
-type ReleaseFault struct {
-	Kind       string  `json:"kind"`
-	Struck     int     `json:"struck"`
-	InForceP99 float64 `json:"in_force_p99_ms"` // of the release published meanwhile, at the members that were not struck
-	InForceMax float64 `json:"in_force_max_ms"`
-	HealedMS   float64 `json:"healed_ms"` // from the fault's end until all members ran the newest release
-	StaleMS    float64 `json:"stale_ms"`  // the greatest age that was told
-	Wrong      int     `json:"wrong"`     // members that told less than the time since they could hear
-	PeakBytes  float64 `json:"peak_wire_bytes_s"`
-}
-
 const (
 	releaseFleet = "scale"
 	// releaseWait bounds the wait until all members run a release, beyond its last stage.
@@ -292,39 +249,6 @@
 	return members
 }
 
-// p99 is the 99th percentile of sorted values.
-func p99(sorted []float64) float64 {
-	if len(sorted) == 0 {
-		return math.NaN()
-	}
-	return stat.Quantile(0.99, stat.Empirical, sorted, nil)
-}
-
-// use is what the run has used so far.
-type use struct {
-	at      time.Time
-	cpu     time.Duration
-	servers []time.Duration
-	wire    wire
-}
-
-func (r *releaseRun) use() use {
-	u := use{at: time.Now(), cpu: cpuOf(os.Getpid()), wire: r.tap.carried()}
-	for _, cmd := range r.servers {
-		if cmd != nil {
-			u.servers = append(u.servers, cpuOf(cmd.Process.Pid))
-		}
-	}
-	return u
-}
-
-// each is a member's bytes, segments and processor time, a second, from one look to another.
-func (r *releaseRun) each(from, to use) (bytes, segments, cpu float64) {
-	seconds, n := to.at.Sub(from.at).Seconds(), float64(r.Size)
-	carried := to.wire.minus(from.wire)
-	return float64(carried.withHeaders()) / seconds / n, float64(carried.Segments) / seconds / n, 100 * (to.cpu - from.cpu).Seconds() / seconds / n
-}
-
 // play measures the fleet at rest, with releases one after the other, and under faults.
 func (r *releaseRun) play() error {
 	machine := LookAtMachine()
@@ -350,16 +274,6 @@
 	return r.faults()
 }
 
-// ownCores is what the run's own processes used of the machine since a look at it, in cores.
-func (r *releaseRun) ownCores(since Machine) float64 {
-	u := r.use()
-	used := u.cpu
-	for _, cpu := range u.servers {
-		used += cpu
-	}
-	return used.Seconds() / (float64(time.Now().UnixNano()-since.At) / 1e9)
-}
-
 // settled waits until all members have heard a server.
 func (r *releaseRun) settled() error {
 	for end := time.Now().Add(releaseWait); ; {
@@ -434,20 +348,3 @@
 	c.Heap, c.Memory = float64(heap.HeapAlloc)/1e6/float64(r.Size), float64(residentOf(os.Getpid()))/1e6/float64(r.Size)
 	return nil
 }
-
-// releaseLines fits the costs of distribution over sizes.
-func releaseLines(all []*ReleaseCost) []Line {
-	var sizes, bytes, cpu, memory, inForce, server []float64
-	for _, c := range all {
-		sizes, bytes, cpu = append(sizes, float64(c.Size)), append(bytes, c.RestBytes), append(cpu, c.RestCPU)
-		memory, inForce, server = append(memory, c.Memory), append(inForce, c.InForceMax), append(server, c.ServerCPU)
-	}
-	const of = "members"
-	return []Line{
-		Fit("bytes of a member a second, at rest, both ways, with headers", of, sizes, bytes),
-		Fit("processor of a member at rest, percent of a core", of, sizes, cpu),
-		Fit("memory of a member, MB", of, sizes, memory),
-		Fit("a release in force everywhere, ms", of, sizes, inForce),
-		Fit("processor of the busiest server, percent of a core", of, sizes, server),
-	}
-}
