SIP input test: the answer is queued before the request is told

Cause: TestACloseBehindUnreadRequests hung in a run of all checks. Its handler told the test of a request before it queued the answer, so that the test could find the queue low, send one more request and wait for a reader that had paused meanwhile and that nobody would wake. By the goroutines of the hung run the test waited there. With a pause put between the two it hung in the one run tried.

Change: the handler queues the answer first. The test checks what it did.

--- a/internal/sip/input_test.go
+++ b/internal/sip/input_test.go
@@ -74,7 +74,7 @@
 		t.Run(name, func(t *testing.T) {
 			answer := make([]byte, pauseBytes/2)
 			asked := make(chan bool, 1000)
-			peer, c, reason := pair(t, tc.limits, func(c *Conn, m *Message) { asked <- true; c.Send(answer) })
+			peer, c, reason := pair(t, tc.limits, func(c *Conn, m *Message) { c.Send(answer); asked <- true })
 			peer.(*net.TCPConn).SetReadBuffer(4 << 10)
 			c.net.(*net.TCPConn).SetWriteBuffer(4 << 10)
 			until(t, func() bool { // what the buffers hold is not known; then the reader waits
