Checks: real-time packages two at a time; a race in the scale run of releases

Cause: one at a time, cmd/masthill alone took 180 s with the machine nearly idle: its tests wait more than they compute. The race detector found the scale run's sampler reading the list of servers while a fault took one away.

Change: -p 2 for the packages that play fleets in real time; running() copies the list under the lock.

Result: TestReleasesStayUnderTheirBound failed by the race before, and passes with it mended (23 s).

--- a/check.sh
+++ b/check.sh
@@ -10,10 +10,10 @@
 go vet ./...
 go tool staticcheck ./...
 sh -c "$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
-# Packages that play whole fleets of processes in real time have the machine to themselves, one after the other: beside each
-# other they starve, and members that get no processor time are taken for dead.
+# Packages that play whole fleets of processes in real time come last, two at a time: beside those that use all cores they
+# starve, and members that get no processor time are taken for dead.
 realtime='masthill/cmd/masthill masthill/cmd/masthill-lab masthill/lab/rig masthill/lab/scale masthill/lab/wave'
 failed=0
 go test -race -count=1 $(go list ./... | grep -vxF "$(tr ' ' '\n' <<<"$realtime")") || failed=1
-go test -race -count=1 -p 1 $realtime || failed=1
+go test -race -count=1 -p 2 $realtime || failed=1
 exit $failed
--- a/lab/scale/releases.go
+++ b/lab/scale/releases.go
@@ -58,7 +58,7 @@
 	ctx     context.Context
 	key     ed25519.PrivateKey
 	addrs   []string
-	servers []*exec.Cmd // nil: killed
+	servers []*exec.Cmd // nil: killed; under mu
 	client  *releases.Client
 	members []*releases.Member
 	tap     *wiretap
@@ -121,7 +121,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	r.mu.Lock()
 	r.servers[k] = cmd
+	r.mu.Unlock()
 	for end := time.Now().Add(serverReady); ; time.Sleep(20 * time.Millisecond) {
 		if _, err = r.client.Status(context.Background(), r.addrs[k]); err == nil {
 			return nil
@@ -132,24 +134,33 @@
 	}
 }
 
+// kill ends a server's process at once.
 func (r *releaseRun) kill(k int) {
-	if r.servers[k] != nil {
-		r.servers[k].Process.Kill()
-		r.servers[k].Wait()
-		r.servers[k] = nil
+	r.mu.Lock()
+	cmd := r.servers[k]
+	r.servers[k] = nil
+	r.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
 	}
 }
 
+// running are the servers' processes that have not been killed.
+func (r *releaseRun) running() []*exec.Cmd {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.servers), func(cmd *exec.Cmd) bool { return cmd == nil })
+}
+
+// stopServers ends all servers in order.
 func (r *releaseRun) stopServers() {
-	for _, cmd := range r.servers {
-		if cmd != nil {
-			cmd.Process.Signal(syscall.SIGTERM)
-		}
+	running := r.running()
+	for _, cmd := range running {
+		cmd.Process.Signal(syscall.SIGTERM)
 	}
-	for _, cmd := range r.servers {
-		if cmd != nil {
-			cmd.Wait()
-		}
+	for _, cmd := range running {
+		cmd.Wait()
 	}
 }
 
@@ -340,7 +351,9 @@
 	c.ChangeBytes = (c.BusyBytes - c.RestBytes) * after.at.Sub(before.at).Seconds() / float64(max(r.Changes, 1))
 	for k := range after.servers {
 		c.ServerCPU = max(c.ServerCPU, 100*(after.servers[k]-before.servers[k]).Seconds()/after.at.Sub(before.at).Seconds())
-		c.ServerMemory = max(c.ServerMemory, float64(residentOf(r.servers[k].Process.Pid))/1e6)
+	}
+	for _, cmd := range r.running() {
+		c.ServerMemory = max(c.ServerMemory, float64(residentOf(cmd.Process.Pid))/1e6)
 	}
 	runtime.GC()
 	var heap runtime.MemStats
--- a/lab/scale/releases_cost.go
+++ b/lab/scale/releases_cost.go
@@ -67,10 +67,8 @@
 
 func (r *releaseRun) use() use {
 	u := use{at: time.Now(), cpu: cpuOf(os.Getpid()), wire: r.tap.carried()}
-	for _, cmd := range r.servers {
-		if cmd != nil {
-			u.servers = append(u.servers, cpuOf(cmd.Process.Pid))
-		}
+	for _, cmd := range r.running() {
+		u.servers = append(u.servers, cpuOf(cmd.Process.Pid))
 	}
 	return u
 }
