Peers: a lost member is tried by as many in any fleet, a lost region by all

Cause: 16 members of a fleet tried lost ones at all, whatever was lost.

Change: what is bounded is how many try each lost member, 16 in 3 s, as each exchanges the whole list with one that comes back; where many are lost each member tries up to three, as it did before.

Result: counted at 2 to 940 members with 0 to 156 lost.

--- a/internal/peers/join.go
+++ b/internal/peers/join.go
@@ -20,11 +20,13 @@
 	firstRejoin = 200 * time.Millisecond
 	// retention is for how long lost members are tried.
 	retention = time.Hour
-	// lostTries and seedTries are how many members of a fleet try lost members, and one of the seeds, in a rejoinInterval. The
-	// latter is for two fleets that never met. One that succeeds is enough for all, so these do not grow with the fleet: each
-	// try exchanges the whole list of members. maxSeedShare bounds the part of a small fleet that tries the seeds.
-	lostTries, seedTries = 16.0, 0.5
-	maxSeedShare         = 1.0 / 8
+	// lostTries is how many members of a fleet try each lost member in a rejoinInterval: one that comes back exchanges the whole
+	// list of members with each of them. Where many are lost, as in a partition, no member tries more than rejoinAttempts.
+	lostTries = 16.0
+	// seedTries is how many members of a fleet try one of the seeds in a rejoinInterval, for two fleets that never met. One
+	// that succeeds is enough for all. maxSeedShare bounds the part of a small fleet that does.
+	seedTries    = 0.5
+	maxSeedShare = 1.0 / 8
 	// settlingTime is how long after its start a member tries the seeds more often, in the share of a small fleet: in a fleet
 	// that starts, or restarts, whole lists are exchanged until gossip has caught up.
 	settlingTime = 30 * time.Second
@@ -89,9 +91,13 @@
 // dueShare draws what one of so many members that hear each other tries in a rejoinInterval. settling is for one that has
 // just started.
 func (a addresses) dueShare(rng *rand.Rand, alive int, settling bool) (tried []string) {
-	if rng.Float64() < lostTries/float64(alive) {
-		tried = addresses{lost: a.lost}.any(rng)
+	due := min(lostTries*float64(len(a.lost))/float64(alive), rejoinAttempts)
+	attempts := int(due)
+	if rng.Float64() < due-float64(attempts) {
+		attempts++
 	}
+	tried = addresses{lost: a.lost}.any(rng)
+	tried = tried[:min(len(tried), attempts)]
 	switch {
 	case settling && rng.Float64() < maxSeedShare:
 		tried = append(tried, addresses{seeds: a.seeds}.any(rng)...)
--- a/internal/peers/join_test.go
+++ b/internal/peers/join_test.go
@@ -6,33 +6,36 @@
 	"testing"
 )
 
-// However large the fleet, about as many of its members try the seeds and the lost members in a round.
+// However large the fleet, about as many of its members try the seeds, and each lost member, in a round.
 func TestTriesDoNotGrowWithTheFleet(t *testing.T) {
-	known := addresses{seeds: []string{"s1", "s2", "s3"}, saved: []string{"x"}}
-	for k := range 50 {
-		known.lost = append(known.lost, fmt.Sprint("lost", k))
-	}
 	const rounds = 400
 	for _, alive := range []int{2, 4, 16, 64, 470, 940} {
-		rng := rand.New(rand.NewPCG(1, 2))
-		seeds, lost := 0, 0
-		for range rounds * alive {
-			for _, addr := range known.dueShare(rng, alive, false) {
-				switch addr[0] {
-				case 's':
-					seeds++
-				case 'l':
-					lost++
-				default:
-					t.Fatalf("%q is tried", addr)
+		for _, lost := range []int{0, 1, 12, 156} {
+			known := addresses{seeds: []string{"s1", "s2", "s3"}, saved: []string{"x"}}
+			for k := range lost {
+				known.lost = append(known.lost, fmt.Sprint("lost", k))
+			}
+			rng := rand.New(rand.NewPCG(1, 2))
+			seedTried, lostTried := 0, 0
+			for range rounds * alive {
+				for _, addr := range known.dueShare(rng, alive, false) {
+					switch addr[0] {
+					case 's':
+						seedTried++
+					case 'l':
+						lostTried++
+					default:
+						t.Fatalf("%q is tried", addr)
+					}
 				}
 			}
-		}
-		if perRound := float64(seeds) / rounds; perRound > 1.3*seedTries || alive >= 4 && perRound < 0.7*seedTries || seeds == 0 {
-			t.Errorf("%d members: %v tries of seeds a round", alive, perRound)
-		}
-		if perRound := float64(lost) / rounds; perRound > 1.1*lostTries*rejoinAttempts || perRound < 0.9*min(lostTries, float64(alive))*rejoinAttempts {
-			t.Errorf("%d members: %v tries of lost members a round", alive, perRound)
+			if perRound := float64(seedTried) / rounds; perRound > 1.3*seedTries || alive >= 4 && perRound < 0.7*seedTries || seedTried == 0 {
+				t.Errorf("%d members: %v tries of seeds a round", alive, perRound)
+			}
+			wanted := min(lostTries*float64(lost), float64(min(rejoinAttempts, lost)*alive))
+			if perRound := float64(lostTried) / rounds; perRound > 1.1*wanted || perRound < 0.9*wanted {
+				t.Errorf("%d members, %d lost: %v tries of lost members a round, wanted %v", alive, lost, perRound, wanted)
+			}
 		}
 	}
 }
