Releases: tests of the last good release and of the descriptors' share

Need: with hearGood or releasesRuntime taken out all tests still passed, as a look at five such changes showed.

Change: a test each, seen to fail without the code it covers.

Result: both packages pass.

--- a/control/distribution/distribution_test.go
+++ b/control/distribution/distribution_test.go
@@ -378,3 +378,33 @@
 		}
 	}
 }
+
+// A server that had not heard of a halt when the next release came takes the halted one for good, until it hears a server that
+// knows better; then it fetches the release that is good.
+func TestTheLowerGoodReleaseHolds(t *testing.T) {
+	knows, missed := newReplica("s1", "s2"), newReplica("s2", "s1")
+	for _, r := range []*Replica{knows, missed} {
+		publish(t, r, 0, newRelease(1, "one"))
+		publish(t, r, 10*second, newRelease(2, "two"))
+	}
+	order := HaltOrder{Fleet: testFleet, Version: 2}
+	order.Sign(testKey)
+	if err := knows.Halt(order); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*Replica{knows, missed} {
+		publish(t, r, 20*second, newRelease(3, "three"))
+	}
+	if knows.Head(20*second).Good != 1 || missed.Head(20*second).Good != 2 {
+		t.Fatal(knows.Head(20*second), missed.Head(20*second))
+	}
+	if wanted := missed.HearServer(21*second, knows.Head(21*second)); wanted != 1 {
+		t.Errorf("it fetches version %d", wanted)
+	}
+	if err := missed.CopyGood(*knows.Release(1)); err != nil {
+		t.Fatal(err)
+	}
+	if wanted := knows.HearServer(21*second, missed.Head(21*second)); wanted != 0 || missed.Head(21*second).Good != 1 || missed.Release(1) == nil {
+		t.Error(wanted, missed.Head(21*second))
+	}
+}
--- a/internal/descriptors/budget_test.go
+++ b/internal/descriptors/budget_test.go
@@ -102,3 +102,11 @@
 		}
 	})
 }
+
+// An instance that follows configuration releases keeps descriptors for that.
+func TestReleasesHaveTheirShare(t *testing.T) {
+	without, with := Plan(Demand{Limit: 1024}), Plan(Demand{Limit: 1024, Releases: true})
+	if with.Runtime != without.Runtime+releasesRuntime {
+		t.Errorf("%+v, and %+v without", with, without)
+	}
+}
