--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,66 +1,92 @@
 #!/usr/bin/env bash
-# A reload that is refused, and an instance that ends unasked: is it started again, and are the calls sent to it answered?
+# Other keepers, named in a rolling restart: does one process hand budgets out, or two?
 HERE=$(cd "$(dirname "$0")" && pwd)
 . "$HERE/../lib.sh"
+INSTANCES=5
+NET=127.$((20 + RANDOM % 200)).$((RANDOM % 250))
 
-offices 8000 50
-mapfile -t port < <("$STANDIN" ports 1)
-cat >"$DIR/platform.json" <<END
-{"name":"%NAME%","listen":"%LISTEN%","seed":"%SEED%","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-"journal":"$JOURNAL","known":$KNOWN,"settings":$(settings 5 %ORDINAL%)}
+offices 3000 50
+mapfile -t port < <("$STANDIN" ports $((2 + INSTANCES)))
+background office2 "$STANDIN" office "127.0.0.1:${port[0]}" office2 3000 50
+SEEDS="" ADDRS=() AUDITS=()
+for k in $(seq 0 $((INSTANCES - 1))); do
+  SEEDS+="${SEEDS:+, }\"n$k/$NET.$((10 + k)):${port[1]}\""
+  ADDRS+=("127.0.0.1:${port[$((2 + k))]}")
+  AUDITS+=("$DIR/n$k.audit")
+done
+PROCESS=()
+# start starts instance K with the given keepers, and waits until it serves.
+start() {
+  cat >"$DIR/n$1.json" <<END
+{"name":"n$1","listen":"${ADDRS[$1]}","seed":"$(printf %016x $RANDOM$RANDOM)","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"journal":"$JOURNAL","known":$KNOWN,"settings":$(settings $INSTANCES "$1" | sed "s/\[\[0,1\]\]/[[0,1,2]]/")}
 END
-printf '[goodput]\nenabled = true\n[log]\nlevel = "info"\n' >"$DIR/masthill.toml"
-cat >"$DIR/fleet.toml" <<END
-name = "harvest"
-dir = "run"
-instances = 5
-listen = "127.0.0.1:0"
-platform = "platform.json"
-settings = "masthill.toml"
+  cat >"$DIR/n$1.toml" <<END
+[goodput]
+enabled = true
+[peers]
+listen = "$NET.$((10 + $1)):${port[1]}"
+site = "cork"
+machine = "m$1"
+seeds = [$SEEDS]
+keys = ["bWFzdGhpbGwtbGFiLWtleQ=="]
+keepers = [$2]
+budgets = true
+audit = "$DIR/n$1.audit"
+[socket]
+path = "$DIR/n$1.sock"
 END
-status() { "$MASTHILL" fleet status "$DIR/fleet.toml" --json; }
-# field prints a field of an instance's status: field NAME KEY.
-field() { status | tr -d " \n" | grep -o "{\"name\":\"$1\"[^}]*" | grep -o "\"$2\":[^,]*" | head -1 | sed "s/^[^:]*://" | tr -d "\""; }
-fleet_serves() { [ "$(status | grep -c '"phase": "serving"')" = 5 ]; }
+  mkdir -p "$DIR/tmp$1"
+  TMPDIR=$DIR/tmp$1 instance "n$1"
+  PROCESS[$1]=$PID
+  wait_for 10 serving "n$1" || cannot "n$1 does not serve"
+}
+# restart ends an instance in order and starts it again.
+restart() {
+  record "SIGTERM to n$1"
+  kill -TERM "${PROCESS[$1]}"
+  wait "${PROCESS[$1]}" 2>/dev/null
+  start "$1" "$2"
+  record "n$1 serves again, keepers $2"
+}
+allocators() { grep -h 'hands budgets out' "$DIR"/n?.log; }
+look() {
+  local k
+  for k in $(seq 0 $((INSTANCES - 1))); do
+    record "masthill peers of n$k: $("$MASTHILL" peers --socket "$DIR/n$k.sock" 2>/dev/null | grep -i allocator | tr -s ' \t' ' ' | head -1)"
+  done
+}
 
-background supervisor "$MASTHILL" fleet up "$DIR/fleet.toml"
-SUPERVISOR=$PID
-# The supervisor ends its instances in order; what is left after that is ended by its id.
-trap 'code=$?; kill "$SUPERVISOR" 2>/dev/null; for _ in $(seq 100); do kill -0 "$SUPERVISOR" 2>/dev/null || break; sleep 0.1; done; (exit $code); finish' EXIT
-remember() { [ "${1:-0}" -gt 1 ] && PIDS+=("$1"); }
-wait_for 15 fleet_serves || cannot "the fleet does not serve"
-for name in harvest-{0..4}; do remember "$(field $name pid)"; done
-ADDR=$(field harvest-0 listen)
-record "the fleet serves; harvest-0 has pid $(field harvest-0 pid) and listens at $ADDR"
-
-# The operator changes the template. With trouble it has a fault, and the reload is refused.
-LEVEL=warn
-[ "$TROUBLE" = 0 ] || LEVEL=inof
-printf '[goodput]\nenabled = true\n[log]\nlevel = "%s"\n' $LEVEL >"$DIR/masthill.toml"
-"$MASTHILL" fleet reload "$DIR/fleet.toml" >"$DIR/reload.log" 2>&1
-code=$?
-record "fleet reload: exit code $code $(head -c 400 "$DIR/reload.log" | tr '\n' ' ')"
-if [ "$TROUBLE" != 0 ]; then [ $code != 0 ]; else [ $code = 0 ]; fi || cannot "the reload did not go as planned"
-sleep 2
-fleet_serves || cannot "the fleet does not serve after the reload"
-pid=$(field harvest-0 pid)
-[ "${pid:-0}" -gt 1 ] || cannot "harvest-0 has no pid"
-kill -KILL "$pid"
-killed=$(now)
-record "harvest-0, pid $pid, is killed"
-# It has to be started again after 15 s at most, and 2 s are more than a start takes: calls from then on count. Each caller
-# waits 3 s from the last byte of its set-up, which it wrote to a connection that the machine had accepted.
-"$STANDIN" sip-calls "$ADDR" caller 30 3000
-remember "$(field harvest-0 pid)"
-record "fleet status: $(status | tr -d ' \n')"
-grep 'instance ended unasked' "$DIR/supervisor.log" >>"$RECORD"
-read -r sent unanswered < <(awk -v from=$((killed + 17000)) '$2 == "caller" && match($0, /sent_ms=[0-9]+/) {
-  if (substr($0, RSTART + 8, RLENGTH - 8) >= from) {sent++; if ($3 != "answer") unanswered++}} END {print sent + 0, unanswered + 0}' "$RECORD")
-refused=$(grep -c 'caller connect failed' "$RECORD")
-[ "$sent" -ge 8 ] || cannot "only $sent calls counted, $refused connects were refused"
-if [ "$unanswered" -gt 0 ]; then
-  record "BROKEN: $unanswered of $sent calls sent 17 s and more after the end of harvest-0 had no answer"
-  exit 1
-fi
-record "held: all $sent calls sent 17 s and more after the end of harvest-0 were answered"
-exit 0
+OLD='"n2", "n3", "n4"' NEW='"n0", "n1", "n2"'
+[ "$TROUBLE" != 0 ] || NEW=$OLD
+for k in $(seq 0 $((INSTANCES - 1))); do start "$k" "$OLD"; done
+background load "$STANDIN" load 36 60 "${ADDRS[@]}"
+wait_for 15 allocators || cannot "nobody hands budgets out"
+sleep 3
+look
+# One of five at a time, each 5 s after the one before: 25 s in all.
+restart 0 "$NEW"
+sleep 4
+restart 1 "$NEW"
+sleep 3
+# A new office comes into service, cold, so that there is a budget.
+sed 's/"full":true/"full":false/;s/"version":1/"version":2/;s/"pos":1/"pos":2/;s/"servers":.*/"servers":/' "$DIR/events" | tr -d '\n' >"$DIR/event2"
+echo "[{\"id\":\"s-000000a2\",\"addr\":\"127.0.0.1:${port[0]}\",\"zone\":\"cork\",\"kind\":\"std\",\"cell\":2,\"state\":\"SERVING\",\"weight\":4,\"started_ms\":$(now)}]}}" >>"$DIR/event2"
+cat "$DIR/event2" >>"$DIR/events"
+record "a new office, office2, is listed, cold"
+sleep 3
+look
+restart 2 "$NEW"
+sleep 4
+restart 3 "$NEW"
+sleep 4
+restart 4 "$NEW"
+sleep 4
+look
+grep -h 'hands budgets out' "$DIR"/n?.log | sed "s/^/$(now) log /" >>"$RECORD"
+"$STANDIN" audit $INSTANCES "${AUDITS[@]}"
+case $? in
+0) record "held: one allocator at a time, and no budget overspent"; exit 0 ;;
+1) record "BROKEN: two processes handed the same budgets out"; exit 1 ;;
+*) cannot "the audit files can't be read" ;;
+esac
--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -148,27 +148,62 @@
 	}
 }
 
-// tokenCallers holds a call control socket at each address, and connects again whenever one is closed: token-callers TOKEN
-// NAME ADDRESS... It records each change of what it is answered.
-func tokenCallers(args []string) int {
-	for _, addr := range args[2:] {
-		go func() {
-			last := -1
-			for ; ; time.Sleep(50 * time.Millisecond) {
-				ws, status, err := connect(addr, args[0])
-				if status != last {
-					record(args[1], "connect at=%s status=%d", addr, status)
-					last = status
-				}
-				if err != nil {
-					continue
-				}
-				_, _, err = ws.Read(context.Background())
-				record(args[1], "socket closed at=%s code=%d", addr, websocket.CloseStatus(err))
-				ws.CloseNow()
-				last = -1
-			}
-		}()
+// load sends set-ups to each of the addresses, each on a new connection, and keeps the calls until they are released: load
+// RATE SECONDS ADDRESS... The rate is that of all addresses together, in calls a second.
+func load(args []string) int {
+	rate, err := strconv.Atoi(args[0])
+	if err != nil {
+		return fail(err)
+	}
+	end := time.Now().Add(milliseconds(args[1] + "000"))
+	var all sync.WaitGroup
+	for k := 0; time.Now().Before(end); k++ {
+		all.Go(func() {
+			loadCall(args[2+k%(len(args)-2)], fmt.Sprintf("%08x%08x", time.Now().Unix()&0xffffffff, k), k%3)
+		})
+		time.Sleep(time.Second / time.Duration(rate))
+	}
+	all.Wait()
+	return 0
+}
+
+func loadCall(addr, id string, firstChoice int) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return // the instance restarts
 	}
-	select {}
+	defer c.Close()
+	b := sip.AppendRequest(nil, "INVITE", id)
+	for _, h := range [][2]string{{"Via", "SIP/2.0/TCP peer"}, {"Call-ID", id}, {"CSeq", "1 INVITE"}, {"Subject", "open-log"},
+		{"Organization", "slaney-vines"}, {"X-Patience", "3000"}, {"X-Facts", fmt.Sprintf("dest:%d;width:1;via:-1", firstChoice)}} {
+		b = sip.AppendHeader(b, h[0], h[1])
+	}
+	c.Write(sip.AppendBody(b, []byte("offer")))
+	c.SetReadDeadline(time.Now().Add(15 * time.Second))
+	r := sip.NewReader(c)
+	for {
+		m, err := r.Next()
+		if err != nil || m.Status >= 300 || string(m.Method) == "BYE" {
+			return
+		}
+	}
+}
+
+// sipTest makes the readiness test of the platform's front: sip-test ADDRESS NAME. The exit code is 0 if it passed within 1 s.
+func sipTest(args []string) int {
+	c, err := net.DialTimeout("tcp", args[0], time.Second)
+	if err != nil {
+		record(args[1], "test failed err=%v", err)
+		return 1
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	io.WriteString(c, "OPTIONS sip:ping@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 00000000000000aa\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
+	m, err := sip.NewReader(c).Next()
+	if err != nil || m.Status != http.StatusOK {
+		record(args[1], "test failed err=%v", err)
+		return 1
+	}
+	record(args[1], "test passed")
+	return 0
 }
