--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 func main() {
 	commands := map[string]func(args []string) int{
 		"ports": ports, "sip-test": sipTest, "http": httpRequest, "list": serveList, "office": serveOffice, "sip-calls": sipCalls,
-		"standing-caller": standingCaller, "closing-caller": closingCaller, "silent-clients": silentClients,
+		"standing-caller": standingCaller, "keeping-caller": keepingCaller, "half-clients": halfClients,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin COMMAND ARGUMENTS")
--- a/review/standin/release.go
+++ b/review/standin/release.go
@@ -1,11 +1,10 @@
 package main
 
 import (
-	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -13,30 +12,24 @@
 	"masthill/internal/sip"
 )
 
-// idleClose is how long a caller keeps a connection that has no set-up open on it.
-const idleClose = 4 * time.Second
-
-// closingCaller makes calls over SIP, each on a connection of its own, at most one a second: closing-caller ADDRESS CALLS. It
-// closes each connection 4 s after the answer, as a call that stands belongs to no connection, but the last one, on
-// which a call stands to the end. It ends when the last call is released.
-func closingCaller(args []string) int {
+// keepingCaller makes calls over SIP, one a second and each on a connection of its own: keeping-caller ADDRESS CALLS. It closes a
+// connection only when its call is over, and goes on until it is ended.
+func keepingCaller(args []string) int {
 	calls, err := strconv.Atoi(args[1])
 	if err != nil {
 		return fail(err)
 	}
-	var all sync.WaitGroup
 	for k := range calls {
-		all.Go(func() { closingCall(args[0], fmt.Sprintf("%016x", 0xa0+k), k == calls-1) })
+		go keptCall(args[0], fmt.Sprintf("%016x", 0xa0+k))
 		time.Sleep(time.Second)
 	}
-	all.Wait()
-	return 0
+	select {}
 }
 
-func closingCall(addr, id string, last bool) {
-	c, err := net.Dial("tcp", addr)
+func keptCall(addr, id string) {
+	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
 	if err != nil {
-		record("caller", "connect failed: %v", err)
+		record("caller", "connect failed id=%s: %v", id, err)
 		return
 	}
 	defer c.Close()
@@ -48,41 +41,33 @@
 	c.Write(sip.AppendBody(b, []byte("offer")))
 	record("caller", "set-up sent id=%s from=%s", id, c.LocalAddr())
 	r := sip.NewReader(c)
-	answeredAt := time.Time{}
 	for {
 		m, err := r.Next()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			record("caller", "closes its connection, no set-up is open on it: %s", c.LocalAddr())
-			return
-		}
 		if err != nil {
-			record("caller", "connection ended %s: %v", c.LocalAddr(), err)
+			record("caller", "its connection was ended by the controller id=%s on=%s: %v", id, c.LocalAddr(), err)
 			return
 		}
 		switch of := string(m.Get("Call-ID")); {
-		case m.Status >= 200 && answeredAt.IsZero():
-			answeredAt = time.Now()
+		case m.Status >= 200 && of == id:
 			record("caller", "answered id=%s status=%d", of, m.Status)
 			ack := sip.AppendHeader(sip.AppendRequest(nil, "ACK", "7f3a9c21e0b4d655"), "Call-ID", of)
 			c.Write(sip.AppendBody(sip.AppendHeader(ack, "CSeq", "1 ACK"), nil))
 			if m.Status >= 300 {
 				return
 			}
-			if !last {
-				c.SetReadDeadline(answeredAt.Add(idleClose))
-			}
 		case string(m.Method) == "BYE":
 			record("caller", "released id=%s on=%s", of, c.LocalAddr())
 			c.Write(sip.Response(m, http.StatusOK))
 			if of == id {
-				c.SetReadDeadline(time.Now().Add(idleClose))
+				return
 			}
 		}
 	}
 }
 
-// silentClients connect and say nothing, until they are closed: silent-clients ADDRESS RATE SECONDS. They read what they are sent.
-func silentClients(args []string) int {
+// halfClients connect, send half a request and stop, until they are closed: half-clients ADDRESS RATE SECONDS. They read what they
+// are sent.
+func halfClients(args []string) int {
 	rate, err := strconv.Atoi(args[1])
 	if err != nil {
 		return fail(err)
@@ -96,6 +81,7 @@
 				return
 			}
 			defer c.Close()
+			io.WriteString(c, "INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\n")
 			c.SetReadDeadline(time.Now().Add(5 * time.Second))
 			r := sip.NewReader(c)
 			for {
@@ -103,12 +89,14 @@
 				if err != nil {
 					return
 				}
-				record("silent", "client %d, which never sent anything, received %s id=%s on=%s", n, m.Method, m.Get("Call-ID"), c.LocalAddr())
+				if m.Status == 0 {
+					record("crowd", "client %d, which never sent a whole request, received %s id=%s on=%s", n, m.Method, m.Get("Call-ID"), c.LocalAddr())
+				}
 			}
 		})
 		time.Sleep(time.Second / time.Duration(rate))
 	}
 	all.Wait()
-	record("silent", "all have gone")
+	record("crowd", "all have gone")
 	return 0
 }
