Caller front: log which connection a release goes to, and each confirmation

Change: with MASTHILL_LOG=debug a line for each release that is sent, with the peer, whether that connection ever made a valid request and for how long it was unused; one for a release that waits; and one for each confirmation. A release that expires unsent is a warning.

--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -11,6 +11,7 @@
 
 // release is a release of a call that waits for a connection to be sent on.
 type release struct {
+	id        string
 	host      string // of the call's caller; empty: unknown
 	message   []byte
 	expiresAt time.Time
@@ -85,15 +86,16 @@
 	b = fmt.Appendf(b, "CSeq: %d BYE\r\n", t.seq+1)
 	b = sip.AppendBody(sip.AppendHeader(b, "Reason", cause), nil)
 	if t.conn != nil && s.conns[t.conn] && !t.ending {
-		t.Send(b)
+		t.sendRelease(id, b)
 		return
 	}
 	if c := s.connForRelease(t.conn); c != nil {
-		c.Send(b)
+		c.sendRelease(id, b)
 		return
 	}
+	s.Log.Debug("release waits for a connection", "call", id)
 	if len(s.pendingReleases) < maxPendingReleases {
-		pending := release{message: b, expiresAt: time.Now().Add(releaseTimeout)}
+		pending := release{id: id, message: b, expiresAt: time.Now().Add(releaseTimeout)}
 		if t.conn != nil {
 			pending.host = t.host
 		}
@@ -128,8 +130,17 @@
 func (s *Server) flushPendingReleases(c *conn) {
 	s.pendingReleases = slices.DeleteFunc(s.pendingReleases, func(r release) bool {
 		if time.Now().After(r.expiresAt) {
+			s.Log.Warn("release undelivered", "call", r.id)
 			return true
 		}
-		return (c.hasRequested || r.host == "" || r.host == c.host) && c.Send(r.message)
+		return (c.hasRequested || r.host == "" || r.host == c.host) && c.sendRelease(r.id, r.message)
 	})
 }
+
+// sendRelease sends a release on a connection and logs what is known of that connection's peer. It returns false if the
+// write queue is full.
+func (c *conn) sendRelease(id string, message []byte) bool {
+	c.server.Log.Debug("release sent", "call", id, "peer", c.Remote(), "has_requested", c.hasRequested, "idle_ms",
+		time.Since(c.lastUsed).Milliseconds())
+	return c.Send(message)
+}
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -34,10 +34,11 @@
 
 // handle handles one message of a caller.
 func (c *conn) handle(m *sip.Message) error {
-	if m.Status != 0 {
-		return nil // the response to a release
-	}
 	id := string(m.Get("Call-ID"))
+	if m.Status != 0 { // the response to a release
+		c.server.Log.Debug("release answered", "call", id, "status", m.Status, "peer", c.Remote())
+		return nil
+	}
 	switch string(m.Method) {
 	case "INVITE":
 		if status, why := c.handleInvite(m, id); status != 0 {
