Caller front: releases go to callers only, not to whoever connected last

What callers saw: while clients that connect and stop half way filled all places, the connections of standing calls were closed to make room (allowed). At the end of such a call the release went to one of these clients.

Cause: connForRelease ranked every connection from the host of the ended one above all others, whether it had ever sent a whole request or not, and among these took the one last used. For a connection without a request that is the time of its accept, so the newest stranger always came first. flushPendingReleases gave waiting releases to such a connection too, as soon as it was accepted.

Ruled out: the office's release is lost (all 18 were handled within 1 ms); the release waits too long (none waited); the order of eviction (PROTOCOL allows the close, and a slow caller's request outranks a connection without a set-up for good reason).

Change: a release goes only to a connection over which a call was set up or ended: one of the same host and tenant first, then of the host, then any other. Without one it waits for the next connection that brings a call. A readiness test alone does not make a peer a caller.

Tests: TestReleaseAvoidsClientsWithoutCalls and TestReleaseWaitsForCaller failed on the code before (the caller got nothing within 8 s; the silent client, the half request's and the prober got it). TestConnectionEnds and TestReleaseAvoidsEvictedConnection had pinned the fault: they expected a release on a connection that had sent nothing. They now have the peer set a call up first, and the new tests check that a silent one gets nothing, so all that they guarded against is still checked.

--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -12,7 +12,7 @@
 // release is a release of a call that waits for a connection to be sent on.
 type release struct {
 	id        string
-	host      string // of the call's caller; empty: unknown
+	client    client // the call's caller; unknown for a call that was set up before this process
 	message   []byte
 	expiresAt time.Time
 }
@@ -89,35 +89,29 @@
 		t.sendRelease(id, b)
 		return
 	}
-	if c := s.connForRelease(t.conn); c != nil {
+	if c := s.connForRelease(t.client); c != nil {
 		c.sendRelease(id, b)
 		return
 	}
 	s.Log.Debug("release waits for a connection", "call", id)
 	if len(s.pendingReleases) < maxPendingReleases {
-		pending := release{id: id, message: b, expiresAt: time.Now().Add(releaseTimeout)}
-		if t.conn != nil {
-			pending.host = t.host
-		}
-		s.pendingReleases = append(s.pendingReleases, pending)
+		s.pendingReleases = append(s.pendingReleases, release{id: id, client: t.client, message: b, expiresAt: time.Now().Add(releaseTimeout)})
 	}
 }
 
-// connForRelease returns a connection for the release of a call whose own has ended: preferably one from the same host,
-// or else one with a valid request; among these the last used. A peer that has only connected may never read it.
-func (s *Server) connForRelease(ended *conn) (best *conn) {
+// client is what is known of the origin of a call, or of the calls on a connection.
+type client struct {
+	known  bool
+	host   string
+	tenant string
+}
+
+// connForRelease returns the connection that suits the release of a client's call best, and among equals the last used;
+// nil: there is none.
+func (s *Server) connForRelease(of client) (best *conn) {
 	bestFit := 0
 	for c := range s.conns {
-		fit := 0
-		switch {
-		case c.ending:
-		case ended != nil && c.host == ended.host:
-			fit = 3
-		case c.hasRequested:
-			fit = 2
-		case ended == nil: // a call from before a restart, whose caller may have just reconnected
-			fit = 1
-		}
+		fit := c.fitsRelease(of)
 		if fit > bestFit || fit > 0 && fit == bestFit && c.lastUsed.After(best.lastUsed) {
 			best, bestFit = c, fit
 		}
@@ -125,15 +119,35 @@
 	return best
 }
 
-// flushPendingReleases sends the waiting releases on a connection: at once those of its host and of calls from before a
-// restart, and all of them once it has made a valid request. Called with the lock held.
-func (s *Server) flushPendingReleases(c *conn) {
+// fitsRelease tells how well a connection suits the release of a client's call; 0: not at all. A peer that has only
+// connected, sent part of a request or made a readiness test is not known to be a caller: it may never read the release,
+// and has no right to know of the call.
+func (c *conn) fitsRelease(of client) int {
+	switch {
+	case c.ending || !c.client.known:
+		return 0
+	case c.client == of:
+		return 3
+	case c.client.host == of.host:
+		return 2
+	}
+	return 1
+}
+
+// noteCaller records that calls of a client are set up or ended over the connection, and sends the releases that wait
+// for a caller. Called with the lock held.
+func (c *conn) noteCaller(from client) {
+	if c.client == from {
+		return
+	}
+	c.client = from
+	s := c.server
 	s.pendingReleases = slices.DeleteFunc(s.pendingReleases, func(r release) bool {
 		if time.Now().After(r.expiresAt) {
 			s.Log.Warn("release undelivered", "call", r.id)
 			return true
 		}
-		return (c.hasRequested || r.host == "" || r.host == c.host) && c.sendRelease(r.id, r.message)
+		return c.sendRelease(r.id, r.message)
 	})
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -232,9 +232,6 @@
 // serve runs a connection until it ends, and gives up its unanswered set-ups.
 func (s *Server) serve(ctx context.Context, c *conn) {
 	began := time.Now()
-	s.mu.Lock()
-	s.flushPendingReleases(c)
-	s.mu.Unlock()
 	reason, err := c.Run(ctx, c.handle)
 	s.mu.Lock()
 	delete(s.conns, c)
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -191,8 +191,8 @@
 	}
 }
 
-// The end of a connection gives up its open set-ups. Established calls go on: a release is sent on any other
-// connection, or on the next one if there is none.
+// The end of a connection gives up its open set-ups. Established calls go on: a release is sent on another connection of
+// a caller, or on the next one that brings a call if there is none.
 func TestConnectionEnds(t *testing.T) {
 	b := newHarness(t, 10)
 	p := b.dial()
@@ -206,6 +206,7 @@
 	b.expectEvent("give up " + other)
 	b.Release(id, true)
 	p = b.dial()
+	p.write(message("INVITE", "0000000000000002", headers))
 	p.expectMessage(0, "BYE", "Reason", "Q.850;cause=41")
 	b.Release(other, false) // unknown here, from before a restart: passed on too
 	p.expectMessage(0, "BYE", "Reason", "Q.850;cause=16")
@@ -398,6 +399,7 @@
 		t.Errorf("after the answer: %v", err)
 	}
 	b.Release(id, false)
+	q.write(message("INVITE", "0000000000000002", headers))
 	q.expectMessage(0, "BYE", "Call-ID", id)
 }
 
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -16,6 +16,7 @@
 	openCalls        int       // unanswered set-ups
 	establishedCalls int       // established calls that were set up over it
 	hasRequested     bool      // a valid request was received
+	client           client    // whose calls were last set up or ended over it; unknown: none were
 	lastUsed         time.Time // when the last valid request or answer was; initially when it was accepted
 	ending           bool      // new set-ups are refused
 	idleEnding       bool      // ending because it was idle; the reader may still find a request that had arrived
@@ -158,9 +159,5 @@
 
 // noteRequestLocked is the part of noteRequest that every valid request needs. Called with the lock held.
 func (c *conn) noteRequestLocked() {
-	c.lastUsed = time.Now()
-	if !c.hasRequested {
-		c.hasRequested = true
-		c.server.flushPendingReleases(c)
-	}
+	c.lastUsed, c.hasRequested = time.Now(), true
 }
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -26,6 +26,7 @@
 type transaction struct {
 	*conn
 	id, number    string
+	client        client
 	fingerprint   uint64 // of its set-up
 	echoedHeaders []byte // that the answer repeats
 	seq           uint64
@@ -35,7 +36,7 @@
 // handle handles one message of a caller.
 func (c *conn) handle(m *sip.Message) error {
 	id := string(m.Get("Call-ID"))
-	if m.Status != 0 { // the response to a release
+	if m.Status != 0 {
 		c.server.Log.Debug("release answered", "call", id, "status", m.Status, "peer", c.Remote())
 		return nil
 	}
@@ -53,7 +54,7 @@
 		}
 	case "BYE":
 		status := 481
-		if c.server.forget(id, true) {
+		if c.server.endedByCaller(c, id) {
 			status = 200
 		}
 		c.Send(sip.Response(m, status))
@@ -87,15 +88,17 @@
 	return true
 }
 
-// forget removes the transaction of a call that its caller ended.
-func (s *Server) forget(id string, establishedOnly bool) bool {
+// endedByCaller removes the transaction of an established call that its caller ended, on any connection. It returns
+// false if there is none.
+func (s *Server) endedByCaller(c *conn, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.transactions[id]
-	if t == nil || establishedOnly && !t.established {
+	if t == nil || !t.established {
 		return false
 	}
 	s.remove(t)
+	c.noteCaller(client{true, c.host, t.client.tenant})
 	return true
 }
 
@@ -164,7 +167,7 @@
 		return 400, "the headers that an answer repeats exceed 1 KiB"
 	}
 	s := c.server
-	t := &transaction{conn: c, id: id, number: number, fingerprint: call.Fingerprint(), echoedHeaders: echoedHeaders, seq: seq}
+	t := &transaction{conn: c, id: id, number: number, client: client{true, c.host, call.Tenant}, fingerprint: call.Fingerprint(), echoedHeaders: echoedHeaders, seq: seq}
 	s.mu.Lock()
 	c.cancelIdleEnding()
 	existing := s.transactions[id]
@@ -174,6 +177,7 @@
 	if accepted {
 		s.transactions[id] = t
 		c.noteRequestLocked()
+		c.noteCaller(t.client)
 		c.openCalls++
 	}
 	s.mu.Unlock()
