Caller front: a release is kept until its caller has confirmed it

What callers saw: a release that was queued for a connection was lost with it, if the connection failed before the caller had read it, if its peer did not know the call, or if its path had gone silent. The caller was never told that its call was over.

Cause: Server.Release handed the message to the write queue and kept nothing, and the peer's answer to BYE was ignored.

Change: a release stays in a table (internal/caller/releases.go) until it is answered with 200, at most 7 s. It is sent on another connection of its caller if its own ends, if the peer answers that it does not know the call, or if a peer that is not the call's own, or that has confirmed others, is silent for 0.5 s; a caller from another host is tried after 0.3 s. Confirmations are optional (PROTOCOL: "release heard (free)"): a close in order 1 s later, or after this side's close, counts as one. A set-up that is refused as the instance ends also brings its caller the releases that wait. What is never sent is a warning, also at the end. At most 1,024 are kept; the oldest that was sent goes first.

Tests: on the code before, TestUnconfirmedReleaseIsSentAgain, TestUnconfirmedReleaseTriesOtherConnections, TestSilentOwnConnection, TestReleaseGoesToOtherHostsLater and the ending half of TestReleaseWaitsForCaller failed, TestReleasesAreBounded too, as releases stayed beyond their time.

Result: go test -race -count=5 passes for internal/caller and internal/sip.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -54,10 +54,6 @@
 	drainTimeout = time.Second
 	// shutdownInterval is how often Shutdown checks whether all connections have ended.
 	shutdownInterval = 2 * time.Millisecond
-	// releaseTimeout is how long a release waits for a connection to be sent on: the protocol requires it within 8 s.
-	releaseTimeout = 7 * time.Second
-	// maxPendingReleases bounds the releases that wait for a connection.
-	maxPendingReleases = 1024
 	// owner is the owner of all calls of this side: any of its connections may end a call, as the protocol requires.
 	owner = "sip"
 )
@@ -74,13 +70,14 @@
 // Server takes calls from callers that speak the platform's protocol.
 type Server struct {
 	Options
-	mu              sync.Mutex
-	refusing        bool      // every new set-up is refused
-	drainAt         time.Time // from then on, connections without an unanswered set-up are closed; zero: no drain
-	conns           map[*conn]bool
-	evicting        int // number of these that are being evicted
-	transactions    map[string]*transaction
-	pendingReleases []release // waiting for a connection
+	mu               sync.Mutex
+	refusing         bool      // every new set-up is refused
+	drainAt          time.Time // from then on, connections without an unanswered set-up are closed; zero: no drain
+	conns            map[*conn]bool
+	evicting         int // number of these that are being evicted
+	transactions     map[string]*transaction
+	releases         releaseTable
+	retryingReleases bool // retryReleases is scheduled
 }
 
 // evictOne ends the connection that can best be spared, once MaxConnections is reached: callers that connect and send
@@ -112,7 +109,7 @@
 
 // New creates a server.
 func New(o Options) *Server {
-	return &Server{Options: o, conns: map[*conn]bool{}, transactions: map[string]*transaction{}}
+	return &Server{Options: o, conns: map[*conn]bool{}, transactions: map[string]*transaction{}, releases: newReleaseTable()}
 }
 
 // Drain closes connections as soon as they have no unanswered set-up, starting after a time. Requests that still arrive
@@ -206,6 +203,7 @@
 // Shutdown closes all connections gracefully and waits until they have ended or ctx ends. Refuse and the core's
 // RefuseAll must be called before, so that every set-up that was read gets its answer first.
 func (s *Server) Shutdown(ctx context.Context) {
+	defer s.abandonReleases()
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
@@ -240,6 +238,7 @@
 	}
 	c.ending = true
 	givenUp := len(s.giveUpOpen(c))
+	s.releaseConnEnded(c, reason)
 	s.mu.Unlock()
 	s.Log.Info("caller connection ended", "reason", reason, "peer", c.Remote(), "given_up", givenUp, "turned_down", c.rejected,
 		"age_ms", time.Since(began).Milliseconds(), "err", err)
--- /dev/null
+++ b/internal/caller/releases.go
@@ -0,0 +1,308 @@
+package caller
+
+import (
+	"container/list"
+	"fmt"
+	"slices"
+	"time"
+
+	"masthill/internal/sip"
+)
+
+const (
+	// releaseTimeout is how long a release is kept for its caller: the protocol requires it within 8 s.
+	releaseTimeout = 7 * time.Second
+	// confirmTimeout is how long a caller has to confirm a release before another connection is tried: T1 of RFC 3261, and
+	// half of the second that the protocol allows.
+	confirmTimeout = 500 * time.Millisecond
+	// otherHostDelay is how long a release waits for its caller's host before a caller from another host is tried.
+	otherHostDelay = 300 * time.Millisecond
+	// releaseRetryInterval is how often unconfirmed releases are checked.
+	releaseRetryInterval = 100 * time.Millisecond
+	// releaseResendAge is the age from which a release counts as read if its peer then closes the connection in order: a
+	// close that crossed the release would have arrived before.
+	releaseResendAge = time.Second
+	// maxReleaseAttempts bounds the connections that one release is sent on.
+	maxReleaseAttempts = 8
+	// maxUnconfirmedReleases bounds the releases that are kept.
+	maxUnconfirmedReleases = 1024
+)
+
+// release is the release of an established call. It is kept until its caller has confirmed it, as what was queued for a
+// connection is lost with it, or until it expires.
+type release struct {
+	id        string
+	message   []byte
+	client    client // the caller; unknown for a call that was set up before this process
+	own       *conn  // the connection of the call's set-up; nil: it has ended or is unknown
+	createdAt time.Time
+	attempts  int       // how often it was sent
+	tried     []*conn   // the open connections that it was sent on
+	current   *conn     // the one of these that may still confirm it; nil: none
+	sentAt    time.Time // when it was last sent
+}
+
+// client is what is known of the origin of a call, or of the calls on a connection.
+type client struct {
+	known  bool
+	host   string
+	tenant string
+}
+
+// releaseTable holds the unconfirmed releases, the oldest first.
+type releaseTable struct {
+	queue list.List // of *release
+	byID  map[string]*list.Element
+}
+
+func newReleaseTable() releaseTable { return releaseTable{byID: map[string]*list.Element{}} }
+
+func (t *releaseTable) len() int { return len(t.byID) }
+
+// get returns an unconfirmed release, or nil.
+func (t *releaseTable) get(id string) *release {
+	if e := t.byID[id]; e != nil {
+		return e.Value.(*release)
+	}
+	return nil
+}
+
+func (t *releaseTable) add(r *release) { t.byID[r.id] = t.queue.PushBack(r) }
+
+func (t *releaseTable) remove(r *release) {
+	if e := t.byID[r.id]; e != nil {
+		t.queue.Remove(e)
+		delete(t.byID, r.id)
+	}
+}
+
+// all returns the releases in order. The table may be changed while they are handled.
+func (t *releaseTable) all() []*release {
+	all := make([]*release, 0, t.len())
+	for e := t.queue.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*release))
+	}
+	return all
+}
+
+// dropSent makes space by dropping the oldest release that has been sent, which callers need not confirm. It returns
+// false if there is none.
+func (t *releaseTable) dropSent() bool {
+	for e := t.queue.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(*release); r.current != nil {
+			t.remove(r)
+			return true
+		}
+	}
+	return false
+}
+
+// Release implements exchange.Caller. An established call belongs to no connection: if its own has ended, the release
+// is sent on another one of its caller, or on the next one that its caller uses.
+func (s *Server) Release(id string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, previous := s.transactions[id], s.releases.get(id)
+	switch {
+	case t == nil && previous != nil:
+		return // the office has repeated it
+	case t == nil:
+		t = &transaction{id: id, number: id}
+	case previous != nil: // of an earlier call with this id
+		s.releases.remove(previous)
+	}
+	s.remove(t)
+	r := &release{id: id, message: releaseMessage(t, cut), client: t.client, createdAt: time.Now()}
+	if s.conns[t.conn] {
+		r.own = t.conn
+	}
+	if s.releases.len() >= maxUnconfirmedReleases && !s.releases.dropSent() {
+		s.Log.Warn("release undelivered", "call", id, "why", "too many wait")
+		return
+	}
+	s.releases.add(r)
+	s.scheduleReleaseRetry()
+	if r.own != nil && !r.own.ending && r.own.sendRelease(r) {
+		return
+	}
+	if s.routeRelease(r); r.current == nil {
+		s.Log.Debug("release waits for its caller", "call", id)
+	}
+}
+
+func releaseMessage(t *transaction, cut bool) []byte {
+	cause := "Q.850;cause=16"
+	if cut {
+		cause = "Q.850;cause=41"
+	}
+	b := sip.AppendRequest(nil, "BYE", t.number)
+	b = sip.AppendHeader(b, "Via", "SIP/2.0/TCP masthill;branch=z9hG4bK"+t.id+".r")
+	b = sip.AppendHeader(b, "Call-ID", t.id)
+	b = fmt.Appendf(b, "CSeq: %d BYE\r\n", t.seq+1)
+	return sip.AppendBody(sip.AppendHeader(b, "Reason", cause), nil)
+}
+
+// sendRelease sends a release on a connection. It returns false if the connection can't take it.
+func (c *conn) sendRelease(r *release) bool {
+	r.tried = append(r.tried, c)
+	r.attempts++
+	if !c.Send(r.message) {
+		r.current = nil
+		return false
+	}
+	r.current, r.sentAt = c, time.Now()
+	c.server.Log.Debug("release sent", "call", r.id, "peer", c.Remote(), "own", c == r.own, "attempt", r.attempts,
+		"after_ms", time.Since(r.createdAt).Milliseconds())
+	return true
+}
+
+// routeRelease sends a release on the best connection that it has not been sent on. Without one it waits, or stays with
+// the connection that it was last sent on. Called with the lock held.
+func (s *Server) routeRelease(r *release) {
+	for r.attempts < maxReleaseAttempts {
+		c := s.connForRelease(r)
+		if c == nil || c.sendRelease(r) {
+			return
+		}
+	}
+}
+
+// connForRelease returns the connection that suits a release best, and among equals the last used; nil: there is none.
+// Called with the lock held.
+func (s *Server) connForRelease(r *release) (best *conn) {
+	bestFit := 0
+	for c := range s.conns {
+		fit := c.fitsRelease(r)
+		if fit > bestFit || fit > 0 && fit == bestFit && c.lastUsed.After(best.lastUsed) {
+			best, bestFit = c, fit
+		}
+	}
+	return best
+}
+
+// fitsRelease tells how well a connection suits a release; 0: not at all. A peer that has only connected, sent part of a
+// request or made a readiness test is not known to be a caller: it may never read the release, and has no right to know
+// of the call. A caller from another host suits only if the call's own host has not come back in time.
+func (c *conn) fitsRelease(r *release) int {
+	switch {
+	case c.ending || !c.client.known || slices.Contains(r.tried, c):
+		return 0
+	case !r.client.known:
+		return 1
+	case c.client == r.client:
+		return 3
+	case c.client.host == r.client.host:
+		return 2
+	case time.Since(r.createdAt) >= otherHostDelay:
+		return 1
+	}
+	return 0
+}
+
+// noteCaller records that calls of a client are set up or ended over the connection, and sends it the releases that wait
+// for this client. Called with the lock held.
+func (c *conn) noteCaller(from client) {
+	if c.client == from {
+		return
+	}
+	c.client = from
+	for _, r := range c.server.releases.all() {
+		if r.current == nil && r.attempts < maxReleaseAttempts && c.fitsRelease(r) > 0 {
+			c.sendRelease(r)
+		}
+	}
+}
+
+// releaseAnswered handles a peer's response to a release. A caller that refuses the release of its own call has ended
+// the call; any other peer does not know the call.
+func (s *Server) releaseAnswered(c *conn, id string, m *sip.Message) {
+	if _, method, ok := m.CSeq(); !ok || string(method) != "BYE" || m.Status < 200 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.releases.get(id)
+	if r == nil || !slices.Contains(r.tried, c) {
+		return
+	}
+	s.Log.Debug("release answered", "call", id, "status", m.Status, "peer", c.Remote())
+	switch {
+	case m.Status < 300:
+		c.confirmsReleases = true
+		s.releases.remove(r)
+	case c == r.own:
+		s.releases.remove(r)
+	case c == r.current:
+		r.current = nil
+		s.routeRelease(r)
+	}
+}
+
+// releaseConnEnded sends the releases again that may not have been read when their connection ended. Called with the lock
+// held.
+func (s *Server) releaseConnEnded(c *conn, reason sip.Reason) {
+	for _, r := range s.releases.all() {
+		r.tried = slices.DeleteFunc(r.tried, func(tried *conn) bool { return tried == c })
+		if r.own == c {
+			r.own = nil
+		}
+		switch {
+		case r.current != c:
+		case c.PeerFinished() || reason == sip.PeerClosed && time.Since(r.sentAt) > releaseResendAge:
+			s.releases.remove(r)
+		default:
+			r.current = nil
+			s.routeRelease(r)
+		}
+	}
+}
+
+// scheduleReleaseRetry has the unconfirmed releases checked after releaseRetryInterval. Called with the lock held.
+func (s *Server) scheduleReleaseRetry() {
+	if !s.retryingReleases {
+		s.retryingReleases = true
+		time.AfterFunc(releaseRetryInterval, s.retryReleases)
+	}
+}
+
+// retryReleases drops the releases that have expired, and tries another connection for those that are overdue.
+func (s *Server) retryReleases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryingReleases = false
+	for _, r := range s.releases.all() {
+		switch {
+		case time.Since(r.createdAt) >= releaseTimeout:
+			s.releases.remove(r)
+			s.logUndelivered(r)
+		case r.current == nil || r.overdue():
+			s.routeRelease(r)
+		}
+	}
+	if s.releases.len() > 0 {
+		s.scheduleReleaseRetry()
+	}
+}
+
+// overdue tells whether a release that was sent should have been confirmed by now. Callers need not confirm releases: on
+// the call's own connection, silence only means something if its peer has confirmed others.
+func (r *release) overdue() bool {
+	return time.Since(r.sentAt) >= confirmTimeout && (r.current != r.own || r.current.confirmsReleases)
+}
+
+// abandonReleases logs the releases that no connection is left for.
+func (s *Server) abandonReleases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.releases.all() {
+		s.releases.remove(r)
+		s.logUndelivered(r)
+	}
+}
+
+// logUndelivered logs a release that is given up, unless it was sent on a connection that is still open.
+func (s *Server) logUndelivered(r *release) {
+	if r.current == nil {
+		s.Log.Warn("release undelivered", "call", r.id, "attempts", r.attempts, "age_ms", time.Since(r.createdAt).Milliseconds())
+	}
+}
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -37,7 +37,7 @@
 func (c *conn) handle(m *sip.Message) error {
 	id := string(m.Get("Call-ID"))
 	if m.Status != 0 {
-		c.server.Log.Debug("release answered", "call", id, "status", m.Status, "peer", c.Remote())
+		c.server.releaseAnswered(c, id, m)
 		return nil
 	}
 	switch string(m.Method) {
@@ -177,9 +177,11 @@
 	if accepted {
 		s.transactions[id] = t
 		c.noteRequestLocked()
-		c.noteCaller(t.client)
 		c.openCalls++
 	}
+	if existing == nil && !c.ending { // also a set-up that is refused shows whose connection this is
+		c.noteCaller(t.client)
+	}
 	s.mu.Unlock()
 	switch {
 	case existing == nil && refused: // sent before the caller could see the end; trying again is harmless
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -76,6 +76,8 @@
 	closeReason   atomic.Pointer[Reason]
 	limitsChanged atomic.Bool  // the limits are to be checked again
 	partial       atomic.Bool  // part of a message has been read
+	allWritten    atomic.Bool  // the writer has written all that was queued before the end
+	peerFinished  atomic.Bool  // after that, the peer closed its side in order
 	lastReadAt    atomic.Int64 // when bytes were last read, and last written, in Unix nanoseconds
 	lastWrittenAt atomic.Int64
 }
@@ -143,6 +145,10 @@
 	c.netConn.Close()
 }
 
+// PeerFinished tells, after Run, whether this side closed the connection with all that was queued written, and the peer
+// then closed its side in order. A peer that had left some of it unread would have reset the connection.
+func (c *Conn) PeerFinished() bool { return c.peerFinished.Load() }
+
 // PartialMessage tells whether part of a message has been read, and when bytes were last read.
 func (c *Conn) PartialMessage() (at time.Time, partial bool) {
 	return time.Unix(0, c.lastReadAt.Load()), c.partial.Load()
@@ -288,6 +294,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until):
 			c.netConn.SetReadDeadline(until) // it was overwritten by CloseWithReason or RecheckLimits
 		case err != nil:
+			c.peerFinished.Store(errors.Is(err, io.EOF) && c.allWritten.Load())
 			return
 		}
 	}
@@ -308,6 +315,7 @@
 			if err := c.flush(); err != nil {
 				return nil // the reader reports the reason
 			}
+			c.allWritten.Store(true)
 			if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 				tcp.CloseWrite()
 			}
