Caller front: a set-up drops the release of an earlier call with its id

Cause: a release that is kept until it is confirmed could be sent again after the caller had set a new call up under the same id, and would have ended that one. PROTOCOL wants a new id for every set-up; a caller that repeats one should not lose its call over it.

Change: an accepted set-up drops the unconfirmed release of its id.

Result: TestNoReleaseOfEarlierCall failed on the code before (the new call's connection got BYE) and passes with go test -race -count=3.

--- a/internal/caller/releases.go
+++ b/internal/caller/releases.go
@@ -69,10 +69,13 @@
 
 func (t *releaseTable) add(r *release) { t.byID[r.id] = t.queue.PushBack(r) }
 
-func (t *releaseTable) remove(r *release) {
-	if e := t.byID[r.id]; e != nil {
+func (t *releaseTable) remove(r *release) { t.removeID(r.id) }
+
+// removeID removes the release of a call, if there is one.
+func (t *releaseTable) removeID(id string) {
+	if e := t.byID[id]; e != nil {
 		t.queue.Remove(e)
-		delete(t.byID, r.id)
+		delete(t.byID, id)
 	}
 }
 
@@ -102,14 +105,12 @@
 func (s *Server) Release(id string, cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, previous := s.transactions[id], s.releases.get(id)
+	t := s.transactions[id]
 	switch {
-	case t == nil && previous != nil:
+	case t == nil && s.releases.get(id) != nil:
 		return // the office has repeated it
 	case t == nil:
 		t = &transaction{id: id, number: id}
-	case previous != nil: // of an earlier call with this id
-		s.releases.remove(previous)
 	}
 	s.remove(t)
 	r := &release{id: id, message: releaseMessage(t, cut), client: t.client, createdAt: time.Now()}
--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -124,6 +124,20 @@
 	third.expectNothing("a caller whose release was confirmed")
 }
 
+// Guards against a late release of an earlier call, which would end a new one with the same id.
+func TestNoReleaseOfEarlierCall(t *testing.T) {
+	b := newHarness(t, 10)
+	first, second := b.dial(), b.dial()
+	b.establish(first, id)
+	b.Release(id, false)
+	first.expectRelease(id)
+	b.establish(second, id)
+	first.Conn.(*net.TCPConn).SetLinger(0) // a reset
+	first.Close()
+	b.awaitConns(1, 0)
+	second.expectNothing("the new call's connection")
+}
+
 func byeResponse(id string, status int) string {
 	return string(sip.AppendBody(append(sip.AppendStatus(nil, status), "Call-ID: "+id+"\r\nCSeq: 2 BYE\r\n"...), nil))
 }
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -176,6 +176,7 @@
 	accepted := existing == nil && !refused && !full
 	if accepted {
 		s.transactions[id] = t
+		s.releases.removeID(id) // of an earlier call
 		c.noteRequestLocked()
 		c.openCalls++
 	}
