WebSocket front: a release is kept until its caller has read it

What callers saw: a release was lost if its socket was being closed, was reset before the caller had read it, or had fallen silent, although the caller had another socket open or opened one soon after. It was never told that its call was over.

Cause: Front.Release queued the message for any socket of the identity, also one on which Close had been called, whose writer no longer looks at the queue, and deleted the call at once.

Change: releases have a list of their own (internal/callws/releases.go). A socket that is being closed is not chosen. A ping follows each release (confirm.go); until its pong, or the peer's answer to a close, the release is kept for up to 30 s, and goes to another socket of the identity if its own ends or takes over 0.5 s. A set-up with the same id drops it. What is never sent is a warning.

Tests: on the code before, TestReleaseAvoidsClosingSocket and both halves of TestUnreadReleaseIsSentAgain failed (no release within 8 s). TestNoReleaseOfEarlierCall guards the new list.

Result: go test -race -count=3 passes for internal/callws.

--- a/internal/callws/answers.go
+++ b/internal/callws/answers.go
@@ -1,8 +1,6 @@
 package callws
 
 import (
-	"time"
-
 	"masthill/internal/exchange"
 	"masthill/internal/sip"
 )
@@ -61,26 +59,3 @@
 	}
 	return c, c.socket
 }
-
-// Release implements exchange.Caller. The message is sent on the call's socket, on another one of the same caller, or on
-// the next one that the caller opens.
-func (f *Front) Release(key string, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.calls[key]
-	if c == nil {
-		return
-	}
-	to := c.socket
-	for s := range f.sockets {
-		if to == nil && s.identity == c.identity {
-			to = s
-		}
-	}
-	if to == nil {
-		c.released, c.cut, c.detachedAt = true, cut, time.Now()
-		return
-	}
-	delete(f.calls, key)
-	to.send(reply{Type: "released", ID: c.id, Cut: &cut})
-}
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -52,11 +52,15 @@
 	queueFull atomic.Bool
 	closing   chan struct{}
 	closed    atomic.Bool
+	confirms  confirmations
+	// closeAnswered: the peer has answered the close of this side, and so has read all that was written before.
+	closeAnswered atomic.Bool
 }
 
 func newConn(ws *websocket.Conn, raw net.Conn) *conn {
 	ws.SetReadLimit(maxMessage)
-	return &conn{ws: ws, raw: raw, peerGone: func() bool { return false }, out: sip.NewQueue(), closing: make(chan struct{})}
+	return &conn{ws: ws, raw: raw, peerGone: func() bool { return false }, out: sip.NewQueue(), closing: make(chan struct{}),
+		confirms: confirmations{written: make(chan struct{}, 1)}}
 }
 
 // send queues one message and never blocks: if the peer does not read and the queue is full, the connection is closed.
@@ -85,6 +89,9 @@
 	g.Go(func() error {
 		for {
 			kind, data, err := c.ws.Read(ctx)
+			if c.closed.Load() && websocket.CloseStatus(err) != -1 {
+				c.reportClosed()
+			}
 			if err == nil && kind != websocket.MessageText {
 				err = errUnreadable
 			}
@@ -101,6 +108,7 @@
 	})
 	g.Go(func() error { return c.write(ctx) })
 	g.Go(func() error { return c.ping(ctx) })
+	g.Go(func() error { return c.confirm(ctx) })
 	err := g.Wait()
 	if errors.Is(err, errUnreadable) {
 		c.closeWithTimeout(websocket.StatusInvalidFramePayloadData, errUnreadable.Error())
@@ -132,6 +140,10 @@
 		if err := c.out.Write(func(batch [][]byte) error { return c.flush(ctx, batch) }); err != nil {
 			return err
 		}
+		select {
+		case c.confirms.written <- struct{}{}:
+		default:
+		}
 		if closing { // the queued messages have been written
 			c.closeWithTimeout(websocket.StatusGoingAway, "ending")
 			return errClose
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -28,8 +28,6 @@
 	resumeTimeout = 2 * time.Second
 	// sweepInterval is how often calls without a socket are checked.
 	sweepInterval = 100 * time.Millisecond
-	// releaseTimeout is how long the release of a call waits for a socket of its caller.
-	releaseTimeout = 30 * time.Second
 	// drainTimeout is how long after the start of a drain a socket that always has a call open may send new ones.
 	drainTimeout = time.Second
 	// shutdownInterval is how often Shutdown checks whether all sockets are closed.
@@ -62,6 +60,7 @@
 	drainFrom time.Time // sockets without unanswered calls are closed from this time on; zero: no drain
 	sockets   map[*socket]bool
 	calls     map[string]*call // by Key
+	releases  []*release       // that have not been read, the oldest first
 	group     *errgroup.Group
 	ctx       context.Context
 	stopped   bool          // no more sockets are added to group
@@ -69,15 +68,13 @@
 	listener  *boundedListener
 }
 
-// call is a call of this front, kept until it is refused or fails, its caller ends it, or its caller has been sent its
-// release.
+// call is a call of this front, kept until it is refused or fails, its caller ends it, or it is released.
 type call struct {
-	id, identity       string
-	fingerprint        uint64  // of the set-up
-	socket             *socket // nil: its socket closed
-	accepted, released bool
-	cut                bool
-	detachedAt         time.Time // when it lost its socket, or was released without one
+	id, identity string
+	fingerprint  uint64  // of the set-up
+	socket       *socket // nil: its socket closed
+	accepted     bool
+	detachedAt   time.Time // when it lost its socket
 }
 
 // New returns a Front; Serve runs it.
@@ -210,6 +207,7 @@
 // Refuse is to be called and the exchange is to refuse all calls that wait, so that every call that was read gets its
 // answer first.
 func (f *Front) Shutdown(ctx context.Context) {
+	defer f.abandonReleases()
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
@@ -281,16 +279,12 @@
 func (f *Front) serve(ctx context.Context, s *socket, peer string) {
 	startedAt := time.Now()
 	f.mu.Lock()
-	for key, c := range f.calls { // calls that were released while their caller had no socket
-		if c.released && c.identity == s.identity {
-			s.send(reply{Type: "released", ID: c.id, Cut: &c.cut})
-			delete(f.calls, key)
-		}
-	}
+	f.resendReleases(s)
 	f.mu.Unlock()
 	reason, err := s.run(ctx, s.handleMessage)
 	f.mu.Lock()
 	delete(f.sockets, s)
+	f.releaseSocketEnded(s)
 	waiting := 0
 	for key, c := range f.calls {
 		if c.socket == s {
@@ -305,8 +299,8 @@
 		"age_ms", time.Since(startedAt).Milliseconds(), "err", err)
 }
 
-// sweep gives up calls whose caller has not reconnected in time, and drops releases that no caller came back for. An
-// accepted call does not depend on a socket and goes on, provided that its caller has been sent the acceptance.
+// sweep gives up calls whose caller has not reconnected in time. An accepted call does not depend on a socket and goes on,
+// provided that its caller has been sent the acceptance.
 func (f *Front) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
@@ -318,12 +312,9 @@
 		}
 		f.mu.Lock()
 		f.closeDrained()
+		f.sweepReleases()
 		for key, c := range f.calls {
-			switch {
-			case c.socket != nil:
-			case c.released && time.Since(c.detachedAt) > releaseTimeout:
-				delete(f.calls, key)
-			case !c.released && !c.accepted && time.Since(c.detachedAt) > f.resume:
+			if c.socket == nil && !c.accepted && time.Since(c.detachedAt) > f.resume {
 				delete(f.calls, key)
 				f.Core.GiveUp(key, "ws/"+c.identity, f)
 			}
--- /dev/null
+++ b/internal/callws/releases_test.go
@@ -0,0 +1,98 @@
+package callws
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"masthill/internal/exchange"
+)
+
+const released = `{"type":"released","id":"c1","cut":false}`
+
+// establish sets the call c1 up over a socket.
+func (f *fixture) establish(ws *websocket.Conn) {
+	f.t.Helper()
+	f.write(ws, setup)
+	f.expect("submit " + key)
+	f.Answer(key, exchange.FinalAnswer{Kind: exchange.Established})
+	f.read(ws, `{"type":"stands","id":"c1"}`)
+}
+
+// readRelease reads the release of c1, and waits for it no longer than the protocol allows.
+func (f *fixture) readRelease(ws *websocket.Conn) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 8*time.Second)
+	defer cancel()
+	if _, got, err := ws.Read(ctx); err != nil || string(got) != released {
+		f.t.Errorf("read %s, %v, want the release", got, err)
+	}
+}
+
+// unread returns the number of releases that are kept.
+func (f *fixture) unread() int {
+	f.Front.mu.Lock()
+	defer f.Front.mu.Unlock()
+	return len(f.releases)
+}
+
+// Guards against a lost release: it was queued for a socket that was being closed, behind the last that was written to it.
+func TestReleaseAvoidsClosingSocket(t *testing.T) {
+	f := newFixture(t, 10)
+	ws := f.open()
+	f.establish(ws)
+	f.Front.mu.Lock()
+	for s := range f.sockets {
+		s.Close() // the caller does not read, so that the handshake takes closeTimeout
+	}
+	f.Front.mu.Unlock()
+	time.Sleep(closeTimeout / 4)
+	f.Release(key, false)
+	f.readRelease(f.open())
+}
+
+// Guards against a lost release: it was forgotten once it was queued, while its socket had fallen silent or was reset
+// before the caller had read it. Once it has been read, it is not sent again.
+func TestUnreadReleaseIsSentAgain(t *testing.T) {
+	for name, fail := range map[string]func(silent *websocket.Conn){
+		"silent": func(*websocket.Conn) {},
+		"reset":  func(silent *websocket.Conn) { silent.CloseNow() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 10)
+			first, second := f.open(), f.open()
+			f.establish(first)
+			f.Release(key, false)
+			fail(first) // it reads nothing any more, so that no ping is answered
+			f.readRelease(second)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go second.Read(ctx) // answers pings
+			for f.unread() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			third := f.open()
+			f.write(third, `{"type":"hangup","id":"c1"}`)
+			f.read(third, `{"type":"error","id":"c1","code":481,"text":"no such call"}`)
+		})
+	}
+}
+
+// Guards against a late release of an earlier call, which would end a new one with the same id.
+func TestNoReleaseOfEarlierCall(t *testing.T) {
+	f := newFixture(t, 10)
+	first := f.open()
+	f.establish(first)
+	f.Release(key, false)
+	if n := f.unread(); n != 1 {
+		t.Errorf("%d releases kept, want 1", n)
+	}
+	f.readRelease(first)
+	f.write(first, setup)
+	f.expect("submit " + key)
+	if n := f.unread(); n != 0 {
+		t.Errorf("%d releases kept, want none of a call that is set up again", n)
+	}
+}
--- a/internal/callws/socket.go
+++ b/internal/callws/socket.go
@@ -121,13 +121,14 @@
 		f.mu.Unlock()
 		return 401, "the token has changed"
 	}
-	if c == nil && (len(f.calls) >= maxCalls || s.unanswered >= maxOpenCalls) {
+	if c == nil && (len(f.calls)+len(f.releases) >= maxCalls || s.unanswered >= maxOpenCalls) {
 		f.mu.Unlock()
 		return 503, "too many calls"
 	}
 	if c == nil {
 		c = &call{id: m.ID, identity: s.identity, fingerprint: fingerprint}
 		f.calls[key] = c
+		f.dropRelease(key)
 	}
 	if !c.accepted {
 		if c.socket != nil {
--- a/internal/sip/queue.go
+++ b/internal/sip/queue.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	waiting [][]byte
 	size    int           // bytes waiting or being written
+	queued  uint64        // messages queued so far
+	written uint64        // messages written so far
 	ready   chan struct{} // a message was queued
 	drained chan struct{} // something was written
 }
@@ -35,16 +37,31 @@
 
 // Put queues one message and never blocks. It returns false if the queue is full, as the peer does not read.
 func (q *Queue) Put(b []byte) bool {
+	_, ok := q.PutAt(b)
+	return ok
+}
+
+// PutAt is Put, and also returns the message's position: it has been written once Written has reached that.
+func (q *Queue) PutAt(b []byte) (position uint64, ok bool) {
 	q.mu.Lock()
 	fits := q.size+len(b) <= maxQueueBytes
 	if fits {
 		q.waiting, q.size = append(q.waiting, b), q.size+len(b)
+		q.queued++
+		position = q.queued
 	}
 	q.mu.Unlock()
 	if fits {
 		signal(q.ready)
 	}
-	return fits
+	return position, fits
+}
+
+// Written returns how many messages have been written.
+func (q *Queue) Written() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.written
 }
 
 // Ready receives a value when messages have been queued.
@@ -68,6 +85,9 @@
 		err := write(batch)
 		q.mu.Lock()
 		q.size -= size
+		if err == nil {
+			q.written += uint64(len(batch))
+		}
 		q.mu.Unlock()
 		signal(q.drained)
 		if err != nil {
