WebSocket front: a drain keeps the sockets that standing calls need

What callers saw: in a drain the socket of a standing call was closed after 0.4 s.

Cause: Front.closeDrained counted unanswered calls alone, and the release then waited for a next socket that the drain kept away. docs/operation.md promises that connections with a standing call stay.

Change: a drain keeps the socket of a standing call, or the newest one of its caller if that has ended, until the release has been read. The end of the process closes it as before.

--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -90,8 +90,8 @@
 	return hex.EncodeToString(sum[:8])
 }
 
-// Drain closes, once the given time has passed, each socket as soon as it has no unanswered call. Calls that still arrive
-// are served.
+// Drain closes, once the given time has passed, each socket as soon as it has no unanswered call and is not needed for the
+// release of an accepted one. Calls that still arrive are served.
 func (f *Front) Drain(after time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,8 +122,8 @@
 	f.drainFrom = time.Time{}
 }
 
-// closeDrained closes the sockets without unanswered calls that a drain no longer waits for, and those of callers whose
-// token has changed. f.mu must be held.
+// closeDrained closes the sockets that a drain no longer waits for, and those of callers whose token has changed, as far
+// as they have no unanswered call. f.mu must be held.
 func (f *Front) closeDrained() {
 	for s := range f.sockets {
 		if s.revoked && s.unanswered == 0 {
@@ -133,13 +133,40 @@
 	if f.drainFrom.IsZero() || time.Now().Before(f.drainFrom) {
 		return
 	}
+	needed := f.neededForReleases()
 	for s := range f.sockets {
-		if s.unanswered == 0 && (s.hasCalled || time.Since(s.openedAt) > headerTimeout) {
+		if s.unanswered == 0 && !needed[s] && (s.hasCalled || time.Since(s.openedAt) > headerTimeout) {
 			s.Close()
 		}
 	}
 }
 
+// neededForReleases returns the sockets that a drain keeps open for the releases of accepted calls, until they have been
+// read: callers are sent to other instances, so that no other way to them may be left. It is the socket of the call, or
+// the newest one of its caller if that has ended. f.mu must be held.
+func (f *Front) neededForReleases() map[*socket]bool {
+	newest := map[string]*socket{} // by identity
+	for s := range f.sockets {
+		if other := newest[s.identity]; s.isOpen() && (other == nil || s.openedAt.After(other.openedAt)) {
+			newest[s.identity] = s
+		}
+	}
+	needed := map[*socket]bool{}
+	for _, c := range f.calls {
+		switch {
+		case !c.accepted:
+		case c.socket.isOpen():
+			needed[c.socket] = true
+		default:
+			needed[newest[c.identity]] = true
+		}
+	}
+	for _, r := range f.releases {
+		needed[newest[r.identity]] = true
+	}
+	return needed
+}
+
 // Serve accepts connections until ctx ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/callws/releases_test.go
+++ b/internal/callws/releases_test.go
@@ -96,3 +96,26 @@
 		t.Errorf("%d releases kept, want none of a call that is set up again", n)
 	}
 }
+
+// Guards against a lost release: in a drain, a caller whose call has lost its socket kept no other one.
+func TestDrainKeepsSocketOfDetachedCall(t *testing.T) {
+	f := newFixture(t, 10)
+	first := f.open()
+	f.establish(first)
+	second := f.open()
+	f.write(second, `{"type":"hangup","id":"c2"}`)
+	f.read(second, `{"type":"error","id":"c2","code":481,"text":"no such call"}`)
+	first.CloseNow()
+	for f.openSockets() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Front.mu.Lock()
+	for s := range f.sockets {
+		s.hasCalled = true // no longer within the time for a first call
+	}
+	f.Front.mu.Unlock()
+	f.Drain(0)
+	time.Sleep(2 * sweepInterval)
+	f.Release(key, false)
+	f.readRelease(second)
+}
