Caller front: no connection with queued messages is closed at once to make room

What callers saw: with all places taken and an eighth of them being closed, a connection could end without the final answer that had been queued for it a moment before. Found by looking for other places that queue and forget; shown by a test, not seen in service.

Cause: Server.evictOne calls Abort beyond that bound, which closes the socket below the write queue. A connection may be chosen from the moment its last set-up is answered, before the writer has run.

Change: Abort only where nothing is queued; else the connection is closed in order, its write bounded by 1 s as before.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -36,7 +36,7 @@
 	// connection that received bytes of a message within partialReadAge is evicted last, as its peer may only be slow.
 	silentAge, idleAge, partialReadAge = 250 * time.Millisecond, time.Second, time.Second
 	// evictedDivisor bounds the evicted connections that stay open while their peers still read, as a fraction of
-	// MaxConnections; beyond it they are closed at once.
+	// MaxConnections; beyond it they are closed at once, or once the answers to them have been written.
 	evictedDivisor = 8
 	// maxOpenCalls bounds the unanswered set-ups on one connection, so that one caller can't fill the call table: it is
 	// enough for two seconds of all calls of one instance at the busiest rates.
@@ -88,7 +88,7 @@
 		return false
 	}
 	candidate.ending, candidate.evicted = true, true
-	if s.evicting++; s.evicting > max(s.MaxConnections/evictedDivisor, 1) {
+	if s.evicting++; s.evicting > max(s.MaxConnections/evictedDivisor, 1) && !candidate.HasQueued() {
 		candidate.Abort(sip.Evicted)
 	} else {
 		candidate.CloseWithReason(sip.Evicted)
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -361,6 +361,30 @@
 	}
 }
 
+// Guards against a lost answer: a connection that was closed at once to make room, as many others already were, took an
+// answer with it that had been queued a moment before.
+func TestQueuedAnswerSurvivesEviction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, core := newServer(1)
+		ours, theirs := net.Pipe()
+		c := newConn(ours, s)
+		s.conns[c] = true
+		go s.serve(t.Context(), c)
+		io.WriteString(theirs, message("INVITE", id, headers))
+		<-core.events
+		s.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
+		synctest.Wait() // the write waits for the peer to read
+		s.mu.Lock()
+		s.evicting = s.MaxConnections
+		if !s.evictOne() {
+			t.Error("no connection to evict")
+		}
+		s.mu.Unlock()
+		peer{theirs, sip.NewReader(theirs), t}.expectMessage(503, "", "Call-ID", id)
+		theirs.Close()
+	})
+}
+
 // Guards against a wrong order of eviction: a caller that wrote slowly was evicted before silent ones, as it had
 // connected before them.
 func TestSlowCallerIsNotEvicted(t *testing.T) {
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -139,7 +139,10 @@
 	c.netConn.SetReadDeadline(pastDeadline)
 }
 
-// Abort closes the connection at once, to free its file descriptor.
+// HasQueued tells whether messages to the peer have not been written yet.
+func (c *Conn) HasQueued() bool { return !c.out.Empty() }
+
+// Abort closes the connection at once, to free its file descriptor. What is queued is lost.
 func (c *Conn) Abort(reason Reason) {
 	c.CloseWithReason(reason)
 	c.netConn.Close()
--- a/internal/sip/queue.go
+++ b/internal/sip/queue.go
@@ -57,6 +57,13 @@
 	return position, fits
 }
 
+// Empty tells whether all that was queued has been written.
+func (q *Queue) Empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.size == 0
+}
+
 // Written returns how many messages have been written.
 func (q *Queue) Written() uint64 {
 	q.mu.Lock()
