Offices: a release on a connection that fell silent is sent again on the next one

Cause: a session keeps the releases it has sent for 1 s, in case its connection ends. A connection that has fallen silent is replaced after 3 s and more; the release was forgotten by then, and the call's lines stayed taken at the office until its regular end. Found by looking for other places that queue and forget; shown by a test.

Change: a release is also sent again if nothing was received on its connection since, up to 30 s.

Result: TestReleaseOnSilentConnection failed on the code before (nothing came on the next connection within 8 s) and passes with go test -race -count=3; its other half checks that a release after which the office was heard is not sent twice.

--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -717,6 +717,32 @@
 	})
 }
 
+// A release sent on a connection that had fallen silent was lost, as the silence was noticed more than a second later. It
+// is sent again on the next connection, but not if the office was heard after it.
+func TestReleaseOnSilentConnection(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestPool(t)
+			office := <-b.connections
+			go io.Copy(io.Discard, office)
+			time.Sleep(time.Second)
+			b.Bye(10, "9b1f03aa5c7e2d41", 0, false)
+			time.Sleep(2 * releaseResendAge)
+			if heard {
+				io.WriteString(office, "NOTIFY sip:1@net SIP/2.0\r\nX-State: x0:3\r\nContent-Length: 0\r\n\r\n")
+				expectEvent(t, b.events, "state [3 -1 -1 -1]")
+			}
+			office.Close()
+			next := <-b.connections
+			next.SetReadDeadline(time.Now().Add(8 * time.Second))
+			m, err := sip.NewReader(next).Next()
+			if sentAgain := err == nil && string(m.Method) == "BYE"; sentAgain == heard {
+				t.Errorf("heard after the release %v: received %+v, %v", heard, m, err)
+			}
+		})
+	}
+}
+
 // A connection that is established after its attempt was cancelled sends nothing, and one that is established after its
 // office was removed from the list is closed.
 func TestLateConnect(t *testing.T) {
--- a/internal/office/session.go
+++ b/internal/office/session.go
@@ -20,9 +20,10 @@
 	// attempt, so a duplicate would end the call's next attempt on the same connection. The next attempt therefore waits
 	// for that long. This is tracked for at most maxRecentAnswers calls.
 	duplicateWindow, maxRecentAnswers = 50 * time.Millisecond, 1024
-	// releaseResendAge is the greatest age at which a release sent on a connection that has ended is sent again on the next
-	// one. It may have been lost, and releasing a call twice does no harm.
-	releaseResendAge = time.Second
+	// releaseResendAge is the age up to which a release sent on a connection that has ended is always sent again on the
+	// next one, and silentReleaseResendAge where nothing was received on the connection since. It may have been lost, and
+	// releasing a call twice does no harm.
+	releaseResendAge, silentReleaseResendAge = time.Second, 30 * time.Second
 )
 
 // session is one connection of a link, with the attempts outstanding on it, by call. An office's answer identifies its
@@ -76,13 +77,19 @@
 // release sends a release, and keeps it in case the connection ends before it has arrived.
 func (s *session) release(r release) {
 	r.at = time.Now()
-	s.recentReleases = slices.DeleteFunc(s.recentReleases, func(old release) bool { return r.at.Sub(old.at) > releaseResendAge })
+	s.recentReleases = slices.DeleteFunc(s.recentReleases, func(old release) bool { return !s.mayBeLost(old) })
 	if len(s.recentReleases) < maxPendingReleases {
 		s.recentReleases = append(s.recentReleases, r)
 	}
 	s.peer.Bye(r.id, r.n, r.cut)
 }
 
+// mayBeLost tells whether a release that was sent on the connection may not have arrived if the connection ends now.
+func (s *session) mayBeLost(r release) bool {
+	age := time.Since(r.at)
+	return age <= releaseResendAge || age <= silentReleaseResendAge && !s.lastHeard.After(r.at)
+}
+
 func (s *session) invite(a exchange.Attempt) {
 	now := time.Now()
 	s.outstanding[a.ID] = sentAttempt{a.Index, now}
@@ -162,7 +169,7 @@
 	s.outstanding = nil
 	for _, r := range s.recentReleases {
 		switch l := s.link; {
-		case time.Since(r.at) > releaseResendAge:
+		case !s.mayBeLost(r):
 		case l.current != nil:
 			l.current.release(r)
 		case len(l.pendingReleases) < maxPendingReleases:
