WebSocket sockets: a ping that fails with its connection is not logged as no_pong

Cause: both pings, the one every 20 s and the new one after a release, ended the socket with no_pong on any error. A caller that closes right after a release would often be logged as one that had fallen silent.

Change: one function pings and waits; only its time-out is no_pong, any other error leaves the reason to the reader.

Result: go test -race -count=2 passes for internal/callws.

--- a/internal/callws/confirm.go
+++ b/internal/callws/confirm.go
@@ -7,8 +7,8 @@
 	"sync"
 )
 
-// confirmations holds the messages of a connection that the peer has to be shown to have read. A pong answers the newest
-// ping, and a peer reads in order: once it has answered a ping, it has read all that was written before the ping.
+// confirmations holds the messages of a connection that may not have been read yet. A peer reads in order: once it has
+// answered a ping, it has read all that was written before.
 type confirmations struct {
 	mu      sync.Mutex
 	unread  []confirmation
@@ -65,14 +65,13 @@
 		if len(due) == 0 {
 			continue
 		}
-		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := c.ws.Ping(pingCtx)
-		cancel()
-		switch {
+		switch err := c.awaitPong(ctx); {
 		case err == nil, c.closeAnswered.Load():
 			reportRead(due)
-		case ctx.Err() == nil:
-			return errors.Join(errNoPong, err)
+		case errors.Is(err, errNoPong):
+			return err
+		default:
+			return nil // the reader returns the cause
 		}
 	}
 }
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -174,15 +174,24 @@
 			return nil
 		case <-tick.C:
 		}
-		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := c.ws.Ping(pingCtx)
-		cancel()
-		if err != nil && ctx.Err() == nil {
-			return errors.Join(errNoPong, err)
+		if err := c.awaitPong(ctx); errors.Is(err, errNoPong) {
+			return err
 		}
 	}
 }
 
+// awaitPong pings the peer and waits for its pong. The error is errNoPong if the peer is silent for pingTimeout, or else
+// says that the connection is ending.
+func (c *conn) awaitPong(ctx context.Context) error {
+	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	err := c.ws.Ping(pingCtx)
+	if err != nil && ctx.Err() == nil && errors.Is(pingCtx.Err(), context.DeadlineExceeded) {
+		return errors.Join(errNoPong, err)
+	}
+	return err
+}
+
 func (c *conn) endReason(err error) sip.Reason {
 	switch {
 	case c.queueFull.Load():
