--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -31,13 +31,6 @@
 	// not hold its place. A connection with an unanswered set-up or an established call is checked again every
 	// busyIdleInterval.
 	firstIdleTimeout, idleTimeout, busyIdleInterval = 2 * time.Second, 6 * time.Second, time.Second
-	// silentAge and idleAge order the connections for eviction: first those without any request for silentAge, then
-	// those without a call and without a request for idleAge. The time that a request takes to arrive is well below. A
-	// connection that received bytes of a message within partialReadAge is evicted last, as its peer may only be slow.
-	silentAge, idleAge, partialReadAge = 250 * time.Millisecond, time.Second, time.Second
-	// evictedDivisor bounds the evicted connections that stay open while their peers still read, as a fraction of
-	// MaxConnections; beyond it they are closed at once, or once the answers to them have been written.
-	evictedDivisor = 8
 	// maxOpenCalls bounds the unanswered set-ups on one connection, so that one caller can't fill the call table: it is
 	// enough for two seconds of all calls of one instance at the busiest rates.
 	maxOpenCalls = 256
@@ -80,33 +73,6 @@
 	retryingReleases bool // retryReleases is scheduled
 }
 
-// evictOne ends the connection that can best be spared, once MaxConnections is reached: callers that connect and send
-// nothing must not lock others out. It returns false if there is none to evict. Called with the lock held.
-func (s *Server) evictOne() bool {
-	candidate := s.evictionCandidate()
-	if candidate == nil {
-		return false
-	}
-	candidate.ending, candidate.evicted = true, true
-	if s.evicting++; s.evicting > max(s.MaxConnections/evictedDivisor, 1) && !candidate.HasQueued() {
-		candidate.Abort(sip.Evicted)
-	} else {
-		candidate.CloseWithReason(sip.Evicted)
-	}
-	return true
-}
-
-// evictionCandidate returns the connection to evict next, or nil. Called with the lock held.
-func (s *Server) evictionCandidate() (best *conn) {
-	bestRank := 0
-	for c := range s.conns {
-		if rank := c.evictionRank(); rank >= 0 && (best == nil || rank < bestRank || rank == bestRank && c.lastActivity().Before(best.lastActivity())) {
-			best, bestRank = c, rank
-		}
-	}
-	return best
-}
-
 // New creates a server.
 func New(o Options) *Server {
 	return &Server{Options: o, conns: map[*conn]bool{}, transactions: map[string]*transaction{}, releases: newReleaseTable()}
@@ -123,22 +89,6 @@
 	}
 }
 
-// SetMaxConnections changes MaxConnections. Connections beyond it are evicted, those that can best be spared first.
-func (s *Server) SetMaxConnections(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.MaxConnections = n
-	for len(s.conns)-s.evicting > n {
-		candidate := s.evictionCandidate()
-		if candidate == nil {
-			return
-		}
-		candidate.ending, candidate.evicted = true, true
-		s.evicting++
-		candidate.CloseWithReason(sip.Evicted) // not Abort: many at once would each wait for the reader, and block the server
-	}
-}
-
 // Resume ends a drain: connections are kept open again.
 func (s *Server) Resume() {
 	s.mu.Lock()
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -92,27 +92,6 @@
 	}
 }
 
-// evictionRank orders connections for eviction, lowest first; -1 excludes those with an unanswered set-up and those
-// that are ending. Established calls go on without their connection.
-func (c *conn) evictionRank() int {
-	unusedFor := time.Since(c.lastUsed)
-	switch {
-	case c.openCalls > 0 || c.ending:
-		return -1
-	case c.isReading():
-		return 5
-	case !c.hasRequested && unusedFor > silentAge:
-		return 0
-	case c.hasRequested && c.establishedCalls == 0 && unusedFor > idleAge:
-		return 1
-	case !c.hasRequested:
-		return 2
-	case c.establishedCalls == 0:
-		return 3
-	}
-	return 4
-}
-
 // exceedsDrain tells whether an unanswered set-up has kept the connection open for more than drainTimeout after a drain
 // was due to close it. New set-ups on it are refused, or it would never end.
 func (c *conn) exceedsDrain() bool {
@@ -120,20 +99,6 @@
 	return drains && c.openCalls > 0 && remaining < -drainTimeout
 }
 
-// isReading tells whether part of a message has arrived recently.
-func (c *conn) isReading() bool {
-	readAt, partial := c.PartialMessage()
-	return partial && time.Since(readAt) < partialReadAge
-}
-
-// lastActivity returns when the connection was last used, counting a partly read message.
-func (c *conn) lastActivity() time.Time {
-	if readAt, partial := c.PartialMessage(); partial && readAt.After(c.lastUsed) {
-		return readAt
-	}
-	return c.lastUsed
-}
-
 // drainTimeLeft returns how long it takes until a drain closes the connection if it has no unanswered set-up, and
 // whether a drain applies to it. The time is negative once that moment has passed.
 func (c *conn) drainTimeLeft() (remaining time.Duration, drains bool) {
