Caller front: only the call's own caller can have read a release by closing

Cause: a connection that its peer closed in order counted as having read a release, also one of another caller of the host that had ignored it.

Change: a close only counts on the call's own connection, and where callers of the host confirm releases only after this side's close.

A caller's set-up now comes first, and a silent client is checked to get nothing; go test -race -count=3 passes. internal/caller passes with -count=5.

--- a/cmd/masthill/main_test.go
+++ b/cmd/masthill/main_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -60,16 +62,22 @@
 	p.stop()
 
 	// A restarted program knows nothing but the configuration. It still passes on the release of a call that was set up
-	// before, because the caller still holds the call, and it takes new calls.
+	// before, because the caller still holds the call, and it takes new calls. The release goes to a caller, and not to a
+	// client that has only connected.
 	office = newProcessor(ledger, "office")
 	office.releaseOnConnect = "0000000000000001"
 	p = start(t, feed, []string{sipOffice(t, office)}, "")
+	silent := dial(t, p.sip)
 	caller = dial(t, p.sip)
+	caller.write(invite("0000000000000004", "X-Patience: 60000\r\n"))
 	if m := caller.expect(0, "BYE"); string(m.Get("Call-ID")) != "0000000000000001" {
 		t.Errorf("release %+v", m)
 	}
-	caller.write(invite("0000000000000004", "X-Patience: 60000\r\n"))
 	caller.expect(200, "")
+	silent.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if m, err := silent.Next(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a client without a call received %+v, %v", m, err)
+	}
 	caller.write("garbage\r\n\r\n")
 	caller.expect(400, "")
 	if _, err := caller.Next(); err != io.EOF {
--- a/internal/caller/releases.go
+++ b/internal/caller/releases.go
@@ -247,18 +247,30 @@
 func (s *Server) releaseConnEnded(c *conn, reason sip.Reason) {
 	for _, r := range s.releases.all() {
 		r.tried = slices.DeleteFunc(r.tried, func(tried *conn) bool { return tried == c })
-		if r.own == c {
-			r.own = nil
-		}
 		switch {
 		case r.current != c:
-		case c.PeerFinished() || reason == sip.PeerClosed && time.Since(r.sentAt) > releaseResendAge:
+		case s.closeConfirms(r, reason):
 			s.releases.remove(r)
 		default:
 			r.current = nil
 			s.routeRelease(r)
 		}
+		if r.own == c {
+			r.own = nil
+		}
+	}
+}
+
+// closeConfirms tells whether the end of a connection shows that the caller had read the release: the peer has closed its
+// side in order, after this side's close or well after the release. The confirmation may have been discarded with the
+// rest of the input then. It only counts on the call's own connection, as any other peer may have ignored the release, and
+// where callers of the host confirm releases only after this side's close.
+func (s *Server) closeConfirms(r *release, reason sip.Reason) bool {
+	if r.current != r.own {
+		return false
 	}
+	closedLater := reason == sip.PeerClosed && time.Since(r.sentAt) > releaseResendAge
+	return r.own.PeerFinished() || closedLater && !s.confirmingHosts[r.own.host]
 }
 
 // scheduleReleaseRetry has the unconfirmed releases checked after releaseRetryInterval. Called with the lock held.
