Scale lab: a change of the call rate no longer races with members that start

The record has the end of the report only: a goroutine started by Group.Start under Fleet.Start.

Cause: Fleet.setCallRate wrote Spec.SyntheticCalls, and each member's feed goroutine read it as its first step. Groups in the test's process share one Spec with the fleet. In remote groups, which have a copy of the Spec, a member that restarted got the rate of the fleet's start, not the present one.

Change: the Spec is read only. The fleet and each group keep the present rate; a group sets it before a member starts.

The other fields of Spec and Layout have no writer after NewFleet.

--- a/lab/scale/feed.go
+++ b/lab/scale/feed.go
@@ -45,6 +45,8 @@
 // maxCallsPerTick limits the calls submitted in one interval.
 const maxCallsPerTick = 1000
 
+func (f *feed) setRate(callsPerSecond float64) { f.rate.Store(math.Float64bits(callsPerSecond)) }
+
 // onListUpdate maintains the set of serving servers.
 func (f *feed) onListUpdate(changed []exchange.Office, full bool) {
 	f.mu.Lock()
@@ -72,7 +74,6 @@
 
 // run submits calls until ctx ends.
 func (f *feed) run(ctx context.Context, m *Member) {
-	f.rate.Store(math.Float64bits(m.spec.SyntheticCalls))
 	tick := time.NewTicker(feedInterval)
 	defer tick.Stop()
 	due := 0.0
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -34,7 +34,7 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Layout
+	Layout      // read only, as the members of groups in this process read its Spec
 	ctx         context.Context
 	work        *errgroup.Group
 	stop        context.CancelFunc
@@ -46,6 +46,7 @@
 	realMembers []*realProcess
 	claims      []Claim
 	killedAt    map[string]int64 // by name of the member, by the members' clock
+	callRate    float64          // synthetic calls per second of each hollow member
 }
 
 // SplitEvenly divides the members from..to-1 into groups of size each; the last may be smaller.
@@ -89,7 +90,17 @@
 	l.DiscoveryAddr, l.InitialList = list.Addr(), list.KnownList()
 	ctx, stop := context.WithCancel(ctx)
 	work, ctx := errgroup.WithContext(ctx)
-	f := &Fleet{Layout: l, ctx: ctx, work: work, stop: stop, reservation: reservation, list: list, killed: map[int]bool{}, killedAt: map[string]int64{}}
+	f := &Fleet{
+		Layout:      l,
+		ctx:         ctx,
+		work:        work,
+		stop:        stop,
+		reservation: reservation,
+		list:        list,
+		killed:      map[int]bool{},
+		killedAt:    map[string]int64{},
+		callRate:    l.SyntheticCalls,
+	}
 	work.Go(func() error { return list.Run(ctx) })
 	for range l.Groups {
 		group, err := f.newRunner()
@@ -224,7 +235,7 @@
 
 // setCallRate sets the synthetic calls per second of each hollow member.
 func (f *Fleet) setCallRate(rate float64) error {
-	f.SyntheticCalls = rate
+	f.callRate = rate
 	return f.forEachGroup(func(_ int, r runner) error {
 		_, err := r.do(request{Action: doSetCallRate, Calls: rate})
 		return err
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -53,16 +52,17 @@
 
 // Group is a set of hollow members in this process.
 type Group struct {
-	spec    *Spec
-	ctx     context.Context
-	mu      sync.Mutex
-	members map[int]*Member
-	claims  []Claim // of members that have stopped
+	spec     *Spec // read only
+	ctx      context.Context
+	mu       sync.Mutex
+	members  map[int]*Member
+	claims   []Claim // of members that have stopped
+	callRate float64 // synthetic calls per second of each member
 }
 
 // NewGroup makes an empty group; the end of ctx stops all its members.
 func NewGroup(ctx context.Context, s *Spec) *Group {
-	return &Group{spec: s, ctx: ctx, members: map[int]*Member{}}
+	return &Group{spec: s, ctx: ctx, members: map[int]*Member{}, callRate: s.SyntheticCalls}
 }
 
 // Start starts members, with a pause after each.
@@ -72,8 +72,9 @@
 		if err != nil {
 			return fmt.Errorf("member %d: %w", k, err)
 		}
-		m.Start(g.ctx)
 		g.mu.Lock()
+		m.feed.setRate(g.callRate)
+		m.Start(g.ctx)
 		g.members[k] = m
 		g.mu.Unlock()
 		select {
@@ -144,10 +145,13 @@
 	}
 }
 
-// SetCallRate sets the synthetic calls per second of each member.
+// SetCallRate sets the synthetic calls per second of each member, those that start later included.
 func (g *Group) SetCallRate(rate float64) {
-	for _, m := range g.allMembers() {
-		m.feed.rate.Store(math.Float64bits(rate))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.callRate = rate
+	for _, m := range g.members {
+		m.feed.setRate(rate)
 	}
 }
 
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -90,6 +91,32 @@
 	}
 }
 
+// A fleet's call rate changes while members are starting, without a data race on the specification that they read. Members
+// that start later have the new rate.
+func TestCallRateChangesDuringStart(t *testing.T) {
+	const size, rate = 6, 5
+	f, err := NewFleet(t.Context(), smallLayout(size, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.setCallRate(rate); err != nil {
+		t.Fatal(err)
+	}
+	group := f.groups[0].(*local).g
+	if err := group.Restart([]int{size - 1}, 0); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range group.allMembers() {
+		if got := math.Float64frombits(m.feed.rate.Load()); got != rate {
+			t.Errorf("member %d makes %v calls per second, want %v", m.number, got, rate)
+		}
+	}
+}
+
 // excessCallRate is a rate of calls at which members request more of a cold server's budget than there is.
 const excessCallRate = 100
 
--- a/lab/scale/steady.go
+++ b/lab/scale/steady.go
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	end := ReadMachineLoad()
-	p := &Point{Size: f.Size, SyntheticCalls: f.SyntheticCalls, ClockSlowdown: f.ClockSlowdown, MeasuredS: length.Seconds(), LoadAverage: end.LoadAverage}
+	p := &Point{Size: f.Size, SyntheticCalls: f.callRate, ClockSlowdown: f.ClockSlowdown, MeasuredS: length.Seconds(), LoadAverage: end.LoadAverage}
 	p.Hollow = hollowCost(before, after, f.slowdown())
 	if len(f.realMembers) > 0 {
 		c := realCost(realBefore, realAfter)
