--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -18,6 +18,7 @@
 	hasRequested     bool      // a valid request was received
 	client           client    // whose calls were last set up or ended over it; unknown: none were
 	lastUsed         time.Time // when the last valid request or answer was; initially when it was accepted
+	unreadAt         time.Time // when input was last seen that the reader had not read; zero: never
 	ending           bool      // new set-ups are refused
 	idleEnding       bool      // ending because it was idle; the reader may still find a request that had arrived
 	evicted          bool      // ending to make space for others
--- a/internal/netcase/netcase.go
+++ b/internal/netcase/netcase.go
@@ -91,6 +91,22 @@
 // DiscardLogger returns a logger that discards all messages.
 func DiscardLogger() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
+// TCPPair returns the two ends of a connection over loopback. Both are closed with the test.
+func TCPPair(t *testing.T) (accepted, peer net.Conn) {
+	t.Helper()
+	l := Listen(t)
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	if accepted, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return accepted, peer
+}
+
 // Listen listens on a free loopback port. The listener is closed with the test.
 func Listen(t *testing.T) net.Listener {
 	t.Helper()
--- a/internal/sip/conn.go
+++ b/internal/sip/conn.go
@@ -93,6 +93,9 @@
 // Input tells whether the peer is still connected and whether what it sent has been handled. It does not block.
 func (c *Conn) Input() InputState { return c.in.State() }
 
+// HasUnreadInput asks the kernel whether the peer, still connected, has sent what has not been read yet. It does not block.
+func (c *Conn) HasUnreadInput() bool { return c.in.HasUnread() }
+
 // peerLeft tells whether a peer that does not read its answers has gone.
 func (c *Conn) peerLeft() bool { return c.HalfCloseEnds && c.in.PeerClosed() }
 
--- a/internal/sip/input.go
+++ b/internal/sip/input.go
@@ -169,6 +169,16 @@
 	return closed
 }
 
+// HasUnread asks the kernel whether there is input that has not been read, from a peer that has not closed its side. It does
+// not block.
+func (i *Input) HasUnread() bool {
+	if i.ended.Load() || i.raw == nil {
+		return false
+	}
+	readable, closed := i.poll()
+	return readable && !closed
+}
+
 func isFresh(at *atomic.Int64) bool { return time.Now().UnixNano()-at.Load() <= int64(maxInputAge) }
 
 // poll asks the kernel whether there is unread input, and whether the peer has closed its side or reset the connection.
