WebSocket front: a connection whose handshake is arriving makes room last

Change: connections that received something in the last second, read or still unread, go after silent ones, and each group by the time of what it received last. The victim is looked for only at the limit; before, each accept went through all connections.

Evidence: TestReceivingConnectionIsEvictedLast fails on the old code (the connection with the unread handshake goes first).

--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -209,6 +210,33 @@
 	}
 }
 
+// Guards against a lost caller: a connection whose handshake had not been read yet, or only in part, was evicted while newer
+// ones that had sent nothing stayed open.
+func TestReceivingConnectionIsEvictedLast(t *testing.T) {
+	l := &boundedListener{limit: 3, open: map[*trackedConn]bool{}}
+	admit := func() (*trackedConn, net.Conn) {
+		accepted, peer := netcase.TCPPair(t)
+		return l.admit(accepted).(*trackedConn), peer
+	}
+	unread, peer := admit()
+	io.WriteString(peer, "GET ")
+	for !unread.in.HasUnread() {
+		time.Sleep(time.Millisecond)
+	}
+	inPart, peer := admit()
+	io.WriteString(peer, "GET ")
+	if _, err := inPart.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	silent, _ := admit()
+	for n, want := range []*trackedConn{silent, inPart, unread} {
+		l.setLimit(2 - n)
+		if !want.evicted || len(l.open) != 2-n {
+			t.Errorf("eviction %d ended another connection than expected", n+1)
+		}
+	}
+}
+
 // When a socket closes during set-up, its call is kept for a while: a set-up that is sent again after a reconnect joins
 // it, and otherwise the call is given up. A release without a socket is sent on the caller's next one.
 func TestSocketClosesMidSetUp(t *testing.T) {
--- a/internal/callws/listener.go
+++ b/internal/callws/listener.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"masthill/internal/sip"
@@ -12,8 +13,12 @@
 // rawConn is the context key for the connection of a request.
 type rawConn struct{}
 
+// receivingAge is how long a connection counts as receiving after bytes of its request have been read, or have been seen
+// unread.
+const receivingAge = time.Second
+
 // boundedListener limits the number of open connections. At the limit, a new connection replaces the oldest one that has
-// not become a socket: peers that connect and send nothing must not keep callers out.
+// not become a socket, those that receive a request last: peers that connect and send nothing must not keep callers out.
 type boundedListener struct {
 	net.Listener
 	log   *slog.Logger
@@ -28,8 +33,11 @@
 	in       *sip.Input
 	listener *boundedListener
 	openedAt time.Time
-	// Guarded by listener.mu. claimed: it is a socket, or about to become one; evicted: it is being closed to make room.
+	readAt   atomic.Int64 // when bytes were last read, in Unix nanoseconds
+	// Guarded by listener.mu. claimed: it is a socket, or about to become one; evicted: it is being closed to make room;
+	// unreadAt: when unread input was last seen.
 	claimed, evicted bool
+	unreadAt         time.Time
 }
 
 // claim marks the connection as a socket, so that it is not evicted, and reports false if it has been evicted already.
@@ -49,7 +57,38 @@
 }
 
 // Read implements net.Conn.
-func (c *trackedConn) Read(b []byte) (int, error) { return c.in.Read(b) }
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.in.Read(b)
+	if n > 0 {
+		c.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// receivedAt returns when the connection last received something, or when it was opened. listener.mu must be held.
+func (c *trackedConn) receivedAt() time.Time {
+	latest := c.openedAt
+	for _, at := range []time.Time{time.Unix(0, c.readAt.Load()), c.unreadAt} {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// isReceiving tells whether the connection has received something lately. listener.mu must be held.
+func (c *trackedConn) isReceiving() bool {
+	at := c.receivedAt()
+	return at.After(c.openedAt) && time.Since(at) < receivingAge
+}
+
+// precedes tells whether the connection is evicted before another one. listener.mu must be held.
+func (c *trackedConn) precedes(other *trackedConn) bool {
+	if receiving := c.isReceiving(); receiving != other.isReceiving() {
+		return !receiving
+	}
+	return c.receivedAt().Before(other.receivedAt())
+}
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
@@ -74,14 +113,21 @@
 	}
 }
 
-// oldestUnclaimed returns the connection to evict next, or nil. l.mu must be held.
-func (l *boundedListener) oldestUnclaimed() (oldest *trackedConn) {
+// leastNeeded returns the connection to evict next, or nil. On a busy processor a whole request may still be unread, so the
+// kernel is asked about each candidate. l.mu must be held.
+func (l *boundedListener) leastNeeded() (best *trackedConn) {
 	for c := range l.open {
-		if !c.claimed && !c.evicted && (oldest == nil || c.openedAt.Before(oldest.openedAt)) {
-			oldest = c
+		if c.claimed || c.evicted || best != nil && !c.precedes(best) {
+			continue
+		}
+		if c.in.HasUnread() {
+			c.unreadAt = time.Now()
+		}
+		if best == nil || c.precedes(best) {
+			best = c
 		}
 	}
-	return oldest
+	return best
 }
 
 // setLimit changes the limit and evicts connections beyond it, as far as they have not become sockets.
@@ -90,7 +136,7 @@
 	l.mu.Lock()
 	l.limit = n
 	for len(l.open)-len(excess) > n {
-		c := l.oldestUnclaimed()
+		c := l.leastNeeded()
 		if c == nil {
 			break
 		}
@@ -106,11 +152,13 @@
 // admit tracks a new connection, if need be in place of one that it evicts. It returns nil if there is no room.
 func (l *boundedListener) admit(raw net.Conn) net.Conn {
 	l.mu.Lock()
-	victim := l.oldestUnclaimed()
+	var victim *trackedConn
 	full := len(l.open) >= l.limit
-	if full && victim == nil {
-		l.mu.Unlock()
-		return nil
+	if full {
+		if victim = l.leastNeeded(); victim == nil {
+			l.mu.Unlock()
+			return nil
+		}
 	}
 	c := &trackedConn{Conn: raw, in: sip.NewInput(raw), listener: l, openedAt: time.Now()}
 	l.open[c] = true
