Operators' address: a connection with an unread request keeps its place

Now the oldest without unread input makes room; if all have some, the new connection waits until one is answered, as it already does while all are younger than 0.1 s.

Evidence: TestUnreadRequestIsNotEvicted fails with the condition taken out.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,11 +17,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"masthill/internal/readiness"
+	"masthill/internal/sip"
 )
 
 const (
 	// DefaultMaxConnections is the default of Server.MaxConnections. At the limit, a new connection replaces the oldest
-	// one once that is minEvictionAge old: a well-behaved client needs less for its request.
+	// one that is minEvictionAge old, as a well-behaved client needs less for its request, and has no unread input: a
+	// request that still lies in the kernel is answered first.
 	DefaultMaxConnections, minEvictionAge = 16, 100 * time.Millisecond
 	// requestTimeout limits the time for reading a request and for writing its answer, maxHeaderBytes the size of its
 	// header.
@@ -41,9 +43,14 @@
 // openConn is a connection and the time from which it is open.
 type openConn struct {
 	net.Conn
+	in       *sip.Input // asked for unread input; the HTTP server reads from Conn
 	openedAt time.Time
 }
 
+func (c *openConn) isEvictable() bool {
+	return time.Since(c.openedAt) >= minEvictionAge && !c.in.HasUnread()
+}
+
 // New returns a Server with the default limit; Serve runs it.
 func New(state *readiness.State, log *slog.Logger) *Server {
 	return &Server{State: state, Log: log, MaxConnections: DefaultMaxConnections, freed: make(chan struct{}, 1)}
@@ -95,20 +102,22 @@
 	}
 }
 
-// admit adds a connection to the open ones, if need be in place of the oldest, and reports whether there was room.
+// admit adds a connection to the open ones, if need be in place of the oldest that can be evicted, and reports whether there
+// was room.
 func (s *Server) admit(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.open) >= s.MaxConnections {
-		oldest := s.open[0]
-		if time.Since(oldest.openedAt) < minEvictionAge {
+		oldest := slices.IndexFunc(s.open, func(open openConn) bool { return open.isEvictable() })
+		if oldest < 0 {
 			return false
 		}
-		s.Log.Warn("second address", "reason", "evicted", "peer", oldest.RemoteAddr().String())
-		oldest.Close() // the HTTP server then calls onConnState
-		s.open = s.open[1:]
+		evicted := s.open[oldest]
+		s.Log.Warn("second address", "reason", "evicted", "peer", evicted.RemoteAddr().String())
+		evicted.Close() // the HTTP server then calls onConnState
+		s.open = slices.Delete(s.open, oldest, oldest+1)
 	}
-	s.open = append(s.open, openConn{c, time.Now()})
+	s.open = append(s.open, openConn{c, sip.NewInput(c), time.Now()})
 	return true
 }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -126,3 +126,33 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a lost health check: on a busy processor, a connection was evicted with its whole request unread.
+func TestUnreadRequestIsNotEvicted(t *testing.T) {
+	s := New(&readiness.State{}, netcase.DiscardLogger())
+	s.MaxConnections = 2
+	admit := func() (net.Conn, bool) {
+		accepted, peer := netcase.TCPPair(t)
+		return peer, s.admit(accepted)
+	}
+	for range s.MaxConnections {
+		peer, _ := admit()
+		io.WriteString(peer, "GET /healthcheck HTTP/1.1\r\n\r\n")
+	}
+	for k := range s.open {
+		for !s.open[k].in.HasUnread() {
+			time.Sleep(time.Millisecond)
+		}
+		s.open[k].openedAt = time.Now().Add(-minEvictionAge)
+	}
+	first, second := s.open[0], s.open[1]
+	if _, admitted := admit(); admitted {
+		t.Error("a connection was admitted in place of one with an unread request")
+	}
+	if _, err := second.Read(make([]byte, maxHeaderBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if _, admitted := admit(); !admitted || s.open[0] != first {
+		t.Error("the connection whose request had been read did not make room")
+	}
+}
