WebSocket front: a caller without a token keeps its socket until its calls are over

What callers saw: with its token taken away (SIGHUP, or a configuration release), a caller lost its socket as soon as no set-up was open on it, and could not connect again: it never heard that its established calls were over.

Cause: closeDrained looked at unanswered set-ups alone for sockets whose token had changed. Change: closeRevoked, which spares the sockets of a caller with accepted calls or unread releases that has no socket with a valid token. New set-ups there still get 401.

Evidence: TestRevokedCallerIsToldOfRelease fails on the old code (close frame 1001 in place of "released"). TestTokenChange, which pins the close for a caller that has connected with its new token, passes unchanged.

--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -452,3 +452,23 @@
 	f.write(fresh, strings.Replace(setup, "c1", "c3", 1))
 	f.expect("submit " + Key("station-7", "c3"))
 }
+
+// Guards against a lost release: a caller whose token was taken away lost its only socket although its call was established,
+// and could not connect again to hear that the call was over.
+func TestRevokedCallerIsToldOfRelease(t *testing.T) {
+	f := newFixture(t, 10)
+	ws := f.open()
+	f.write(ws, setup)
+	f.expect("submit " + key)
+	f.Answer(key, exchange.FinalAnswer{Kind: exchange.Established})
+	f.read(ws, `{"type":"stands","id":"c1"}`)
+	f.SetCallers(nil)
+	f.write(ws, strings.Replace(setup, "c1", "c2", 1))
+	f.read(ws, `{"type":"error","id":"c2","code":401,"text":"the token has changed"}`)
+	time.Sleep(2 * sweepInterval)
+	f.Release(key, false)
+	f.read(ws, `{"type":"released","id":"c1","cut":false}`)
+	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("after the release: %v", err)
+	}
+}
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -102,8 +102,9 @@
 // closed.
 func (f *Front) SetMaxConnections(n int) { f.listener.setLimit(n) }
 
-// SetCallers changes who may connect. A socket whose caller now has another token accepts no further calls, and is closed
-// once all calls that it has accepted are answered.
+// SetCallers changes who may connect. A socket whose caller now has another token, or none, accepts no further calls. It is
+// closed once all calls that it has accepted are answered, and its caller either has another socket or has no call left whose
+// release it waits for.
 func (f *Front) SetCallers(callers map[string]string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,14 +123,48 @@
 	f.drainFrom = time.Time{}
 }
 
-// closeDrained closes the sockets that a drain no longer waits for, and those of callers whose token has changed, as far
-// as they have no unanswered call. f.mu must be held.
-func (f *Front) closeDrained() {
+// closeRevoked closes the sockets of callers whose token has changed, as far as they have no unanswered call. A caller that
+// has no other socket keeps them until its accepted calls are over and it has read the releases: it can't connect again to
+// hear of them. f.mu must be held.
+func (f *Front) closeRevoked() {
+	var closable []*socket
+	connected := map[string]bool{} // by identity: it has a socket with a valid token
 	for s := range f.sockets {
 		if s.revoked && s.unanswered == 0 {
+			closable = append(closable, s)
+		}
+		if !s.revoked && s.isOpen() {
+			connected[s.identity] = true
+		}
+	}
+	if len(closable) == 0 {
+		return
+	}
+	awaiting := f.awaitingReleases()
+	for _, s := range closable {
+		if connected[s.identity] || !awaiting[s.identity] {
 			s.Close()
 		}
 	}
+}
+
+// awaitingReleases returns the identities of callers with accepted calls or unread releases. f.mu must be held.
+func (f *Front) awaitingReleases() map[string]bool {
+	awaiting := map[string]bool{}
+	for _, c := range f.calls {
+		if c.accepted {
+			awaiting[c.identity] = true
+		}
+	}
+	for _, r := range f.releases {
+		awaiting[r.identity] = true
+	}
+	return awaiting
+}
+
+// closeDrained closes the sockets that a drain no longer waits for, as far as they have no unanswered call. f.mu must be
+// held.
+func (f *Front) closeDrained() {
 	if f.drainFrom.IsZero() || time.Now().Before(f.drainFrom) {
 		return
 	}
@@ -338,6 +373,7 @@
 		case <-tick.C:
 		}
 		f.mu.Lock()
+		f.closeRevoked()
 		f.closeDrained()
 		f.sweepReleases()
 		for key, c := range f.calls {
