Both fronts: releases that wait at the end of a process go to the next one

What callers saw: a caller without a connection when its release came, and away until the instance had ended, never got the release, and its call stood on.

Cause: Shutdown dropped what waited, with a warning. The office has been answered by then and does not repeat the release.

Change: internal/handover keeps items in a file per process and address (atomic, mode 0600, taken once, of the own user only), in state.dir or else $TMPDIR. The fronts give it what waits (HandOver) and adopt it with its age (AdoptReleases): as the process starts, and when the process beside which it was started has ended, which internal/sibling tells. If the hand-over fails or takes over 200 ms, the releases are logged as before. Nothing is written where nothing waits.

Evidence: TestWaitingReleaseOutlivesTheProcess fails on the old code (a 200 in place of the BYE); TestReleasesAreTakenOverInAnUpgrade fails with siblingChanged's call taken out. TestWaitingReleaseIsHandedOver is the WebSocket front's. A process that is killed hands nothing over.

--- a/cmd/masthill/parts.go
+++ b/cmd/masthill/parts.go
@@ -105,7 +105,15 @@
 	if in.platform.Admin == "" {
 		return subsystem{}, nil
 	}
-	return subsystem{run: sibling.Open(os.TempDir(), in.platform.Listen, log, in.descriptors.onUpgrade).Run}, nil
+	return subsystem{run: sibling.Open(os.TempDir(), in.platform.Listen, log, in.siblingChanged).Run}, nil
+}
+
+// siblingChanged is called when another process at the same address has appeared or ended, and at the start.
+func (in *instance) siblingChanged(present bool) {
+	in.descriptors.onUpgrade(present)
+	if started := in.callerFront != nil; started && !present {
+		in.adoptReleases()
+	}
 }
 
 // newRecovery adds the module that limits the rate of set-ups of a newly started instance.
@@ -227,7 +235,8 @@
 // newCallerFront makes the front that the platform's callers connect to.
 func newCallerFront(in *instance) (p subsystem, err error) {
 	in.callerFront = caller.New(caller.Options{Core: in.core, Log: in.log.With(logs.PartKey, "callers"), Names: in.platform.Names, Ready: in.state.Ready,
-		MaxConnections: in.descriptors.clientsShare().MaxConnections})
+		MaxConnections: in.descriptors.clientsShare().MaxConnections,
+		HandOver:       func(held []caller.HeldRelease) bool { return handOver(in, callerReleases, held) }})
 	l, err := in.openListener("callers", in.platform.Listen)
 	if err != nil {
 		return p, err
@@ -284,7 +293,8 @@
 		return subsystem{}, fmt.Errorf("callws.listen: %w", err)
 	}
 	f := callws.New(callws.Options{Core: in.core, Log: in.log.With(logs.PartKey, "callws"), Names: in.platform.Names, Callers: in.settings.CallWS.Callers, Ready: in.state.Ready,
-		MaxConnections: in.descriptors.budget.WebSocket.MaxConnections})
+		MaxConnections: in.descriptors.budget.WebSocket.MaxConnections,
+		HandOver:       func(held []callws.HeldRelease) bool { return handOver(in, callWSReleases, held) }})
 	in.fronts[f], in.callWSFront = l, f
 	bounded := in.descriptors.attach(&in.descriptors.webSocket, f, l)
 	in.log.Info("serving call control", "listen", l.Addr().String())
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -176,6 +176,7 @@
 		log.Warn("passed socket not used", "name", name, "addr", l.Addr().String())
 		l.Close()
 	}
+	in.adoptReleases()
 	return in.run(signals)
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -58,6 +58,8 @@
 	Names          exchange.Names
 	Ready          func() bool // the answer to the readiness test
 	MaxConnections int         // greatest number of open connections
+	// HandOver hands releases over to the next process, at the end, and tells whether that worked; nil: there is no way.
+	HandOver func([]HeldRelease) bool
 }
 
 // Server takes calls from callers that speak the platform's protocol.
@@ -154,7 +156,7 @@
 // Shutdown closes all connections gracefully and waits until they have ended or ctx ends. Refuse and the core's
 // RefuseAll must be called before, so that every set-up that was read gets its answer first.
 func (s *Server) Shutdown(ctx context.Context) {
-	defer s.abandonReleases()
+	defer s.handOverReleases()
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
--- a/internal/caller/releases.go
+++ b/internal/caller/releases.go
@@ -312,16 +312,6 @@
 	s.confirmingHosts[host] = true
 }
 
-// abandonReleases logs the releases that no connection is left for.
-func (s *Server) abandonReleases() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.releases.all() {
-		s.releases.remove(r)
-		s.logUndelivered(r)
-	}
-}
-
 // logUndelivered logs a release that is given up, unless it was sent on a connection that is still open.
 func (s *Server) logUndelivered(r *release) {
 	if r.current == nil {
--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -453,6 +453,33 @@
 	f.expect("submit " + Key("station-7", "c3"))
 }
 
+// Guards against a lost release: one that waited for its caller when the process ended was forgotten. The next process sends
+// it on the caller's next socket, once.
+func TestWaitingReleaseIsHandedOver(t *testing.T) {
+	var held []HeldRelease
+	ending, next := newFixture(t, 10), newFixture(t, 10)
+	ending.HandOver = func(waiting []HeldRelease) bool { held = waiting; return true }
+	ws := ending.open()
+	ending.write(ws, setup)
+	ending.expect("submit " + key)
+	ending.Answer(key, exchange.FinalAnswer{Kind: exchange.Established})
+	ending.read(ws, `{"type":"stands","id":"c1"}`)
+	ws.CloseNow()
+	for ending.openSockets() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ending.Release(key, true)
+	ending.Shutdown(t.Context())
+	next.AdoptReleases(held)
+	next.AdoptReleases(held)
+	ws = next.open()
+	next.read(ws, `{"type":"released","id":"c1","cut":true}`)
+	next.write(ws, setup)
+	next.expect("submit " + key)
+	next.Answer(key, exchange.FinalAnswer{Kind: exchange.Failed})
+	next.read(ws, `{"type":"failed","id":"c1"}`)
+}
+
 // Guards against a lost release: a caller whose token was taken away lost its only socket although its call was established,
 // and could not connect again to hear that the call was over.
 func TestRevokedCallerIsToldOfRelease(t *testing.T) {
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -50,6 +50,8 @@
 	Callers        map[string]string // tokens by identity
 	Ready          func() bool       // whether the readiness test passes
 	MaxConnections int               // open at the same time
+	// HandOver hands releases over to the next process, at the end, and tells whether that worked; nil: there is no way.
+	HandOver func([]HeldRelease) bool
 }
 
 // Front accepts calls from callers over WebSocket.
@@ -269,7 +271,7 @@
 // Refuse is to be called and the exchange is to refuse all calls that wait, so that every call that was read gets its
 // answer first.
 func (f *Front) Shutdown(ctx context.Context) {
-	defer f.abandonReleases()
+	defer f.handOverReleases()
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
--- a/internal/callws/releases.go
+++ b/internal/callws/releases.go
@@ -36,7 +36,7 @@
 	}
 	delete(f.calls, key)
 	f.dropRelease(key)
-	r := &release{key: key, identity: c.identity, message: reply{Type: "released", ID: c.id, Cut: &cut}, createdAt: time.Now()}
+	r := &release{key: key, identity: c.identity, message: releasedMessage(c.id, cut), createdAt: time.Now()}
 	f.releases = append(f.releases, r)
 	if c.socket.isOpen() {
 		f.sendRelease(r, c.socket)
@@ -45,6 +45,8 @@
 	f.routeRelease(r)
 }
 
+func releasedMessage(id string, cut bool) reply { return reply{Type: "released", ID: id, Cut: &cut} }
+
 // isOpen reports whether messages can still be sent on the socket, which may be nil.
 func (s *socket) isOpen() bool { return s != nil && s.front.sockets[s] && !s.closed.Load() }
 
@@ -121,16 +123,6 @@
 	}
 }
 
-// abandonReleases logs the releases that no socket is left for.
-func (f *Front) abandonReleases() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, r := range f.releases {
-		f.logUndelivered(r)
-	}
-	f.releases = nil
-}
-
 // logUndelivered logs a release that is given up, unless it was sent on a socket that is still open.
 func (f *Front) logUndelivered(r *release) {
 	if r.current == nil {
