Offices: a release follows an office to its new address

What operators saw: a call whose caller had hung up kept its lines at the office until its regular end, where the list named another address of the same process while the release waited for a connection, or within a second after it was sent.

Cause: Pool.UpdateList drops the link and makes another one, and pendingReleases and recentReleases ended with the old link. Found by reading every place that queues a release; ruled out by the same reading: an office's ended connection (sent again on the next), a full queue (256 of them, a bound).

Change: the new link starts with the releases that waited or may not have arrived. A process that has started since gets none.

Evidence: TestReleaseFollowsOfficeToNewAddress fails on the old code in both forms, waiting and sent, and passes for a restarted office on both.

--- a/internal/office/link.go
+++ b/internal/office/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -52,6 +53,18 @@
 	return l.current != nil && l.current.connectedAt.UnixNano() < start
 }
 
+// unconfirmedReleases returns the releases that wait for a connection, and those that were sent and may not have arrived if the
+// connections end now.
+func (l *link) unconfirmedReleases() []release {
+	all := slices.Clone(l.pendingReleases)
+	for _, s := range []*session{l.previous, l.current} {
+		if s != nil {
+			all = append(all, s.lostReleases()...)
+		}
+	}
+	return all[:min(len(all), maxPendingReleases)]
+}
+
 // failWaiting ends all attempts that wait for a connection with the given outcome. They were never sent.
 func (l *link) failWaiting(o control.Outcome) {
 	for _, a := range l.waiting {
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -743,6 +743,39 @@
 	}
 }
 
+// Guards against a lost release: one that waited for a connection, or had just been sent, was forgotten when the list named
+// another address of the same office. A process that has started since knows nothing of the call.
+func TestReleaseFollowsOfficeToNewAddress(t *testing.T) {
+	for name, c := range map[string]struct{ connected, restarted bool }{"waiting": {false, false}, "sent": {true, false}, "restarted": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestPool(t)
+				office := <-b.connections
+				go io.Copy(io.Discard, office)
+				if !c.connected {
+					b.refuse.Store(true)
+					office.Close()
+					synctest.Wait()
+				}
+				b.Bye(10, "9b1f03aa5c7e2d41", 0, false)
+				time.Sleep(releaseResendAge / 2)
+				b.refuse.Store(false)
+				moved := exchange.Office{Entry: control.Entry{Server: 10}, Addr: "b:1"}
+				if c.restarted {
+					moved.ReadyAt = time.Now().UnixNano()
+				}
+				b.UpdateList([]exchange.Office{moved}, false)
+				next := <-b.connections
+				next.SetReadDeadline(time.Now().Add(time.Second))
+				m, err := sip.NewReader(next).Next()
+				if released := err == nil && string(m.Method) == "BYE"; released == c.restarted {
+					t.Errorf("received %+v, %v", m, err)
+				}
+			})
+		})
+	}
+}
+
 // A connection that is established after its attempt was cancelled sends nothing, and one that is established after its
 // office was removed from the list is closed.
 func TestLateConnect(t *testing.T) {
--- a/internal/office/pool.go
+++ b/internal/office/pool.go
@@ -76,12 +76,16 @@
 	for _, o := range changed {
 		listed[o.Server] = o.State != control.Removed
 		l := p.links[o.Server]
+		var unconfirmed []release // of calls that go on at the new address
 		if l != nil && (o.State == control.Removed || o.Addr != l.addr || l.connectedBefore(o.ReadyAt)) {
+			if !l.connectedBefore(o.ReadyAt) {
+				unconfirmed = l.unconfirmedReleases()
+			}
 			p.drop(l)
 			l = nil
 		}
 		if l == nil && o.State == control.Serving {
-			l = &link{pool: p, server: o.Server, addr: o.Addr, wakeup: make(chan struct{}, 1)}
+			l = &link{pool: p, server: o.Server, addr: o.Addr, wakeup: make(chan struct{}, 1), pendingReleases: unconfirmed}
 			p.links[o.Server] = l
 			if p.ctx != nil {
 				p.start(l)
--- a/internal/office/session.go
+++ b/internal/office/session.go
@@ -77,13 +77,18 @@
 // release sends a release, and keeps it in case the connection ends before it has arrived.
 func (s *session) release(r release) {
 	r.at = time.Now()
-	s.recentReleases = slices.DeleteFunc(s.recentReleases, func(old release) bool { return !s.mayBeLost(old) })
+	s.recentReleases = s.lostReleases()
 	if len(s.recentReleases) < maxPendingReleases {
 		s.recentReleases = append(s.recentReleases, r)
 	}
 	s.peer.Bye(r.id, r.n, r.cut)
 }
 
+// lostReleases returns the releases that may not have arrived if the connection ends now.
+func (s *session) lostReleases() []release {
+	return slices.DeleteFunc(slices.Clone(s.recentReleases), func(r release) bool { return !s.mayBeLost(r) })
+}
+
 // mayBeLost tells whether a release that was sent on the connection may not have arrived if the connection ends now.
 func (s *session) mayBeLost(r release) bool {
 	age := time.Since(r.at)
@@ -167,9 +172,8 @@
 	}
 	unanswered, silent := s.outstanding, time.Since(s.lastHeard) > silentMachineTimeout && time.Since(s.lastRefused) > silentMachineTimeout
 	s.outstanding = nil
-	for _, r := range s.recentReleases {
+	for _, r := range s.lostReleases() {
 		switch l := s.link; {
-		case !s.mayBeLost(r):
 		case l.current != nil:
 			l.current.release(r)
 		case len(l.pendingReleases) < maxPendingReleases:
