Caller and office tests: one file for each concern, moved without change

The tests of eviction, of the end and drain, of releases, of the liveness of an office and of its connections are in files of their own now, named after the code that they test. Pure moves: the sorted lines of all files before and after differ in imports only, and the names of the tests are the same.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,10 +1,8 @@
 package caller
 
 import (
-	"errors"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -212,30 +210,6 @@
 	p.expectMessage(0, "BYE", "Reason", "Q.850;cause=16")
 }
 
-// Guards against silent callers: hundreds of them, which connected and sent nothing, held all places until they left,
-// and 1,003 of 1,440 connections were closed at once. They are evicted, oldest first; a connection with an open set-up
-// is not.
-func TestSilentCallersAreEvicted(t *testing.T) {
-	b := newHarness(t, 2)
-	good := b.dial()
-	good.write(message("INVITE", id, headers))
-	b.expectEvent("arrive " + id)
-	for range 20 {
-		b.dial()
-	}
-	last := b.dial()
-	last.write(message("INVITE", "0000000000000002", headers))
-	b.expectEvent("arrive 0000000000000002")
-	if _, err := b.dial().Next(); err == nil {
-		t.Error("a third connection was served, with a limit of two")
-	}
-	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
-	good.expectMessage(503, "", "Call-ID", id)
-	if b.dial(); !errors.Is(last.readByte(), os.ErrDeadlineExceeded) {
-		t.Error("a connection with an open set-up was evicted")
-	}
-}
-
 // readByte waits 20 ms for a byte.
 func (p peer) readByte() error {
 	p.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
@@ -340,93 +314,6 @@
 
 func (b *harness) serverLock() *sync.Mutex { return &b.Server.mu }
 
-// Guards against a lost answer: a set-up that was read while its connection was being evicted got no answer.
-func TestSetUpDuringEviction(t *testing.T) {
-	b := newHarness(t, 1)
-	p := b.dial()
-	p.write(message("OPTIONS", "ping", ""))
-	p.expectMessage(200, "", "Call-ID", "ping")
-	b.serverLock().Lock() // the reader can't handle the set-up yet
-	p.write(message("INVITE", id, headers))
-	if !b.evictOne() {
-		t.Error("no connection to evict")
-	}
-	b.serverLock().Unlock()
-	p.expectMessage(503, "", "Call-ID", id)
-	if _, err := p.Next(); err != io.EOF {
-		t.Errorf("after the refusal: %v", err)
-	}
-	if len(b.events) != 0 {
-		t.Errorf("got %s", <-b.events)
-	}
-}
-
-// Guards against a lost answer: a connection that was closed at once to make room, as many others already were, took an
-// answer with it that had been queued a moment before.
-func TestQueuedAnswerSurvivesEviction(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, core := newServer(1)
-		ours, theirs := net.Pipe()
-		c := newConn(ours, s)
-		s.conns[c] = true
-		go s.serve(t.Context(), c)
-		io.WriteString(theirs, message("INVITE", id, headers))
-		<-core.events
-		s.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
-		synctest.Wait() // the write waits for the peer to read
-		s.mu.Lock()
-		s.evicting = s.MaxConnections
-		if !s.evictOne() {
-			t.Error("no connection to evict")
-		}
-		s.mu.Unlock()
-		peer{theirs, sip.NewReader(theirs), t}.expectMessage(503, "", "Call-ID", id)
-		theirs.Close()
-	})
-}
-
-// Guards against a wrong order of eviction: a caller that wrote slowly was evicted before silent ones, as it had
-// connected before them.
-func TestSlowCallerIsNotEvicted(t *testing.T) {
-	b := newHarness(t, 3)
-	slow := b.dial()
-	text := message("INVITE", id, headers)
-	slow.write(text[:40])
-	for begun := false; !begun; {
-		b.serverLock().Lock()
-		for c := range b.conns {
-			_, begun = c.PartialMessage()
-		}
-		b.serverLock().Unlock()
-	}
-	for range 3 {
-		b.dial()
-	}
-	b.ageConnections(silentAge + time.Millisecond)
-	for range 20 {
-		b.dial()
-	}
-	slow.write(text[40:])
-	b.expectEvent("arrive " + id)
-}
-
-// Guards against a lost release: it was sent on a connection that was being evicted, and never read.
-func TestReleaseAvoidsEvictedConnection(t *testing.T) {
-	b := newHarness(t, 1)
-	p := b.dial()
-	p.write(message("INVITE", id, headers))
-	b.expectEvent("arrive " + id)
-	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Established})
-	p.expectMessage(200, "", "Call-ID", id)
-	q := b.dial()
-	if _, err := p.Next(); err != io.EOF { // evicted; its peer has not closed yet
-		t.Errorf("after the answer: %v", err)
-	}
-	b.Release(id, false)
-	q.write(message("INVITE", "0000000000000002", headers))
-	q.expectMessage(0, "BYE", "Call-ID", id)
-}
-
 // Guards against lost answers: a connection whose input could not be read any further was closed without answers to its
 // open set-ups.
 func TestOpenSetUpsAreAnsweredAfterGarbage(t *testing.T) {
@@ -440,36 +327,6 @@
 	b.expectEvent("give up " + id)
 }
 
-// At a shutdown, new set-ups are refused by the server, a connection with an open set-up stays until that is answered,
-// and no answer is lost to the close.
-func TestShutdown(t *testing.T) {
-	b := newHarness(t, 10)
-	p, q := b.dial(), b.dial()
-	p.write(message("INVITE", id, headers))
-	b.expectEvent("arrive " + id)
-	q.write(message("OPTIONS", "ping", ""))
-	q.expectMessage(200, "", "Call-ID", "ping")
-	b.Refuse()
-	ended := make(chan bool)
-	p.write(message("INVITE", "0000000000000002", headers))
-	p.expectMessage(503, "", "Call-ID", "0000000000000002")
-	go func() { b.Shutdown(t.Context()); close(ended) }()
-	if _, err := q.Next(); err != io.EOF {
-		t.Errorf("on a connection without a set-up: %v", err)
-	}
-	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
-	p.expectMessage(503, "", "Call-ID", id)
-	if _, err := p.Next(); err != io.EOF {
-		t.Errorf("at the end: %v", err)
-	}
-	p.Close()
-	q.Close()
-	<-ended
-	if len(b.events) != 0 {
-		t.Errorf("got %s", <-b.events)
-	}
-}
-
 // A request may take two seconds to arrive. One that does not arrive in full is refused within 3 s of connecting.
 func TestSlowRequests(t *testing.T) {
 	for _, early := range []bool{false, true} {
@@ -513,104 +370,3 @@
 		})
 	}
 }
-
-// In a drain, idle connections are closed when it begins, those with an open set-up once that is answered or its call
-// has ended, and new ones are served. A request that crosses the close is served. After the drain, connections are kept
-// open.
-func TestDrain(t *testing.T) {
-	b := newHarness(t, 10)
-	idle, busy, crossing := b.dial(), b.dial(), b.dial()
-	for _, p := range []peer{idle, busy, crossing} {
-		p.write(message("OPTIONS", "ping", ""))
-		p.expectMessage(200, "", "Call-ID", "ping")
-	}
-	busy.write(message("INVITE", id, headers))
-	b.expectEvent("arrive " + id)
-	b.serverLock().Lock() // no reader checks its limits before the request has arrived
-	b.drainAt = time.Now()
-	for c := range b.conns {
-		c.RecheckLimits()
-	}
-	other := "0000000000000002"
-	crossing.write(message("INVITE", other, headers))
-	b.serverLock().Unlock()
-	b.expectEvent("arrive " + other)
-	if _, err := idle.Next(); err != io.EOF {
-		t.Errorf("an idle connection: %v", err)
-	}
-	fresh := b.dial()
-	fresh.write(message("INVITE", "0000000000000003", headers))
-	b.expectEvent("arrive 0000000000000003")
-	// An established call keeps its connection: without a new one, its release can be sent on no other.
-	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Established})
-	busy.expectMessage(200, "", "Call-ID", id)
-	if !errors.Is(busy.readByte(), os.ErrDeadlineExceeded) {
-		t.Error("a connection with an established call was closed")
-	}
-	busy.SetReadDeadline(time.Time{})
-	b.Release(id, false)
-	busy.expectMessage(0, "BYE", "Call-ID", id)
-	for id, p := range map[string]peer{other: crossing, "0000000000000003": fresh} {
-		b.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
-		p.expectMessage(503, "", "Call-ID", id)
-	}
-	for _, p := range []peer{busy, crossing, fresh} {
-		if _, err := p.Next(); err != io.EOF {
-			t.Errorf("without an open set-up: %v", err)
-		}
-	}
-	b.Resume()
-	kept := b.dial()
-	kept.write(message("OPTIONS", "ping", ""))
-	kept.expectMessage(200, "", "Call-ID", "ping")
-	if !errors.Is(kept.readByte(), os.ErrDeadlineExceeded) {
-		t.Error("a connection was closed after the drain")
-	}
-}
-
-// Guards against a drain without end on a connection that always has an open set-up: after drainTimeout new ones are
-// refused.
-func TestBusyConnectionInDrain(t *testing.T) {
-	b := newHarness(t, 10)
-	p := b.dial()
-	p.write(message("INVITE", id, headers))
-	b.expectEvent("arrive " + id)
-	b.Drain(-drainTimeout / 2)
-	p.write(message("INVITE", "0000000000000002", headers))
-	b.expectEvent("arrive 0000000000000002")
-	b.Drain(-2 * drainTimeout)
-	p.write(message("INVITE", "0000000000000003", headers))
-	p.expectMessage(503, "", "Call-ID", "0000000000000003")
-	for _, id := range []string{id, "0000000000000002"} {
-		b.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
-		p.expectMessage(503, "", "Call-ID", id)
-	}
-	if _, err := p.Next(); err != io.EOF {
-		t.Errorf("after the last answer: %v", err)
-	}
-}
-
-// In a drain, a connection is closed as soon as its last set-up is answered, not only when its reader next checks.
-func TestDrainedConnectionEndsWithLastAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, core := newServer(10)
-		ours, theirs := net.Pipe()
-		c := newConn(ours, s)
-		s.conns[c] = true
-		done := make(chan bool)
-		go func() { s.serve(t.Context(), c); close(done) }()
-		go io.Copy(io.Discard, theirs)
-		io.WriteString(theirs, message("INVITE", id, headers))
-		<-core.events
-		s.Drain(0)
-		synctest.Wait()
-		s.Answer(id, exchange.FinalAnswer{Kind: exchange.Refused})
-		synctest.Wait()
-		s.mu.Lock()
-		if !c.ending {
-			t.Error("kept open after its last answer")
-		}
-		s.mu.Unlock()
-		<-done
-	})
-}
--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -309,3 +310,20 @@
 		}
 	})
 }
+
+// Guards against a lost release: it was sent on a connection that was being evicted, and never read.
+func TestReleaseAvoidsEvictedConnection(t *testing.T) {
+	b := newHarness(t, 1)
+	p := b.dial()
+	p.write(message("INVITE", id, headers))
+	b.expectEvent("arrive " + id)
+	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Established})
+	p.expectMessage(200, "", "Call-ID", id)
+	q := b.dial()
+	if _, err := p.Next(); err != io.EOF { // evicted; its peer has not closed yet
+		t.Errorf("after the answer: %v", err)
+	}
+	b.Release(id, false)
+	q.write(message("INVITE", "0000000000000002", headers))
+	q.expectMessage(0, "BYE", "Call-ID", id)
+}
