Caller front: only the caller's own host confirms a release for good

What callers saw: away for over 0.3 s as its call was released, and back within the 7 s, a caller was not told if a caller of another host had meanwhile answered the release with 200.

Cause: releaseAnswered took any 200 for the caller's, though other hosts are only tried because the own one is away, and some clients answer 200 to whatever they get. Change: a 200 from another host than the call's stops attempts at further hosts and keeps the release until its own host brings a call, or the 7 s are over. Such releases are not retried in the meantime, make room first, and are neither logged as undelivered nor handed over. For a call of unknown host nothing changes.

Evidence: TestConfirmationFromAnotherHostEndsNoSearch fails on the old code (the caller that came back received nothing). TestUnconfirmedReleaseTriesOtherConnections, whose last 200 comes from another host, passes unchanged.

--- a/internal/caller/handover.go
+++ b/internal/caller/handover.go
@@ -33,13 +33,13 @@
 	}
 }
 
-// takeWaitingReleases removes all releases and returns those that are not on an open connection.
+// takeWaitingReleases removes all releases and returns those that are not on an open connection and nobody has confirmed.
 func (s *Server) takeWaitingReleases() (waiting []*release) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.releases.all() {
 		s.releases.remove(r)
-		if r.current == nil {
+		if r.current == nil && !r.confirmedElsewhere {
 			waiting = append(waiting, r)
 		}
 	}
--- a/internal/caller/releases.go
+++ b/internal/caller/releases.go
@@ -41,6 +41,9 @@
 	tried     []*conn   // the open connections that it was sent on
 	current   *conn     // the one of these that may still confirm it; nil: none
 	sentAt    time.Time // when it was last sent
+	// confirmedElsewhere: a caller of another host than the call's has confirmed it. Such a caller may confirm any release, so the
+	// call's own host gets it too if it comes back in time.
+	confirmedElsewhere bool
 }
 
 // client is what is known of the origin of a call, or of the calls on a connection.
@@ -89,11 +92,11 @@
 	return all
 }
 
-// dropSent makes space by dropping the oldest release that has been sent, which callers need not confirm. It returns
-// false if there is none.
+// dropSent makes space by dropping the oldest release that has been sent, which callers need not confirm, or that a caller of
+// another host has confirmed. It returns false if there is none.
 func (t *releaseTable) dropSent() bool {
 	for e := t.queue.Front(); e != nil; e = e.Next() {
-		if r := e.Value.(*release); r.current != nil {
+		if r := e.Value.(*release); r.current != nil || r.confirmedElsewhere {
 			t.remove(r)
 			return true
 		}
@@ -195,7 +198,7 @@
 		return 3
 	case c.client.host == r.client.host:
 		return 2
-	case time.Since(r.createdAt) >= otherHostDelay:
+	case time.Since(r.createdAt) >= otherHostDelay && !r.confirmedElsewhere:
 		return 1
 	}
 	return 0
@@ -231,7 +234,7 @@
 	switch {
 	case m.Status < 300:
 		s.noteConfirmingHost(c.host)
-		s.releases.remove(r)
+		s.confirm(r, c)
 	case c == r.own:
 		s.releases.remove(r)
 	case c == r.current:
@@ -240,6 +243,18 @@
 	}
 }
 
+// confirm handles a peer's confirmation of a release. Called with the lock held.
+func (s *Server) confirm(r *release, c *conn) {
+	if !r.client.known || c.host == r.client.host {
+		s.releases.remove(r)
+		return
+	}
+	r.confirmedElsewhere = true
+	if r.current == c {
+		r.current = nil
+	}
+}
+
 // releaseConnEnded sends the releases again that may not have been read when their connection ended. Called with the lock
 // held.
 func (s *Server) releaseConnEnded(c *conn, reason sip.Reason) {
@@ -289,6 +304,7 @@
 		case time.Since(r.createdAt) >= releaseTimeout:
 			s.releases.remove(r)
 			s.logUndelivered(r)
+		case r.confirmedElsewhere: // noteCaller sends it if its caller comes back
 		case r.current == nil || s.isOverdue(r):
 			s.routeRelease(r)
 		}
@@ -312,9 +328,9 @@
 	s.confirmingHosts[host] = true
 }
 
-// logUndelivered logs a release that is given up, unless it was sent on a connection that is still open.
+// logUndelivered logs a release that is given up, unless it was sent on a connection that is still open or was confirmed.
 func (s *Server) logUndelivered(r *release) {
-	if r.current == nil {
+	if r.current == nil && !r.confirmedElsewhere {
 		s.Log.Warn("release undelivered", "call", r.id, "attempts", r.attempts, "age_ms", time.Since(r.createdAt).Milliseconds())
 	}
 }
--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -271,6 +271,35 @@
 	})
 }
 
+// Guards against a lost release: a caller of another host that confirms whatever it gets ended the search for the call's own
+// host, which came back a second later.
+func TestConfirmationFromAnotherHostEndsNoSearch(t *testing.T) {
+	onSimulatedClock(t, func(b *pipeHarness) {
+		bye := "BYE " + id + ";"
+		b.connect("10.0.0.1", id).Close()
+		elsewhere, third := b.connect("10.0.0.2", secondID), b.connect("10.0.0.3", "0000000000000003")
+		b.Release(id, false)
+		time.Sleep(otherHostDelay + releaseRetryInterval)
+		if got := elsewhere.take() + third.take(); got != bye {
+			t.Fatalf("callers of other hosts received %q", got)
+		}
+		for _, p := range []*pipePeer{elsewhere, third} {
+			p.Write([]byte(byeResponse(id, 200)))
+		}
+		time.Sleep(time.Second)
+		if got := elsewhere.take() + third.take(); got != "" {
+			t.Errorf("after the confirmation callers of other hosts received %q", got)
+		}
+		own := b.connect("10.0.0.1", "0000000000000004")
+		if got := own.take(); got != bye {
+			t.Errorf("the caller that came back received %q", got)
+		}
+		if own.Write([]byte(byeResponse(id, 200))); b.kept() != 0 {
+			t.Errorf("%d kept after the caller's confirmation", b.kept())
+		}
+	})
+}
+
 // Guards against a lost release on a connection that no longer carries anything. Callers need not confirm releases: only
 // where a caller of the host has confirmed another one, silence counts.
 func TestSilentOwnConnection(t *testing.T) {
