--- a/internal/callws/releases_test.go
+++ b/internal/callws/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,3 +120,41 @@
 	f.Release(key, false)
 	f.readRelease(second)
 }
+
+// Guards against a lost release: one that waited for its caller when the process ended was forgotten. The next process sends
+// it on the caller's next socket, once.
+func TestWaitingReleaseIsHandedOver(t *testing.T) {
+	var held []HeldRelease
+	ending, next := newFixture(t, 10), newFixture(t, 10)
+	ending.HandOver = func(waiting []HeldRelease) bool { held = waiting; return true }
+	ws := ending.open()
+	ending.establish(ws)
+	ws.CloseNow()
+	for ending.openSockets() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ending.Release(key, true)
+	ending.Shutdown(t.Context())
+	next.AdoptReleases(held)
+	next.AdoptReleases(held)
+	ws = next.open()
+	next.read(ws, `{"type":"released","id":"c1","cut":true}`)
+	next.establish(ws)
+}
+
+// Guards against a lost release: a caller whose token was taken away lost its only socket although its call was established,
+// and could not connect again to hear that the call was over.
+func TestRevokedCallerIsToldOfRelease(t *testing.T) {
+	f := newFixture(t, 10)
+	ws := f.open()
+	f.establish(ws)
+	f.SetCallers(nil)
+	f.write(ws, strings.Replace(setup, "c1", "c2", 1))
+	f.read(ws, `{"type":"error","id":"c2","code":401,"text":"the token has changed"}`)
+	time.Sleep(2 * sweepInterval)
+	f.Release(key, false)
+	f.read(ws, released)
+	if _, _, err := ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("after the release: %v", err)
+	}
+}
