End of a process: releases are handed over once both fronts have shut down

A front that shut down at once handed over what waited, while the other one still had up to 0.2 s: a release that came in that time was queued and forgotten, without a log line. HandOverReleases is called after both have ended. Read in the code, no run shows the loss; TestWaitingReleaseOutlivesTheProcess and TestWaitingReleaseIsHandedOver pass.

--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -69,6 +69,7 @@
 	Unfinished() int           // connections that still have calls open
 	Refuse()                   // from now on, requests are refused at once
 	Shutdown(ctx context.Context)
+	HandOverReleases() // hands the releases that wait for their callers to the next process; called once no connection is left
 	Serve(ctx context.Context, l net.Listener) error
 }
 
@@ -380,5 +381,8 @@
 		g.Go(func() error { f.Shutdown(ctx); return nil })
 	}
 	g.Wait()
+	for f := range in.fronts {
+		f.HandOverReleases() // after all have shut down, as releases still come meanwhile
+	}
 	in.log.Info("ended", "after_ms", time.Since(startedAt).Milliseconds())
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -156,7 +156,6 @@
 // Shutdown closes all connections gracefully and waits until they have ended or ctx ends. Refuse and the core's
 // RefuseAll must be called before, so that every set-up that was read gets its answer first.
 func (s *Server) Shutdown(ctx context.Context) {
-	defer s.handOverReleases()
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
--- a/internal/caller/handover.go
+++ b/internal/caller/handover.go
@@ -14,9 +14,9 @@
 	CreatedAt   time.Time `json:"created_at"`
 }
 
-// handOverReleases hands the releases that wait for their callers over to the next process, as no connection is left here. It
+// HandOverReleases hands the releases that wait for their callers over to the next process, as no connection is left here. It
 // logs them if that fails.
-func (s *Server) handOverReleases() {
+func (s *Server) HandOverReleases() {
 	waiting := s.takeWaitingReleases()
 	if len(waiting) == 0 {
 		return
--- a/internal/callws/front.go
+++ b/internal/callws/front.go
@@ -271,7 +271,6 @@
 // Refuse is to be called and the exchange is to refuse all calls that wait, so that every call that was read gets its
 // answer first.
 func (f *Front) Shutdown(ctx context.Context) {
-	defer f.handOverReleases()
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
--- a/internal/callws/handover.go
+++ b/internal/callws/handover.go
@@ -14,9 +14,9 @@
 	CreatedAt time.Time `json:"created_at"`
 }
 
-// handOverReleases hands the releases that wait for their callers over to the next process, as no socket is left here. It logs
+// HandOverReleases hands the releases that wait for their callers over to the next process, as no socket is left here. It logs
 // them if that fails.
-func (f *Front) handOverReleases() {
+func (f *Front) HandOverReleases() {
 	waiting := f.takeWaitingReleases()
 	if len(waiting) == 0 {
 		return
--- a/internal/callws/releases_test.go
+++ b/internal/callws/releases_test.go
@@ -135,6 +135,7 @@
 	}
 	ending.Release(key, true)
 	ending.Shutdown(t.Context())
+	ending.HandOverReleases()
 	next.AdoptReleases(held)
 	next.AdoptReleases(held)
 	ws = next.open()
