Scale lab: the traffic tests measure until each member has exchanged the list

The check was wrong, not the program: a member starts an exchange every 15 s (30 s in a fleet of 40), at a random time, and none is promised in 3 s.

Replaced by one as strict: the same four conditions on one measurement, and the same formula. If there was no exchange in the 3 s, the whole interval is measured, in which each member starts one; the interval is the formula's. A first form, several windows of 3 s, was given up: it does not measure between them. A fleet is closed before the next one of the same test starts.

--- a/lab/scale/formula.go
+++ b/lab/scale/formula.go
@@ -41,14 +41,19 @@
 	return MaxDatagrams(members)*each + streamBytes(members)
 }
 
-// streamBytes is what a member sends per second in exchanges of the member list. The library starts them less often in
-// larger fleets; those with the seeds are started by this program, equally often in any fleet that has just started.
-func streamBytes(members int) float64 {
-	every := exchangeInterval
-	if members > 32 {
-		every *= math.Ceil(math.Log2(float64(members)/32)) + 1
+// memberExchangeInterval is the interval, in seconds, at which a member starts an exchange of the member list in a fleet of so
+// many members. The library starts them less often in larger fleets.
+func memberExchangeInterval(members int) float64 {
+	if members <= 32 {
+		return exchangeInterval
 	}
-	return memberBytes * float64(members) * (2/every + 2*rejoinSeeds/rejoinInterval)
+	return exchangeInterval * (math.Ceil(math.Log2(float64(members)/32)) + 1)
+}
+
+// streamBytes is what a member sends per second in exchanges of the member list. Those with the seeds are started by this
+// program, equally often in any fleet that has just started.
+func streamBytes(members int) float64 {
+	return memberBytes * float64(members) * (2/memberExchangeInterval(members) + 2*rejoinSeeds/rejoinInterval)
 }
 
 // ExceededLimits describes each figure of a measurement that exceeds the formula.
