Caller front: a late confirmation from another host does not end the search either

Found on reading again: where a second host had been tried meanwhile and the first one confirmed late, the release stayed with the second, and the call's own host got nothing when it came back. Now only a connection of the own host stays the current one, and a release that is on such a connection is checked for silence as before.

Evidence: the late case of TestConfirmationFromAnotherHostEndsNoSearch fails without the change; the case at once is unchanged.

--- a/internal/caller/releases.go
+++ b/internal/caller/releases.go
@@ -250,7 +250,7 @@
 		return
 	}
 	r.confirmedElsewhere = true
-	if r.current == c {
+	if r.current != nil && r.current.host != r.client.host {
 		r.current = nil
 	}
 }
@@ -304,7 +304,7 @@
 		case time.Since(r.createdAt) >= releaseTimeout:
 			s.releases.remove(r)
 			s.logUndelivered(r)
-		case r.confirmedElsewhere: // noteCaller sends it if its caller comes back
+		case r.confirmedElsewhere && r.current == nil: // noteCaller sends it if its caller comes back
 		case r.current == nil || s.isOverdue(r):
 			s.routeRelease(r)
 		}
--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -271,33 +271,38 @@
 	})
 }
 
-// Guards against a lost release: a caller of another host that confirms whatever it gets ended the search for the call's own
-// host, which came back a second later.
+// Guards against a lost release: a caller of another host that confirms whatever it gets, at once or after a third one has been
+// tried, ended the search for the call's own host, which came back a second later.
 func TestConfirmationFromAnotherHostEndsNoSearch(t *testing.T) {
-	onSimulatedClock(t, func(b *pipeHarness) {
-		bye := "BYE " + id + ";"
-		b.connect("10.0.0.1", id).Close()
-		elsewhere, third := b.connect("10.0.0.2", secondID), b.connect("10.0.0.3", "0000000000000003")
-		b.Release(id, false)
-		time.Sleep(otherHostDelay + releaseRetryInterval)
-		if got := elsewhere.take() + third.take(); got != bye {
-			t.Fatalf("callers of other hosts received %q", got)
-		}
-		for _, p := range []*pipePeer{elsewhere, third} {
-			p.Write([]byte(byeResponse(id, 200)))
-		}
-		time.Sleep(time.Second)
-		if got := elsewhere.take() + third.take(); got != "" {
-			t.Errorf("after the confirmation callers of other hosts received %q", got)
-		}
-		own := b.connect("10.0.0.1", "0000000000000004")
-		if got := own.take(); got != bye {
-			t.Errorf("the caller that came back received %q", got)
-		}
-		if own.Write([]byte(byeResponse(id, 200))); b.kept() != 0 {
-			t.Errorf("%d kept after the caller's confirmation", b.kept())
-		}
-	})
+	for _, late := range []bool{false, true} {
+		onSimulatedClock(t, func(b *pipeHarness) {
+			bye := "BYE " + id + ";"
+			b.connect("10.0.0.1", id).Close()
+			third, elsewhere := b.connect("10.0.0.3", "0000000000000003"), b.connect("10.0.0.2", secondID)
+			b.Release(id, false)
+			if time.Sleep(otherHostDelay + releaseRetryInterval); late {
+				time.Sleep(confirmTimeout + releaseRetryInterval)
+			}
+			if got := elsewhere.take(); got != bye {
+				t.Fatalf("late %v: the caller of another host received %q", late, got)
+			}
+			if got := third.take(); (got == bye) != late {
+				t.Fatalf("late %v: the caller of a third host received %q", late, got)
+			}
+			elsewhere.Write([]byte(byeResponse(id, 200)))
+			time.Sleep(time.Second)
+			if got := elsewhere.take() + third.take(); got != "" {
+				t.Errorf("late %v: after the confirmation callers of other hosts received %q", late, got)
+			}
+			own := b.connect("10.0.0.1", "0000000000000004")
+			if got := own.take(); got != bye {
+				t.Errorf("late %v: the caller that came back received %q", late, got)
+			}
+			if own.Write([]byte(byeResponse(id, 200))); b.kept() != 0 {
+				t.Errorf("late %v: %d kept after the caller's confirmation", late, b.kept())
+			}
+		})
+	}
 }
 
 // Guards against a lost release on a connection that no longer carries anything. Callers need not confirm releases: only
