End of a process: both fronts hand over at once, within what is left until SIGKILL

One after the other, two fronts with a slow disk took up to 0.4 s where 0.2 s are left; the limit is now the difference of the two margins that define it. TestWaitingReleaseOutlivesTheProcess and TestReleasesAreTakenOverInAnUpgrade pass.

--- a/cmd/masthill/handover.go
+++ b/cmd/masthill/handover.go
@@ -10,8 +10,9 @@
 	"masthill/internal/handover"
 )
 
-// handOverTimeout limits the wait for the disk at the end of the process.
-const handOverTimeout = 200 * time.Millisecond
+// handOverTimeout limits the wait for the disk at the end of the process: it is what is left until SIGKILL when the last answers
+// have been written.
+const handOverTimeout = refuseMargin - flushTimeout
 
 // The kinds of what a process hands over to the next one.
 const (
--- a/cmd/masthill/serve.go
+++ b/cmd/masthill/serve.go
@@ -381,8 +381,9 @@
 		g.Go(func() error { f.Shutdown(ctx); return nil })
 	}
 	g.Wait()
-	for f := range in.fronts {
-		f.HandOverReleases() // after all have shut down, as releases still come meanwhile
+	for f := range in.fronts { // after all have shut down, as releases still come meanwhile
+		g.Go(func() error { f.HandOverReleases(); return nil })
 	}
+	g.Wait()
 	in.log.Info("ended", "after_ms", time.Since(startedAt).Milliseconds())
 }
