--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -88,6 +88,7 @@
 	b.Release(id, true)
 	b.Release("0000000000000009", true) // of a call that was set up before this process
 	silent := b.dial()
+	time.Sleep(2 * releaseRetryInterval) // the releases have been tried again
 	silent.expectNoRelease("a silent client")
 	before(b.Server)
 	next := b.dial()
