Caller front: the test of confirmations from elsewhere gives the connections an order

Cause: on the simulated clock both callers of other hosts were last used at the same instant, and which of two equals is chosen is left to the order of a map. A millisecond now lies between them, so that the last used one is chosen, as connForRelease says. The checks are the same.

--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -279,28 +279,30 @@
 		onSimulatedClock(t, func(b *pipeHarness) {
 			bye := "BYE " + id + ";"
 			b.connect("10.0.0.1", id).Close()
-			third, elsewhere := b.connect("10.0.0.3", "0000000000000003"), b.connect("10.0.0.2", secondID)
+			third := b.connect("10.0.0.3", "0000000000000003")
+			time.Sleep(time.Millisecond) // the last used connection comes first
+			elsewhere := b.connect("10.0.0.2", secondID)
 			b.Release(id, false)
 			if time.Sleep(otherHostDelay + releaseRetryInterval); late {
 				time.Sleep(confirmTimeout + releaseRetryInterval)
 			}
 			if got := elsewhere.take(); got != bye {
-				t.Fatalf("late %v: the caller of another host received %q", late, got)
+				b.t.Fatalf("late %v: the caller of another host received %q", late, got)
 			}
 			if got := third.take(); (got == bye) != late {
-				t.Fatalf("late %v: the caller of a third host received %q", late, got)
+				b.t.Fatalf("late %v: the caller of a third host received %q", late, got)
 			}
 			elsewhere.Write([]byte(byeResponse(id, 200)))
 			time.Sleep(time.Second)
 			if got := elsewhere.take() + third.take(); got != "" {
-				t.Errorf("late %v: after the confirmation callers of other hosts received %q", late, got)
+				b.t.Errorf("late %v: after the confirmation callers of other hosts received %q", late, got)
 			}
 			own := b.connect("10.0.0.1", "0000000000000004")
 			if got := own.take(); got != bye {
-				t.Errorf("late %v: the caller that came back received %q", late, got)
+				b.t.Errorf("late %v: the caller that came back received %q", late, got)
 			}
 			if own.Write([]byte(byeResponse(id, 200))); b.kept() != 0 {
-				t.Errorf("late %v: %d kept after the caller's confirmation", late, b.kept())
+				b.t.Errorf("late %v: %d kept after the caller's confirmation", late, b.kept())
 			}
 		})
 	}
