--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -58,12 +58,13 @@
 		least int
 		run   func()
 	}{
-		"ports":      {1, func() { printPorts(number(args[0])) }},
-		"office":     {2, func() { runOffice(args[0], args[1]) }},
-		"journal":    {2, func() { runJournal(args[0], args[1]) }},
-		"status":     {1, func() { printStatus(args[0]) }},
-		"sip-caller": {3, func() { runSIPCaller(strings.Split(args[0], ","), number(args[1]), args[2]) }},
-		"released":   {2, func() { checkReleased(args[0], number(args[1])) }},
+		"ports":         {1, func() { printPorts(number(args[0])) }},
+		"office":        {2, func() { runOffice(args[0], args[1]) }},
+		"journal":       {2, func() { runJournal(args[0], args[1]) }},
+		"status":        {1, func() { printStatus(args[0]) }},
+		"sip-caller":    {3, func() { runSIPCaller(strings.Split(args[0], ","), number(args[1]), args[2]) }},
+		"released":      {2, func() { checkReleased(args[0], number(args[1])) }},
+		"large-answers": {3, func() { runLargeAnswers(args[0], args[1], number(args[2])) }},
 	}
 	c, ok := commands[os.Args[1]]
 	if !ok || len(args) < c.least {
--- a/review/standin-2/sip.go
+++ b/review/standin-2/sip.go
@@ -37,7 +37,9 @@
 	mu sync.Mutex
 }
 
-func newSIPConn(c net.Conn) *sipConn { return &sipConn{Conn: c, in: bufio.NewReaderSize(c, maxMessage)} }
+func newSIPConn(c net.Conn) *sipConn {
+	return &sipConn{Conn: c, in: bufio.NewReaderSize(c, maxMessage)}
+}
 
 // send writes one message: the first line, headers without Content-Length, and the body.
 func (c *sipConn) send(first string, headers []string, body string) error {
