--- a/review/standin-2/office.go
+++ b/review/standin-2/office.go
@@ -16,7 +16,7 @@
 	name  string
 	mu    sync.Mutex
 	conns []*sipConn       // open, the oldest first
-	calls map[string]*call // by call id
+	calls []*call
 }
 
 // call is one set-up at an office, and then its call.
@@ -53,7 +53,7 @@
 
 func runOffice(addr, name string) {
 	l := listen(addr)
-	o := &office{name: name, calls: map[string]*call{}}
+	o := &office{name: name, }
 	go o.report()
 	for {
 		c, err := l.Accept()
@@ -123,10 +123,20 @@
 	record(o.name, "disconnected", peer(c))
 }
 
-func (o *office) handle(c *sipConn, m *message) {
+// find returns the newest call of an id that was set up over a connection, or else the newest of that id; nil: there is none.
+func (o *office) find(c *sipConn, id string) (found *call) {
 	o.mu.Lock()
-	cl := o.calls[m.id()]
-	o.mu.Unlock()
+	defer o.mu.Unlock()
+	for _, cl := range o.calls {
+		if cl.id == id && (found == nil || cl.conn == c || found.conn != c) {
+			found = cl
+		}
+	}
+	return found
+}
+
+func (o *office) handle(c *sipConn, m *message) {
+	cl := o.find(c, m.id())
 	switch {
 	case m.method == "INVITE":
 		o.invite(c, m)
@@ -158,7 +168,7 @@
 func (o *office) invite(c *sipConn, m *message) {
 	cl := &call{id: m.id(), conn: c}
 	o.mu.Lock()
-	o.calls[cl.id] = cl
+	o.calls = append(o.calls, cl)
 	o.mu.Unlock()
 	record(o.name, "setup", cl.id, "from", peer(c))
 	time.AfterFunc(time.Duration(word(m.body, "delay", 20))*time.Millisecond, func() {
