--- a/review/standin-2/office.go
+++ b/review/standin-2/office.go
@@ -15,7 +15,7 @@
 type office struct {
 	name  string
 	mu    sync.Mutex
-	conns []*sipConn       // open, the oldest first
+	conns []*sipConn // open, the oldest first
 	calls []*call
 }
 
@@ -53,7 +53,7 @@
 
 func runOffice(addr, name string) {
 	l := listen(addr)
-	o := &office{name: name, }
+	o := &office{name: name}
 	go o.report()
 	for {
 		c, err := l.Accept()
--- a/review/standin-2/ws.go
+++ b/review/standin-2/ws.go
@@ -149,3 +149,18 @@
 		os.Exit(1)
 	}
 }
+
+// tryToken tries to open a caller's socket and prints the status of the answer: 101 or 401.
+func tryToken(url, token string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	s, r, err := websocket.Dial(ctx, url, &websocket.DialOptions{Subprotocols: []string{"callcontrol.v1"},
+		HTTPHeader: http.Header{"Authorization": {"Bearer " + token}}})
+	if r == nil {
+		fatal(err)
+	}
+	if err == nil {
+		s.Close(websocket.StatusNormalClosure, "")
+	}
+	fmt.Println(r.StatusCode)
+}
