--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -146,11 +146,14 @@
 	last := 0
 	for _, line := range strings.Split(string(text), "\n") {
 		w := strings.Fields(line)
-		if len(w) < 4 {
+		if len(w) == 0 {
 			continue
 		}
 		at := number(w[0])
 		last = max(last, at)
+		if len(w) < 4 {
+			continue
+		}
 		switch {
 		case w[2] == "answered" && len(w) > 4 && w[4] == "200":
 			stood[w[3]] = true
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -64,6 +64,7 @@
 		"status":        {1, func() { printStatus(args[0]) }},
 		"sip-caller":    {3, func() { runSIPCaller(strings.Split(args[0], ","), number(args[1]), args[2]) }},
 		"released":      {2, func() { checkReleased(args[0], number(args[1])) }},
+		"ender":         {2, func() { runEnder(args[0], args[1]) }},
 		"probes":        {1, func() { runProbes(args) }},
 		"watched":       {2, func() { checkWatched(args[0], number(args[1])) }},
 		"try-token":     {2, func() { tryToken(args[0], args[1]) }},
