--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -65,8 +65,6 @@
 		"sip-caller":    {3, func() { runSIPCaller(strings.Split(args[0], ","), number(args[1]), args[2]) }},
 		"released":      {2, func() { checkReleased(args[0], number(args[1])) }},
 		"ender":         {2, func() { runEnder(args[0], args[1]) }},
-		"probes":        {1, func() { runProbes(args) }},
-		"watched":       {2, func() { checkWatched(args[0], number(args[1])) }},
 		"try-token":     {2, func() { tryToken(args[0], args[1]) }},
 		"reset-proxy":   {2, func() { runResetProxy(args[0], args[1]) }},
 		"resend":        {2, func() { runResend(args[0], number(args[1])) }},
