--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,12 +1,10 @@
 #!/usr/bin/env bash
-# An office accepts a call of a WebSocket caller with a description in markup of 11,000 bytes; with TROUBLE=0 of 1,000
-# bytes. Does the caller get its final answer, in a frame that the page allows?
+# Calls of a class whose effect is single_shot are out at offices when the controller is told to end. Are they answered as
+# "trying again is harmless"? TROUBLE=0: no SIGTERM.
 HERE=$(cd "$(dirname "$0")" && pwd)
 . "$HERE/../lib-2.sh"
-marks=4400
-[ "$TROUBLE" = 0 ] && marks=400
-mapfile -t port < <("$STANDIN" ports 5)
-[ ${#port[@]} = 5 ] || cannot "no ports"
+mapfile -t port < <("$STANDIN" ports 4)
+[ ${#port[@]} = 4 ] || cannot "no ports"
 list=()
 for k in 0 1; do
   begin "office$k" "$STANDIN" office "127.0.0.1:${port[k]}" "office$k"
@@ -16,20 +14,25 @@
 whole "${list[@]}" >"$DIR/events"
 begin journal "$STANDIN" journal "$journal" "$DIR/events"
 until_ok 5 "$STANDIN" status "http://$journal/none" || cannot "the journal service does not start"
-cat >"$DIR/n0.toml" <<END
-[callws]
-listen = "127.0.0.1:${port[3]}"
-[callws.callers]
-station-7 = "a-token-of-station-7-0123456789"
-[goodput]
-enabled = true
-END
-platform n0 "127.0.0.1:${port[4]}" "$journal" "$(whole "${list[@]}")" 1 0 2
+platform n0 "127.0.0.1:${port[3]}" "$journal" "$(whole "${list[@]}")" 5 0 2
+sed -i 's/"effect":"free"/"effect":"single_shot"/' "$DIR/n0.json"
+grep -q single_shot "$DIR/n0.json" || cannot "no such class"
 controller n0
+first=$PID
 until_ok 10 serving n0 || cannot "n0 does not serve"
-"$STANDIN" large-answers "ws://127.0.0.1:${port[3]}/v1/calls" a-token-of-station-7-0123456789 $marks
+sleep 0.5
+begin caller "$STANDIN" single "127.0.0.1:${port[3]}" 3500
+caller=$PID
+reached() { [ "$(grep -c 'office. setup' "$RECORD")" = 2 ]; }
+until_ok 3 reached || cannot "the set-ups do not reach the offices"
+if [ "$TROUBLE" != 0 ]; then
+  note "SIGTERM to n0"
+  kill -TERM "$first"
+fi
+until_ok 8 ended "$caller" || cannot "the caller does not end"
+if [ "$TROUBLE" != 0 ]; then until_ok 3 ended "$first" && note "n0 has ended"; fi
+"$STANDIN" harmless "$RECORD"
 code=$?
-grep -q ' answer ' "$RECORD" || cannot "no office has answered"
-[ $code -le 1 ] || cannot "the caller failed"
+[ $code -le 1 ] || cannot "the record is not to be read"
 note "result $code"
 exit $code
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -65,6 +65,8 @@
 		"sip-caller":    {3, func() { runSIPCaller(strings.Split(args[0], ","), number(args[1]), args[2]) }},
 		"released":      {2, func() { checkReleased(args[0], number(args[1])) }},
 		"ender":         {2, func() { runEnder(args[0], args[1]) }},
+		"single":        {2, func() { runSingle(args[0], number(args[1])) }},
+		"harmless":      {1, func() { checkHarmless(args[0]) }},
 		"try-token":     {2, func() { tryToken(args[0], args[1]) }},
 		"reset-proxy":   {2, func() { runResetProxy(args[0], args[1]) }},
 		"resend":        {2, func() { runResend(args[0], number(args[1])) }},
