--- a/review/standin-2/single.go
+++ b/review/standin-2/single.go
@@ -4,18 +4,28 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 )
 
-// runSingle sets one call up at each of the pools 0 and 1, with a patience of 3.6 s; their offices answer after delay
-// milliseconds. It ends when both have an answer, or after 6 s.
+// runSingle connects, and on SIGUSR1 sets one call up at each of the pools 0 and 1, with a patience of 3.6 s; their offices
+// answer after delay milliseconds. It ends when both have an answer, or after 6 s.
 func runSingle(addr string, delay int) {
 	raw, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		fatal(err)
 	}
 	c := newSIPConn(raw)
+	start := make(chan os.Signal, 1)
+	signal.Notify(start, syscall.SIGUSR1)
+	c.send("OPTIONS sip:ping@net SIP/2.0", []string{"Via: SIP/2.0/TCP caller", "Call-ID: " + newID(), "CSeq: 1 OPTIONS"}, "")
+	if m, err := c.read(); err != nil || m.status != 200 {
+		fatal("the controller is not ready")
+	}
+	record("caller0", "connected", addr)
+	<-start
 	for dest := range 2 {
 		id := newID()
 		record("caller0", "setup", id, "dest", fmt.Sprint(dest))
