--- a/internal/caller/releases.go
+++ b/internal/caller/releases.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"container/list"
 	"fmt"
 	"slices"
 	"time"
@@ -46,64 +45,6 @@
 	confirmedElsewhere bool
 }
 
-// client is what is known of the origin of a call, or of the calls on a connection.
-type client struct {
-	known  bool
-	host   string
-	tenant string
-}
-
-// releaseTable holds the unconfirmed releases, the oldest first.
-type releaseTable struct {
-	queue list.List // of *release
-	byID  map[string]*list.Element
-}
-
-func newReleaseTable() releaseTable { return releaseTable{byID: map[string]*list.Element{}} }
-
-func (t *releaseTable) len() int { return len(t.byID) }
-
-// get returns an unconfirmed release, or nil.
-func (t *releaseTable) get(id string) *release {
-	if e := t.byID[id]; e != nil {
-		return e.Value.(*release)
-	}
-	return nil
-}
-
-func (t *releaseTable) add(r *release) { t.byID[r.id] = t.queue.PushBack(r) }
-
-func (t *releaseTable) remove(r *release) { t.removeID(r.id) }
-
-// removeID removes the release of a call, if there is one.
-func (t *releaseTable) removeID(id string) {
-	if e := t.byID[id]; e != nil {
-		t.queue.Remove(e)
-		delete(t.byID, id)
-	}
-}
-
-// all returns the releases in order. The table may be changed while they are handled.
-func (t *releaseTable) all() []*release {
-	all := make([]*release, 0, t.len())
-	for e := t.queue.Front(); e != nil; e = e.Next() {
-		all = append(all, e.Value.(*release))
-	}
-	return all
-}
-
-// dropSent makes space by dropping the oldest release that has been sent, which callers need not confirm, or that a caller of
-// another host has confirmed. It returns false if there is none.
-func (t *releaseTable) dropSent() bool {
-	for e := t.queue.Front(); e != nil; e = e.Next() {
-		if r := e.Value.(*release); r.current != nil || r.confirmedElsewhere {
-			t.remove(r)
-			return true
-		}
-	}
-	return false
-}
-
 // Release implements exchange.Caller. An established call belongs to no connection: if its own has ended, the release
 // is sent on another one of its caller, or on the next one that its caller uses.
 func (s *Server) Release(id string, cut bool) {
@@ -161,63 +102,6 @@
 	return true
 }
 
-// routeRelease sends a release on the best connection that it has not been sent on, so that each gets it once at most.
-// Without one it waits, or stays with the connection that it was last sent on. Called with the lock held.
-func (s *Server) routeRelease(r *release) {
-	for {
-		c := s.connForRelease(r)
-		if c == nil || c.sendRelease(r) {
-			return
-		}
-	}
-}
-
-// connForRelease returns the connection that suits a release best, and among equals the last used; nil: there is none.
-// Called with the lock held.
-func (s *Server) connForRelease(r *release) (best *conn) {
-	bestFit := 0
-	for c := range s.conns {
-		fit := c.fitsRelease(r)
-		if fit > bestFit || fit > 0 && fit == bestFit && c.lastUsed.After(best.lastUsed) {
-			best, bestFit = c, fit
-		}
-	}
-	return best
-}
-
-// fitsRelease tells how well a connection suits a release; 0: not at all. A peer that has only connected, sent part of a
-// request or made a readiness test is not known to be a caller: it may never read the release, and has no right to know
-// of the call. A caller from another host suits only if the call's own host has not come back in time.
-func (c *conn) fitsRelease(r *release) int {
-	switch {
-	case c.ending || !c.client.known || slices.Contains(r.tried, c):
-		return 0
-	case !r.client.known:
-		return 1
-	case c.client == r.client:
-		return 3
-	case c.client.host == r.client.host:
-		return 2
-	case time.Since(r.createdAt) >= otherHostDelay && !r.confirmedElsewhere:
-		return 1
-	}
-	return 0
-}
-
-// noteCaller records that calls of a client are set up or ended over the connection, and sends it the releases that wait
-// for this client. Called with the lock held.
-func (c *conn) noteCaller(from client) {
-	if c.client == from {
-		return
-	}
-	c.client = from
-	for _, r := range c.server.releases.all() {
-		if r.current == nil && c.fitsRelease(r) > 0 {
-			c.sendRelease(r)
-		}
-	}
-}
-
 // releaseAnswered handles a peer's response to a release. A caller that refuses the release of its own call has ended
 // the call; any other peer does not know the call.
 func (s *Server) releaseAnswered(c *conn, id string, m *sip.Message) {
