Offices: an instance also connects to an office that it first hears of as draining

Cause: Pool.UpdateList made a link only for an office that was serving. A new process opened none to one that drained, which then had no connection to send its releases on. The same held for an office that moved while it drained. Evidence: the office's record (its last connection ended with the old process; no connection at the calls' end). Ruled out: a failed connect (no 'office connect failed' for that office), a release lost on the way (no 'release sent' and no 'release waits for its caller' for these calls), a closed office (it still listened). Fix: each office that is not removed has a link. Attempts at draining offices stay barred in control and in the core. Related paths: servers with ws:// addresses use the same pool; the list at the start, a full list and a single change use the same function. A new debug line, 'office connected', shows each connection.

--- a/internal/office/link.go
+++ b/internal/office/link.go
@@ -284,4 +284,5 @@
 		old.closeIfUnused()
 	}
 	s.flush(s)
+	p.Log.Debug("office connected", "server", s.server, "addr", s.addr)
 }
--- a/internal/office/pool.go
+++ b/internal/office/pool.go
@@ -67,8 +67,9 @@
 }
 
 // UpdateList applies a change of the server list; full: the change holds the whole list. An office at a new address, or
-// with a process started since the connection was opened, gets a new connection. One that drains keeps its connection,
-// as calls are established there.
+// with a process started since the connection was opened, gets a new connection. One that drains is connected like any
+// other, also where it is first heard of as draining: calls from before a restart of this process may be established
+// there, and it sends their releases on any open connection.
 func (p *Pool) UpdateList(changed []exchange.Office, full bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,7 +85,7 @@
 			p.drop(l)
 			l = nil
 		}
-		if l == nil && o.State == control.Serving {
+		if l == nil && o.State != control.Removed {
 			l = &link{pool: p, server: o.Server, addr: o.Addr, wakeup: make(chan struct{}, 1), pendingReleases: unconfirmed}
 			p.links[o.Server] = l
 			if p.ctx != nil {
--- a/internal/office/releases_test.go
+++ b/internal/office/releases_test.go
@@ -23,6 +23,33 @@
 	})
 }
 
+// Guards against releases that reach nobody: a process that first heard of an office as draining, after its own restart or
+// at another address, opened no connection on which the office could send them.
+func TestDrainingOfficeIsConnected(t *testing.T) {
+	draining := control.Entry{Server: 11, State: control.Draining}
+	for name, before := range map[string][]exchange.Office{"unknown": nil, "moved": {{Entry: control.Entry{Server: 11}, Addr: "b:1"}}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestPool(t)
+				<-b.connections
+				for range before {
+					b.UpdateList(before, false)
+					<-b.connections
+				}
+				b.UpdateList([]exchange.Office{{Entry: draining, Addr: "c:1"}}, false)
+				synctest.Wait()
+				if len(b.connections) != 1 {
+					t.Fatalf("%d connections to the draining office, want 1", len(b.connections))
+				}
+				office := <-b.connections
+				go io.Copy(io.Discard, office)
+				io.WriteString(office, "BYE sip:1@net SIP/2.0\r\nCall-ID: 5\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n")
+				expectEvent(t, b.events, "released 5 false []")
+			})
+		})
+	}
+}
+
 // A release sent on a connection that had fallen silent was lost, as the silence was noticed more than a second later. It
 // is sent again on the next connection, but not if the office was heard after it.
 func TestReleaseOnSilentConnection(t *testing.T) {
