Caller front: a caller that only ends calls gets the releases of calls from before a restart

Cause: releases go only to peers known as callers, and a BYE made its peer one only for a call of this process. After a restart each is unknown (481). It was no request either, so the connection was closed as idle after 2 s. Evidence: the new process's log has 'release waits for its caller' for each call, 'release undelivered' with attempts=0, and the caller's connections ending 'idle' at 2000 ms. Ruled out: releases that did not arrive from the office, or that were sent and lost with a connection. Fix: a peer that ends an unknown call is presumed to be a caller: it gets releases of calls from before the process and those of its host, after all known callers, as any client may name an unknown call. A BYE with a valid id is a request. Related paths: a BYE for a call of this process counted as no request either. The WebSocket front knows its callers by token, and needs no such guess.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -17,6 +17,7 @@
 	establishedCalls int       // established calls that were set up over it
 	hasRequested     bool      // a valid request was received
 	client           client    // whose calls were last set up or ended over it; unknown: none were
+	endedUnknownCall bool      // its peer has ended a call that this process does not know, such as one from before its start
 	lastUsed         time.Time // when the last valid request or answer was; initially when it was accepted
 	unreadAt         time.Time // when input was last seen that the reader had not read; zero: never
 	ending           bool      // new set-ups are refused
@@ -119,11 +120,11 @@
 func (c *conn) noteRequest() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.cancelIdleEnding()
 	c.noteRequestLocked()
 }
 
-// noteRequestLocked is the part of noteRequest that every valid request needs. Called with the lock held.
+// noteRequestLocked is noteRequest, called with the lock held.
 func (c *conn) noteRequestLocked() {
+	c.cancelIdleEnding()
 	c.lastUsed, c.hasRequested = time.Now(), true
 }
--- a/internal/caller/releases_test.go
+++ b/internal/caller/releases_test.go
@@ -97,6 +97,34 @@
 	next.expectRelease("0000000000000009")
 }
 
+// Guards against releases that reach nobody: after a restart, a caller that only ended calls, and set none up, was told of
+// no release, and its connection was closed after 2 s. Known callers come before it, and a client without calls gets none.
+func TestReleaseReachesCallerThatOnlyEndsCalls(t *testing.T) {
+	onSimulatedClock(t, func(b *pipeHarness) {
+		const earlier, another, third = "0000000000000009", "000000000000000a", "000000000000000b"
+		b.Release(earlier, false) // of a call that was set up before this process
+		ending := b.open("10.0.0.1")
+		ending.Write([]byte(message("OPTIONS", "ping", "")))
+		if got := ending.take(); got != "" {
+			t.Errorf("before it ended a call the client received %q", got)
+		}
+		ending.Write([]byte(message("BYE", secondID, "")))
+		<-b.core.events
+		if got := ending.take(); got != "BYE "+earlier+";" {
+			t.Errorf("after it ended a call the caller received %q", got)
+		}
+		ending.Write([]byte(byeResponse(earlier, 200)))
+		time.Sleep(idleTimeout - time.Second)
+		if b.Release(another, false); ending.take() != "BYE "+another+";" {
+			t.Error("the caller did not receive the next release")
+		}
+		known := b.connect("10.0.0.2", id)
+		if b.Release(third, false); known.take() != "BYE "+third+";" || ending.take() != "" {
+			t.Error("a caller with a call of this process did not come first")
+		}
+	})
+}
+
 // resetUnconfirmed has a call released on a connection that is then reset without a confirmation.
 func (b *harness) resetUnconfirmed(before func()) {
 	b.t.Helper()
@@ -163,8 +191,21 @@
 	})
 }
 
-// connect serves a connection from a host over a pipe. The peer sets a call up over it.
+// connect is open for a peer that sets a call up over the connection.
 func (b *pipeHarness) connect(host, id string) *pipePeer {
+	b.t.Helper()
+	p := b.open(host)
+	p.Write([]byte(message("INVITE", id, headers)))
+	if got := <-b.core.events; got != "arrive "+id {
+		b.t.Fatalf("got %s", got)
+	}
+	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Established})
+	synctest.Wait()
+	return p
+}
+
+// open serves a connection from a host over a pipe.
+func (b *pipeHarness) open(host string) *pipePeer {
 	b.t.Helper()
 	ours, theirs := net.Pipe()
 	b.t.Cleanup(func() { theirs.Close() })
@@ -185,12 +226,6 @@
 			}
 		}
 	}()
-	p.Write([]byte(message("INVITE", id, headers)))
-	if got := <-b.core.events; got != "arrive "+id {
-		b.t.Fatalf("got %s", got)
-	}
-	b.Answer(id, exchange.FinalAnswer{Kind: exchange.Established})
-	synctest.Wait()
 	return p
 }
 
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -53,11 +53,7 @@
 			c.Send(sip.Response(m, 481))
 		}
 	case "BYE":
-		status := 481
-		if c.server.endedByCaller(c, id) {
-			status = 200
-		}
-		c.Send(sip.Response(m, status))
+		c.Send(sip.Response(m, c.handleBye(m, id)))
 		c.server.Core.HangUp(id, owner)
 	case "OPTIONS":
 		c.noteRequest()
@@ -88,18 +84,24 @@
 	return true
 }
 
-// endedByCaller removes the transaction of an established call that its caller ended, on any connection. It returns
-// false if there is none.
-func (s *Server) endedByCaller(c *conn, id string) bool {
+// handleBye handles the end of an established call by its caller, on any connection, and returns the status of the
+// response. A call from before the start of this process is unknown here: its end is a valid request all the same.
+func (c *conn) handleBye(m *sip.Message, id string) (status int) {
+	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.transactions[id]
-	if t == nil || !t.established {
-		return false
+	switch _, method, ok := m.CSeq(); {
+	case t != nil && t.established:
+		c.noteRequestLocked()
+		s.remove(t)
+		c.noteCaller(client{true, c.host, t.client.tenant})
+		return 200
+	case t == nil && isCallID(id) && ok && string(method) == "BYE":
+		c.noteRequestLocked()
+		c.notePresumedCaller()
 	}
-	s.remove(t)
-	c.noteCaller(client{true, c.host, t.client.tenant})
-	return true
+	return 481
 }
 
 // remove removes a transaction. Called with the lock held.
