Core: a call that may have run and must not be repeated is never refused as harmless

Cause: core.refuseAll refused whatever the class's effect; the check of Controller.finish was passed by. Evidence: log lines 'attempt', 'attempt ended' outcome=6 and 'answer' verdict=refused at 3.1 s, with nothing from the office between. Ruled out: a decision of the controller, and an outcome from the office that shows that nothing ran. Fix: the core asks Controller.RefusalIsHarmless before it ends a call. Related paths: garbage behind an open set-up on the platform's front gave 503 too, and goes by the class's effect now; a client that has gone uses the same function. Other refusals are of set-ups that were never passed on. The WebSocket front has no refusal of its own for a running call.

--- a/control/calls.go
+++ b/control/calls.go
@@ -98,7 +98,7 @@
 	switch {
 	case c.calls[cl.id] != cl, cl.server != nil, cl.established, cl.held, cl.attempts >= c.cfg.MaxAttempts, left <= 0,
 		c.now < cl.releasedAt, !c.allowed(s, cl), !c.hasColdCredit(s),
-		cl.mayHaveRun && c.cfg.Classes[cl.class].Effect != Idempotent:
+		cl.mayHaveRun && !c.cfg.Classes[cl.class].Effect.Repeatable():
 		return false
 	}
 	cl.attempts++
@@ -120,7 +120,7 @@
 		clear(c.refusedNumbers) // all at once, so that the result does not depend on map order
 	}
 	c.refusedNumbers[cl.key] = cl.firstAt
-	if !refuse || cl.mayHaveRun && c.cfg.Classes[cl.class].Effect != Idempotent {
+	if !refuse || cl.mayHaveRun && !c.cfg.Classes[cl.class].Effect.Repeatable() {
 		c.actions = append(c.actions, Action{Kind: Fail, Call: cl.id})
 		return
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -93,6 +93,9 @@
 	SingleShot
 )
 
+// Repeatable tells whether a call of a class with this effect may be sent again after an attempt that may have run.
+func (e Effect) Repeatable() bool { return e == Idempotent }
+
 // EventKind is the kind of an event.
 type EventKind int
 
@@ -191,3 +194,14 @@
 // ExcludeServers keeps calls from a server while f reports true for it. f is called before each set-up and must not
 // change anything.
 func (c *Controller) ExcludeServers(f func(server uint64) bool) { c.excluded = f }
+
+// RefusalIsHarmless tells whether a call that is given up outside the controller may be refused, which tells its caller
+// that trying again is harmless. It may not if an attempt may have run, or may run now as it is in progress, and the
+// call's class allows no other.
+func (c *Controller) RefusalIsHarmless(id string, inProgress bool) bool {
+	cl := c.calls[id]
+	if cl == nil { // another module holds the call, and no attempt was made
+		return true
+	}
+	return c.cfg.Classes[cl.class].Effect.Repeatable() || !cl.mayHaveRun && !inProgress
+}
--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -8,6 +8,9 @@
 	"masthill/internal/sip"
 )
 
+// answerStatus maps a final answer to its SIP status.
+var answerStatus = map[exchange.AnswerKind]int{exchange.Established: 200, exchange.Refused: 503, exchange.Failed: 500}
+
 // Answer implements exchange.Caller.
 func (s *Server) Answer(id string, answer exchange.FinalAnswer) {
 	s.mu.Lock()
@@ -16,8 +19,7 @@
 	if t == nil || t.established {
 		return // a call gets no second answer
 	}
-	status := map[exchange.AnswerKind]int{exchange.Established: 200, exchange.Refused: 503, exchange.Failed: 500}[answer.Kind]
-	b := append(sip.AppendStatus(make([]byte, 0, 512+len(answer.Description)), status), t.echoedHeaders...)
+	b := append(sip.AppendStatus(make([]byte, 0, 512+len(answer.Description)), answerStatus[answer.Kind]), t.echoedHeaders...)
 	if answer.Kind == exchange.Established {
 		t.established, t.echoedHeaders = true, nil
 		t.openCalls, t.establishedCalls, t.lastUsed = t.openCalls-1, t.establishedCalls+1, time.Now()
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"masthill/control"
 	"masthill/internal/exchange"
 	"masthill/internal/netcase"
 	"masthill/internal/sip"
@@ -327,6 +328,17 @@
 	b.expectEvent("give up " + id)
 }
 
+// Guards against a wrong "trying again is harmless" about a set-up that had reached an office when garbage followed it.
+func TestSetUpThatMayHaveRunFailsAfterGarbage(t *testing.T) {
+	b := newHarness(t, 1)
+	b.Names.Classes[0].Effect = control.SingleShot
+	p := b.dial()
+	p.write(message("INVITE", id, headers))
+	b.expectEvent("arrive " + id)
+	p.write("garbage\r\n\r\n")
+	p.expectMessage(500, "", "Call-ID", id)
+}
+
 // A request may take two seconds to arrive. One that does not arrive in full is refused within 3 s of connecting.
 func TestSlowRequests(t *testing.T) {
 	for _, early := range []bool{false, true} {
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"masthill/internal/exchange"
 	"masthill/internal/sip"
 )
 
@@ -45,7 +46,8 @@
 }
 
 // finalMessages returns the last messages to a peer whose input can't be read any further, ending with the error
-// response. Its unanswered set-ups are refused here, as no answer can reach them later.
+// response. Its unanswered set-ups are answered here, as no answer can reach them later: they are refused, or have failed
+// where an attempt may have run that must not be repeated.
 func (c *conn) finalMessages(why error) []byte {
 	s := c.server
 	s.mu.Lock()
@@ -53,7 +55,11 @@
 	c.ending = true
 	var b []byte
 	for _, t := range s.giveUpOpen(c) {
-		b = sip.AppendBody(append(sip.AppendStatus(b, 503), t.echoedHeaders...), nil)
+		kind := exchange.Refused
+		if !s.Names.Classes[t.class].Effect.Repeatable() {
+			kind = exchange.Failed
+		}
+		b = sip.AppendBody(append(sip.AppendStatus(b, answerStatus[kind]), t.echoedHeaders...), nil)
 	}
 	return append(b, sip.ErrorResponse(why)...)
 }
--- a/internal/caller/requests.go
+++ b/internal/caller/requests.go
@@ -27,6 +27,7 @@
 	*conn
 	id, number    string
 	client        client
+	class         int    // index in the names of the settings
 	fingerprint   uint64 // of its set-up
 	echoedHeaders []byte // that the answer repeats
 	seq           uint64
@@ -169,7 +170,8 @@
 		return 400, "the headers that an answer repeats exceed 1 KiB"
 	}
 	s := c.server
-	t := &transaction{conn: c, id: id, number: number, client: client{true, c.host, call.Tenant}, fingerprint: call.Fingerprint(), echoedHeaders: echoedHeaders, seq: seq}
+	t := &transaction{conn: c, id: id, number: number, client: client{true, c.host, call.Tenant}, class: call.Class,
+		fingerprint: call.Fingerprint(), echoedHeaders: echoedHeaders, seq: seq}
 	s.mu.Lock()
 	c.cancelIdleEnding()
 	existing := s.transactions[id]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,7 +160,11 @@
 		if g.Name == "" {
 			fault(fmt.Sprintf("settings.grades[%d].name", k), "missing")
 		}
-		p.Names.Classes = append(p.Names.Classes, exchange.Class{Name: g.Name, Deadline: time.Duration(g.Deadline)})
+		class := exchange.Class{Name: g.Name, Deadline: time.Duration(g.Deadline)}
+		if k < len(p.Settings.Classes) { // else a fault was found in them
+			class.Effect = p.Settings.Classes[k].Effect
+		}
+		p.Names.Classes = append(p.Names.Classes, class)
 	}
 	// A class without pools of its own may use any pool; in that case any pool may be named as the first choice.
 	if cells := n.Extra.ClassCells; len(cells) > 0 && !slices.ContainsFunc(cells, func(of []int) bool { return len(of) == 0 }) {
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -93,13 +93,13 @@
 	})
 }
 
-// refuseAbsentClient refuses a call whose client has gone or whose input stays unread, as an attempt would be wasted.
-// The refusal is recorded in case the client comes back.
+// refuseAbsentClient ends a call whose client has gone or whose input stays unread, as an attempt would be wasted. The
+// answer is recorded in case the client comes back.
 func (c *core) refuseAbsentClient(cl *call, server uint64) {
 	c.log.Debug("attempt dropped: client gone", "call", cl.ID, "server", server, "away", cl.disconnected)
-	c.dispatch(control.Event{Kind: control.Aborted, Call: cl.ID})
+	answer := c.abandon(cl)
 	c.dispatch(control.Event{Kind: control.AttemptEnded, Call: cl.ID, Server: server, Outcome: control.Canceled, CallEnded: true})
-	c.answer(cl, FinalAnswer{Kind: Refused, RetryAfter: time.Duration(c.settings.MaxRetryAfter)})
+	c.answer(cl, answer)
 }
 
 // withdrawAttempt cancels the attempt in flight.
--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -243,16 +243,28 @@
 	return slices.SortedFunc(maps.Values(c.calls), func(a, b *call) int { return cmp.Compare(a.serial, b.serial) })
 }
 
-// refuseAll refuses all unanswered calls, and every later one.
+// refuseAll ends all unanswered calls, and refuses every later one.
 func (c *core) refuseAll() {
 	c.refusingAll = true
 	for _, cl := range c.callsInOrder() {
-		if !cl.established {
-			c.dispatch(control.Event{Kind: control.Aborted, Call: cl.ID})
-			if cl.inFlight {
-				c.withdrawAttempt(cl, control.Canceled)
-			}
-			c.answer(cl, FinalAnswer{Kind: Refused, RetryAfter: time.Duration(c.settings.MaxRetryAfter)})
+		if cl.established {
+			continue
+		}
+		answer := c.abandon(cl)
+		if cl.inFlight {
+			c.withdrawAttempt(cl, control.Canceled)
 		}
+		c.answer(cl, answer)
+	}
+}
+
+// abandon takes a call from the controller and returns its final answer: a refusal, or a failure where that would wrongly
+// tell the caller that trying again is harmless.
+func (c *core) abandon(cl *call) FinalAnswer {
+	harmless := c.controller.RefusalIsHarmless(cl.ID, cl.inFlight)
+	c.dispatch(control.Event{Kind: control.Aborted, Call: cl.ID})
+	if !harmless {
+		return FinalAnswer{Kind: Failed}
 	}
+	return FinalAnswer{Kind: Refused, RetryAfter: time.Duration(c.settings.MaxRetryAfter)}
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -372,6 +372,38 @@
 	b.expect("answer b refused  2000ms")
 }
 
+// Guards against a wrong "trying again is harmless": at the end of the process, and for a client that had gone, a call was
+// refused although an attempt of it might have run and its class must not be repeated.
+func TestCallThatMayHaveRunIsNotRefused(t *testing.T) {
+	end := func(b *harness) { b.refuseAll() }
+	attemptLost := func(b *harness) { b.attemptEnded(10, "a", 0, Result{Outcome: control.ConnectionLost}) }
+	for name, c := range map[string]struct {
+		before func(*harness)
+		effect control.Effect
+		want   string
+	}{
+		"attempt in flight":    {end, control.SingleShot, "failed  0ms"},
+		"repeatable":           {end, control.Idempotent, "refused  2000ms"},
+		"between two attempts": {func(b *harness) { attemptLost(b); end(b) }, control.SingleShot, "failed  0ms"},
+		"attempt that ran not": {func(b *harness) { b.attemptEnded(10, "a", 0, Result{Outcome: control.Saturated}); end(b) }, control.SingleShot, "refused  2000ms"},
+		"client gone, not sent": {func(b *harness) {
+			b.callerDisconnected("a", "o")
+			b.attemptEnded(10, "a", 0, Result{Outcome: control.ConnectionRefused})
+		}, control.SingleShot, "refused  2000ms"},
+		"client gone, one lost": {func(b *harness) { b.callerDisconnected("a", "o"); attemptLost(b); b.advance(time.Second) }, control.Idempotent, "refused  2000ms"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.settings.Classes[0].Effect = c.effect
+			b.submitCall("a", 3*time.Second)
+			c.before(b)
+			if got := b.outputs[len(b.outputs)-1]; got != "answer a "+c.want {
+				t.Errorf("got %q, want the answer %q", b.outputs, c.want)
+			}
+		})
+	}
+}
+
 // While a caller is disconnected, its attempt in flight goes on but no other is sent. A caller that comes back rejoins
 // its call or gets the recorded answer.
 func TestDisconnectedCaller(t *testing.T) {
--- a/internal/exchange/names.go
+++ b/internal/exchange/names.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"masthill/control"
 )
 
 // maxPatience bounds the patience that a set-up may specify: no caller waits longer than a day, and much larger figures
@@ -16,6 +18,7 @@
 type Class struct {
 	Name     string
 	Deadline time.Duration // patience of a set-up that names none, and the greatest patience
+	Effect   control.Effect
 }
 
 // Names holds the names in the settings that set-ups refer to. Both front ends check set-ups against them.
