Both fronts and offices: no message over 16 KiB is sent, and markup is not escaped sixfold

Cause: conn.send wrote JSON with HTML's escapes and compared nothing that is sent with the limit. Evidence: log lines 'answer' verdict=stands at 0.2 s, then 29 x 'call socket ended' with the peer's StatusMessageTooBig. Ruled out: an office or a decision that was late, and an answer that was lost with its socket. Fix: no such escapes; base64 where text does not fit; before a call is answered as established the core asks the front end (AnswerChecker) and otherwise releases the call at its office and answers that it failed. Related paths, the same cause: answers to SIP callers, responses that repeat headers, error messages that quote a request, set-ups to offices of both kinds (Peer.Invite returns an error, the attempt ends as one that never left).

--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -19,7 +19,7 @@
 	if t == nil || t.established {
 		return // a call gets no second answer
 	}
-	b := append(sip.AppendStatus(make([]byte, 0, 512+len(answer.Description)), answerStatus[answer.Kind]), t.echoedHeaders...)
+	b := answerMessage(t, answer)
 	if answer.Kind == exchange.Established {
 		t.established, t.echoedHeaders = true, nil
 		t.openCalls, t.establishedCalls, t.lastUsed = t.openCalls-1, t.establishedCalls+1, time.Now()
@@ -27,10 +27,25 @@
 	} else {
 		s.remove(t)
 	}
+	t.Send(b)
+}
+
+func answerMessage(t *transaction, answer exchange.FinalAnswer) []byte {
+	b := sip.AppendStatus(make([]byte, 0, 512+len(answer.Description)), answerStatus[answer.Kind])
+	b = append(b, t.echoedHeaders...)
 	if answer.RetryAfter > 0 {
 		b = fmt.Appendf(b, "X-Later-Ms: %d\r\n", answer.RetryAfter.Milliseconds())
 	}
-	t.Send(sip.AppendBody(b, answer.Description))
+	return sip.AppendBody(b, answer.Description)
+}
+
+// CanDeliver implements exchange.AnswerChecker.
+func (s *Server) CanDeliver(id string, answer exchange.FinalAnswer) bool {
+	if len(answer.Description)+maxEchoBytes+headerReserve <= sip.MaxMessage {
+		return true
+	}
+	t := s.openTransaction(id)
+	return t == nil || len(answerMessage(t, answer)) <= sip.MaxMessage
 }
 
 // Presence implements exchange.PresenceChecker. A set-up belongs to its connection, and only that may cancel it.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"strings"
@@ -328,6 +329,24 @@
 	b.expectEvent("give up " + id)
 }
 
+// Guards against answers over 16 KiB: a long description of an office with long headers of the caller exceeded it.
+func TestAnswerOverTheLimitIsNotDeliverable(t *testing.T) {
+	b := newHarness(t, 1)
+	p := b.dial()
+	p.write(message("INVITE", id, headers+"From: "+strings.Repeat("x", 900)+"\r\n"))
+	b.expectEvent("arrive " + id)
+	answer := exchange.FinalAnswer{Kind: exchange.Established, Description: make([]byte, sip.MaxMessage-900)}
+	if b.CanDeliver(id, answer) {
+		t.Error("an answer over 16 KiB counts as deliverable")
+	}
+	answer.Description = bytes.Repeat([]byte("x"), sip.MaxMessage-1200)
+	if !b.CanDeliver(id, answer) {
+		t.Error("an answer within 16 KiB does not count as deliverable")
+	}
+	b.Answer(id, answer)
+	p.expectMessage(200, "", "Call-ID", id)
+}
+
 // Guards against a wrong "trying again is harmless" about a set-up that had reached an office when garbage followed it.
 func TestSetUpThatMayHaveRunFailsAfterGarbage(t *testing.T) {
 	b := newHarness(t, 1)
--- a/internal/callws/answers.go
+++ b/internal/callws/answers.go
@@ -23,11 +23,33 @@
 		c.accepted = true
 	}
 	if c.socket != nil {
-		c.socket.send(reply{Type: final.Kind.String(), ID: c.id, LaterMS: final.RetryAfter.Milliseconds(),
-			description: describe(final.Description)})
+		c.socket.send(answerMessage(c, final))
 	}
 }
 
+func answerMessage(c *call, final exchange.FinalAnswer) reply {
+	return reply{Type: final.Kind.String(), ID: c.id, LaterMS: final.RetryAfter.Milliseconds(), description: describe(final.Description)}
+}
+
+// answerOverhead is more than the size in bytes of an answer beside its id and description.
+const answerOverhead = 256
+
+// maxEscape is the greatest number of bytes that JSON takes for one byte of text.
+const maxEscape = 6
+
+// CanDeliver implements exchange.AnswerChecker.
+func (f *Front) CanDeliver(key string, final exchange.FinalAnswer) bool {
+	if (len(final.Description)+maxIDBytes)*maxEscape+answerOverhead <= maxMessage {
+		return true
+	}
+	c, _ := f.lookup(key)
+	if c == nil {
+		return true // its caller has given it up, and gets no answer
+	}
+	_, err := encode(answerMessage(c, final))
+	return err == nil
+}
+
 // Presence implements exchange.PresenceChecker. A call belongs to the socket on which it was last received.
 func (f *Front) Presence(key string) exchange.Presence {
 	c, s := f.lookup(key)
--- a/internal/callws/confirm.go
+++ b/internal/callws/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 )
@@ -23,10 +22,10 @@
 
 // sendConfirmed is send for a message that must not be lost: onRead is called once the peer has read it. If the
 // connection ends before, onRead is not called.
-func (c *conn) sendConfirmed(v any, onRead func()) {
-	b, err := json.Marshal(v)
+func (c *conn) sendConfirmed(m message, onRead func()) {
+	b, err := encode(m)
 	if err != nil {
-		return // no type sent here can fail
+		return // no message that is sent here can fail
 	}
 	c.confirms.mu.Lock()
 	defer c.confirms.mu.Unlock()
--- a/internal/callws/conn.go
+++ b/internal/callws/conn.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
-	"unicode/utf8"
 
 	"github.com/coder/websocket"
 	"golang.org/x/sync/errgroup"
@@ -64,15 +62,17 @@
 }
 
 // send queues one message and never blocks: if the peer does not read and the queue is full, the connection is closed.
-func (c *conn) send(v any) {
-	b, err := json.Marshal(v)
+// Nothing is queued if the message exceeds maxMessage: the peer would close the connection, with all that is open on it.
+func (c *conn) send(m message) error {
+	b, err := encode(m)
 	if err != nil {
-		return // no type sent here can fail
+		return err
 	}
 	if !c.out.Put(b) {
 		c.queueFull.Store(true)
 		c.Close()
 	}
+	return nil
 }
 
 // Close closes the connection once the queued messages have been written. A peer that does not read is disconnected when
@@ -213,23 +213,3 @@
 	}
 	return sip.IOError
 }
-
-// description is the JSON form of a call's description: text, or base64 if it is not valid UTF-8.
-type description struct {
-	Text  string `json:"description,omitempty"`
-	Bytes []byte `json:"description_base64,omitempty"`
-}
-
-func describe(b []byte) description {
-	if utf8.Valid(b) {
-		return description{Text: string(b)}
-	}
-	return description{Bytes: b}
-}
-
-func (d description) raw() []byte {
-	if len(d.Bytes) > 0 {
-		return d.Bytes
-	}
-	return []byte(d.Text)
-}
--- a/internal/callws/server.go
+++ b/internal/callws/server.go
@@ -28,6 +28,12 @@
 	description
 }
 
+// inBase64 implements message.
+func (c serverCommand) inBase64() message {
+	c.description = c.description.inBase64()
+	return c
+}
+
 // serverMessage is a message from a server.
 type serverMessage struct {
 	Type, Call, Reason, Note string
@@ -68,8 +74,8 @@
 }
 
 // Invite implements office.Peer.
-func (s *server) Invite(a exchange.Attempt) {
-	s.send(serverCommand{Type: "setup", Call: a.ID, Class: a.Class, Number: a.Number,
+func (s *server) Invite(a exchange.Attempt) error {
+	return s.send(serverCommand{Type: "setup", Call: a.ID, Class: a.Class, Number: a.Number,
 		PatienceMS: max(a.Timeout.Milliseconds(), 1), description: describe(a.Description)})
 }
 
--- a/internal/callws/socket.go
+++ b/internal/callws/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"masthill/internal/exchange"
@@ -40,6 +41,26 @@
 	description
 }
 
+// inBase64 implements message.
+func (r reply) inBase64() message {
+	r.description = r.description.inBase64()
+	return r
+}
+
+// maxErrorText limits the text of an error message in bytes, as it may quote what the caller has sent.
+const maxErrorText = 256
+
+// sendError sends an error message. An id that is too long to be one is not repeated.
+func (s *socket) sendError(id string, code int, text string) {
+	if len(id) > maxIDBytes {
+		id = ""
+	}
+	if len(text) > maxErrorText {
+		text = strings.ToValidUTF8(text[:maxErrorText], "") + "..."
+	}
+	s.send(reply{Type: "error", ID: id, Code: code, Text: text})
+}
+
 // handleMessage handles a message from a caller.
 func (s *socket) handleMessage(data []byte) error {
 	receivedAt := time.Now()
@@ -49,22 +70,22 @@
 	}
 	switch {
 	case m.ID == "" || len(m.ID) > maxIDBytes:
-		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "id: empty or over 128 bytes"})
+		s.sendError(m.ID, 400, "id: empty or over 128 bytes")
 	case m.Type == "call":
 		if code, text := s.submit(&m, receivedAt); code != 0 {
 			s.front.Log.Warn("call turned down", "code", code, "why", text, "identity", s.identity)
-			s.send(reply{Type: "error", ID: m.ID, Code: code, Text: text})
+			s.sendError(m.ID, code, text)
 		}
 	case m.Type == "cancel":
 		s.endCall(Key(s.identity, m.ID))
 	case m.Type == "hangup":
 		if !s.endCall(Key(s.identity, m.ID)) {
-			s.send(reply{Type: "error", ID: m.ID, Code: 481, Text: "no such call"})
+			s.sendError(m.ID, 481, "no such call")
 			return nil
 		}
 		s.send(reply{Type: "released", ID: m.ID, Cut: new(bool)})
 	default:
-		s.send(reply{Type: "error", ID: m.ID, Code: 400, Text: "type: unknown"})
+		s.sendError(m.ID, 400, "type: unknown")
 	}
 	return nil
 }
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -133,11 +133,26 @@
 	}
 	c.log.Debug("attempt established", "call", id, "n", n, "server", server, "after_ms", (c.now-cl.sentAt)/1e6)
 	cl.inFlight = false
+	if checker, ok := cl.caller.(AnswerChecker); ok && !checker.CanDeliver(id, FinalAnswer{Kind: Established, Description: description}) {
+		c.failUndeliverable(cl, n, len(description))
+		return
+	}
 	c.answer(cl, FinalAnswer{Kind: Established, Description: description})
 	c.scheduleSilenceCheck()
 	c.dispatch(control.Event{Kind: control.Established, Call: id, Server: server, Elapsed: c.now - cl.sentAt})
 }
 
+// failUndeliverable ends a call that attempt n has established with a description that does not fit into any message to the
+// caller: the caller gets an answer that it can read, and the call is released at the office.
+func (c *core) failUndeliverable(cl *call, n, descriptionBytes int) {
+	c.log.Warn("answer too long for the caller", "call", cl.ID, "server", cl.server, "description_bytes", descriptionBytes)
+	c.offices.Bye(cl.server, cl.ID, n, true)
+	c.dispatch(control.Event{Kind: control.Established, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt})
+	c.dispatch(control.Event{Kind: control.AttemptEnded, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
+		Outcome: control.Canceled, CallEnded: true})
+	c.answer(cl, FinalAnswer{Kind: Failed})
+}
+
 // attemptEnded handles the end of attempt n without an acceptance.
 func (c *core) attemptEnded(server uint64, id string, n int, result Result) {
 	if result.Outcome == control.Errored || result.Outcome == control.Saturated {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -404,6 +404,28 @@
 	}
 }
 
+// limitedCaller is a caller whose front end delivers only short descriptions.
+type limitedCaller struct{ *harness }
+
+func (limitedCaller) CanDeliver(_ string, answer FinalAnswer) bool {
+	return len(answer.Description) < 2
+}
+
+// Guards against an answer that the caller can't read, while its call stands at the office.
+func TestUndeliverableAnswerFails(t *testing.T) {
+	b := newHarness(t)
+	for _, id := range []string{"a", "b"} {
+		b.submit(Setup{ID: id, Owner: "o", ReceivedAt: b.testTime, ExpiresAt: b.testTime.Add(time.Second)}, limitedCaller{b})
+	}
+	b.outputs = nil
+	b.attemptEstablished(10, "a", 0, []byte("long"))
+	b.expect("bye a at 10 true", "answer a failed  0ms")
+	b.attemptEstablished(10, "b", 0, []byte("s"))
+	b.expect("answer b stands s 0ms")
+	b.callReleased(10, "a", false, nil) // crossed the release
+	b.expect()
+}
+
 // While a caller is disconnected, its attempt in flight goes on but no other is sent. A caller that comes back rejoins
 // its call or gets the recorded answer.
 func TestDisconnectedCaller(t *testing.T) {
--- a/internal/exchange/names.go
+++ b/internal/exchange/names.go
@@ -40,10 +40,10 @@
 func (n Names) Apply(s *Setup, class, tenant string, patienceMS *int64, at time.Time) error {
 	k := slices.IndexFunc(n.Classes, func(c Class) bool { return c.Name == class })
 	if k < 0 {
-		return fmt.Errorf("unknown class %q", class)
+		return fmt.Errorf("unknown class %q", shortened(class))
 	}
 	if tenant != "" && !slices.Contains(n.Tenants, tenant) {
-		return fmt.Errorf("unknown tenant %q", tenant)
+		return fmt.Errorf("unknown tenant %q", shortened(tenant))
 	}
 	if len(s.Number) > maxNumberLength || strings.ContainsFunc(s.Number, func(c rune) bool { return c <= ' ' || c > '~' || c == '@' }) {
 		return errors.New("number is too long, or no visible ASCII")
@@ -61,3 +61,14 @@
 	s.Class, s.ClassName, s.Tenant, s.ReceivedAt, s.ExpiresAt = k, class, tenant, at, at.Add(patience)
 	return nil
 }
+
+// maxQuoted limits how much of an unknown name is quoted in an error, in bytes.
+const maxQuoted = 64
+
+// shortened returns the start of a name that a caller has sent.
+func shortened(name string) string {
+	if len(name) <= maxQuoted {
+		return name
+	}
+	return name[:maxQuoted] + "..."
+}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -81,6 +81,12 @@
 	Presence(id string) Presence
 }
 
+// AnswerChecker is a Caller whose CanDeliver is asked before a call is answered as established, as the front end's protocol
+// bounds the size of a message. CanDeliver is called by the core and must not block.
+type AnswerChecker interface {
+	CanDeliver(id string, answer FinalAnswer) bool
+}
+
 // CallHandler takes the calls of a callers' side. Exchange implements it.
 type CallHandler interface {
 	// Submit hands over a set-up. A repeated one of the same owner joins its call or gets the recorded answer.
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -26,8 +26,9 @@
 
 // Peer is one open connection to an office, in whatever protocol the office uses. Its sends never block.
 type Peer interface {
-	// Invite sends the set-up of an attempt.
-	Invite(a exchange.Attempt)
+	// Invite sends the set-up of an attempt. An error tells that nothing was sent, as the set-up exceeds the greatest size of a
+	// message; the connection is still usable.
+	Invite(a exchange.Attempt) error
 	// Cancel cancels attempt n of a call.
 	Cancel(id string, n int)
 	// Bye releases a call that attempt n established; cut: before its regular end.
--- a/internal/office/office_test.go
+++ b/internal/office/office_test.go
@@ -152,6 +152,18 @@
 	}
 }
 
+// Guards against set-ups over 16 KiB, over which an office closes the connection with all other set-ups on it.
+func TestLongSetUpIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestPool(t)
+		r := sip.NewReader(<-b.connections)
+		b.Invite(exchange.Attempt{ID: "1", Class: "open-log", Number: "17", Description: make([]byte, sip.MaxMessage), Server: 10})
+		expectEvent(t, b.events, "ended 1 0 7 note 0 wait 0 []")
+		b.invite(0)
+		readUntil(t, r, "INVITE")
+	})
+}
+
 func TestConnectFailuresAreRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestPool(t)
--- a/internal/office/session.go
+++ b/internal/office/session.go
@@ -96,12 +96,16 @@
 }
 
 func (s *session) invite(a exchange.Attempt) {
+	if err := s.peer.Invite(a); err != nil {
+		s.pool.Log.Warn("attempt not sent", "call", a.ID, "server", s.server, "err", err)
+		s.pool.Core.Ended(s.server, a.ID, a.Index, exchange.Result{Outcome: control.Unavailable})
+		return
+	}
 	now := time.Now()
 	s.outstanding[a.ID] = sentAttempt{a.Index, now}
 	if s.awaitingSince.IsZero() {
 		s.awaitingSince = now
 	}
-	s.peer.Invite(a)
 	if !s.watching {
 		s.watching = true
 		time.AfterFunc(silenceCheckInterval, s.checkSilence)
--- a/internal/office/sip.go
+++ b/internal/office/sip.go
@@ -101,11 +101,16 @@
 }
 
 // Invite implements Peer.
-func (p *sipPeer) Invite(a exchange.Attempt) {
+func (p *sipPeer) Invite(a exchange.Attempt) error {
 	b := p.request("INVITE", a.Number, a.ID, a.Index)
 	b = sip.AppendHeader(b, "Subject", a.Class)
 	b = fmt.Appendf(b, "X-Patience: %d\r\n", max(a.Timeout.Milliseconds(), 1))
-	p.Send(sip.AppendBody(b, a.Description))
+	b = sip.AppendBody(b, a.Description)
+	if len(b) > sip.MaxMessage {
+		return sip.ErrTooLong
+	}
+	p.Send(b)
+	return nil
 }
 
 // Cancel implements Peer.
--- a/internal/sip/message.go
+++ b/internal/sip/message.go
@@ -340,7 +340,12 @@
 	return b
 }
 
-// Response returns a complete response without a body.
+// Response returns a complete response without a body. It repeats no headers of a request if these would make it exceed
+// MaxMessage, as short forms of their names are written out.
 func Response(m *Message, status int) []byte {
-	return AppendBody(append(AppendStatus(nil, status), EchoHeaders(m)...), nil)
+	b := AppendBody(append(AppendStatus(nil, status), EchoHeaders(m)...), nil)
+	if len(b) > MaxMessage {
+		return AppendBody(AppendStatus(nil, status), nil)
+	}
+	return b
 }
--- a/internal/sip/message_test.go
+++ b/internal/sip/message_test.go
@@ -125,3 +125,19 @@
 		t.Errorf("response %q", got)
 	}
 }
+
+// Guards against responses over 16 KiB to a request that is shorter, as names of headers are written out.
+func TestResponsesAreBounded(t *testing.T) {
+	var lines strings.Builder
+	for range maxHeaders - 1 {
+		lines.WriteString("i:" + strings.Repeat("x", 120) + "\r\n")
+	}
+	text := "BYE sip:1@net SIP/2.0\r\n" + lines.String() + "l:0\r\n\r\n"
+	m, err := NewReader(strings.NewReader(text)).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(Response(m, 481)); n > MaxMessage {
+		t.Errorf("%d bytes in response to %d", n, len(text))
+	}
+}
