Readers, writers and core: one client at full speed no longer delays all others

Cause: on one core, the busy connection's goroutines and the core wake each other without end; Go's scheduler then looks at its global queue, where the goroutines wait that the network has woken, at each 61st switch alone: up to 0.6 s. Evidence: GODEBUG=schedtrace shows 5 to 8 goroutines in the global queue throughout; the debug log shows 33 calls of 0.66 s read in one millisecond. Ruled out: the order of those that wait for the core's inbox (made fair on trial: 1,075 to 1,497 ms as before), memory, and a core that is behind (since_ms 3 at the 99th percentile). Fix: a reader pauses 2 ms when it has handled input for 2 ms longer than it waited; writers and the core yield after each batch. It is in the input and queue that both fronts and the connections to offices share.

--- a/check.sh
+++ b/check.sh
@@ -31,7 +31,7 @@
 fi
 # Packages that play whole fleets of processes in real time come last, two at a time: beside those that use all cores they
 # starve, and members that get no processor time are taken for dead.
-realtime='masthill/cmd/masthill masthill/cmd/masthill-lab masthill/lab/rig masthill/lab/scale masthill/lab/wave'
+realtime='masthill/cmd/masthill masthill/cmd/masthill-lab masthill/lab/hostile masthill/lab/rig masthill/lab/scale masthill/lab/wave'
 failed=0
 go test "${options[@]}" $(go list ./... | grep -vxF "$(tr ' ' '\n' <<<"$realtime")") || failed=1
 go test "${options[@]}" -p 2 $realtime || failed=1
--- a/cmd/masthill-lab/main.go
+++ b/cmd/masthill-lab/main.go
@@ -18,19 +18,21 @@
 )
 
 type cli struct {
-	Demo        demoCmd   `cmd:"" help:"Run three instances against simulated callers and servers, and restart them."`
-	Model       modelCmd  `cmd:"" help:"Simulate a restart wave in a fleet of any size, with and without recovery, over paired seeds."`
-	Flood       floodCmd  `cmd:"" help:"Simulate a flood of calls by one tenant, with and without shares, over the same seeds."`
-	Silent      silentCmd `cmd:"" help:"Simulate a server that goes silent, and measure how long set-ups are sent to it."`
-	Cold        coldCmd   `cmd:"" help:"Simulate cold servers, and measure the load from all controllers and how often it is too high."`
-	ColdChance  chanceCmd `cmd:"" help:"Compute the probability that a cold server is overloaded, from the ramp of its budget alone."`
-	Jam         jamCmd    `cmd:"" help:"Simulate a load jump after which a fleet may stay congested."`
-	Border      borderCmd `cmd:"" help:"Show after which load jumps and at which sizes a fleet does not recover, as a table and plots."`
-	Scenes      scenesCmd `cmd:"" help:"Simulate scenes with two sets of decision modules, over paired seeds."`
-	Levels      levelsCmd `cmd:"" help:"Simulate a load swing, a load jump, a slowdown before a restart wave, or an overload, with and without levels."`
-	Rig         rigCmd    `cmd:"" help:"Run a fleet of real processes that share state, inject faults, and check their claims against each other."`
-	Scale       scaleCmd  `cmd:"" help:"Measure the cost per member by the size of a fleet, with real and hollow members."`
-	RestartWave waveCmd   `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
+	Demo        demoCmd       `cmd:"" help:"Run three instances against simulated callers and servers, and restart them."`
+	Model       modelCmd      `cmd:"" help:"Simulate a restart wave in a fleet of any size, with and without recovery, over paired seeds."`
+	Flood       floodCmd      `cmd:"" help:"Simulate a flood of calls by one tenant, with and without shares, over the same seeds."`
+	Silent      silentCmd     `cmd:"" help:"Simulate a server that goes silent, and measure how long set-ups are sent to it."`
+	Cold        coldCmd       `cmd:"" help:"Simulate cold servers, and measure the load from all controllers and how often it is too high."`
+	ColdChance  chanceCmd     `cmd:"" help:"Compute the probability that a cold server is overloaded, from the ramp of its budget alone."`
+	Jam         jamCmd        `cmd:"" help:"Simulate a load jump after which a fleet may stay congested."`
+	Border      borderCmd     `cmd:"" help:"Show after which load jumps and at which sizes a fleet does not recover, as a table and plots."`
+	Scenes      scenesCmd     `cmd:"" help:"Simulate scenes with two sets of decision modules, over paired seeds."`
+	Levels      levelsCmd     `cmd:"" help:"Simulate a load swing, a load jump, a slowdown before a restart wave, or an overload, with and without levels."`
+	Rig         rigCmd        `cmd:"" help:"Run a fleet of real processes that share state, inject faults, and check their claims against each other."`
+	Scale       scaleCmd      `cmd:"" help:"Measure the cost per member by the size of a fleet, with real and hollow members."`
+	Hostile     hostileCmd    `cmd:"" help:"Play clients that misbehave against one real instance, beside a good client."`
+	GoodClient  goodClientCmd `cmd:"" hidden:"" help:"The good client of the command hostile."`
+	RestartWave waveCmd       `cmd:"" help:"Restart most of a fleet within half a minute, just after a server was replaced by a cold one."`
 }
 
 type demoCmd struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"sync"
 	"time"
 
@@ -109,6 +110,7 @@
 		}
 		x.core.tick()
 		if len(batch) > 0 {
+			runtime.Gosched() // or the core and a busy connection keep a processor core to themselves
 			continue
 		}
 		timer.Reset(x.core.untilNextTimer())
--- a/internal/sip/input.go
+++ b/internal/sip/input.go
@@ -46,6 +46,7 @@
 	readStart int64
 	drained   bool
 	readFunc  func(fd uintptr) bool
+	turn      turn // of the reader
 }
 
 // NewInput creates the input of a connection.
@@ -68,9 +69,12 @@
 		i.recordEnd(err)
 		return n, err
 	}
+	calledAt := i.pauseAfterTurn()
 	i.buffer = b
 	err := i.raw.Read(i.readFunc)
 	i.buffer = nil
+	returnedAt := time.Now()
+	i.turn.readReturned(returnedAt.Sub(calledAt), returnedAt)
 	if err == nil {
 		err = i.err
 	} else {
@@ -80,6 +84,16 @@
 	return i.n, err
 }
 
+// pauseAfterTurn pauses a reader whose turn is over, and returns the time.
+func (i *Input) pauseAfterTurn() time.Time {
+	now := time.Now()
+	if i.turn.readCalled(now) {
+		time.Sleep(turnPause)
+		now = time.Now()
+	}
+	return now
+}
+
 // ReadNow is Read without blocking and without regard to deadlines; it returns syscall.EAGAIN if nothing has arrived.
 func (i *Input) ReadNow(b []byte) (int, error) {
 	i.MarkHandled()
--- a/internal/sip/queue.go
+++ b/internal/sip/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -90,6 +91,7 @@
 			size += len(b)
 		}
 		err := write(batch)
+		runtime.Gosched() // or the writer and a busy reader keep a processor core to themselves
 		q.mu.Lock()
 		q.size -= size
 		if err == nil {
--- /dev/null
+++ b/internal/sip/turn_test.go
@@ -0,0 +1,67 @@
+package sip
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// Guards against readers that keep a processor core to themselves: one whose input does not run dry pauses, one that waits
+// for its input as long as it handles it does not.
+func TestReaderOfEndlessInputPauses(t *testing.T) {
+	const reads = 100
+	for _, tc := range []struct {
+		handling, wait time.Duration // of each message
+		want           int           // pauses in that many reads
+	}{
+		{maxTurn / 10, 0, reads / 10},
+		{maxTurn / 10, maxTurn / 20, reads / 20},
+		{maxTurn / 2, maxTurn / 2, 0},
+		{maxTurn * 2, 0, reads},
+	} {
+		var u turn
+		now, pauses := time.Unix(1_000_000, 0), 0
+		u.readReturned(0, now)
+		for range reads {
+			now = now.Add(tc.handling)
+			if u.readCalled(now) {
+				pauses++
+			}
+			now = now.Add(tc.wait)
+			u.readReturned(tc.wait, now)
+		}
+		if pauses < tc.want-1 || pauses > tc.want {
+			t.Errorf("handling %v, wait %v: %d pauses in %d reads, want %d", tc.handling, tc.wait, pauses, reads, tc.want)
+		}
+	}
+}
+
+// Guards against the same in reads of a socket.
+func TestInputPausesAfterATurn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := NewInput(c)
+	io.WriteString(peer, "xx")
+	if _, err := in.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	in.turn.handled = maxTurn
+	calledAt := time.Now()
+	if _, err := in.Read(make([]byte, 1)); err != nil || time.Since(calledAt) < turnPause {
+		t.Errorf("a read after a whole turn took %v, %v", time.Since(calledAt), err)
+	}
+}
