Core: the timers of a call are stopped when it is answered or ends

Cause: the timers for a caller's deadline and for attempts were never stopped and stayed until they fired. Evidence: the peak follows the patience of the calls (83 MB with 3 s, 145 to 152 MB with 9 s); a test of the core counts 2,001 timers after 1,000 calls that had ended or been answered. Ruled out: recorded answers, numbers and present calls, which are bounded. Fix: timers know their place in the heap; a call's are removed with its answer or its end. Test: TestEndedCallsLeaveNoTimers, red before (2,001 timers), green now.

--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -55,9 +55,6 @@
 	cl.notAfter = notAfter
 	// The controller ends every call in time by itself. If it ever did not, the caller would still be owed an answer.
 	c.afterForCall(cl, time.Duration(notAfter-c.now), func(cl *call) {
-		if cl.established {
-			return
-		}
 		if cl.inFlight {
 			c.withdrawAttempt(cl, control.TimedOut)
 		}
@@ -112,6 +109,7 @@
 	c.log.Debug("answer", "call", cl.ID, "verdict", answer.Kind, "later_ms", answer.RetryAfter.Milliseconds(), "attempts",
 		cl.attempts, "server", cl.server, "after_ms", (c.now-cl.ReceivedAt.UnixNano())/1e6)
 	if answer.Kind == Established {
+		c.stopTimers(cl)
 		cl.established, cl.officeDescription = true, answer.Description
 		c.loadBytes += len(answer.Description)
 	} else {
@@ -122,23 +120,12 @@
 	cl.caller.Answer(cl.ID, answer)
 }
 
-// afterForCall sets a timer for a call, which runs only if the call still exists. The timer does not reference the
-// call: set-ups that are refused at once arrive by the thousands, and their descriptions would stay in memory until
-// their callers' deadlines.
-func (c *core) afterForCall(cl *call, wait time.Duration, do func(*call)) {
-	id, serial := cl.ID, cl.serial
-	c.after(wait, func() {
-		if cl := c.calls[id]; cl != nil && cl.serial == serial {
-			do(cl)
-		}
-	})
-}
-
 // remove deletes a call and its share of the memory count.
 func (c *core) remove(cl *call) {
 	if cl.holds > 0 {
 		c.heldByModules--
 	}
+	c.stopTimers(cl)
 	delete(c.calls, cl.ID)
 	c.loadBytes -= bytesPerCall + len(cl.Description) + len(cl.officeDescription)
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -48,6 +48,7 @@
 	established       bool
 	officeDescription []byte
 	answeredAt        int64
+	timers            []*timer // that only matter while the call has no answer
 }
 
 // core is the state of an Exchange. Only one goroutine uses it.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -426,6 +426,25 @@
 	b.expect()
 }
 
+// Guards against memory that grows with the rate of calls: the timers of a call that had been cancelled or answered stayed until
+// its caller's deadline.
+func TestEndedCallsLeaveNoTimers(t *testing.T) {
+	b := newHarness(t)
+	for k := range 1000 {
+		id := fmt.Sprint(k)
+		b.submitCall(id, 9*time.Second)
+		if k%2 == 0 {
+			b.giveUp(id, "o", nil)
+		} else {
+			b.attemptEstablished(b.calls[id].server, id, 0, nil)
+		}
+	}
+	b.advance(time.Second)         // the controller's own timers are due by then
+	if n := len(b.timers); n > 2 { // the checks of unanswered set-ups and of silent offices
+		t.Errorf("%d timers of ended and established calls", n)
+	}
+}
+
 // While a caller is disconnected, its attempt in flight goes on but no other is sent. A caller that comes back rejoins
 // its call or gets the recorded answer.
 func TestDisconnectedCaller(t *testing.T) {
