WebSocket front: the head of a request has up to 100 fields

Cause: a head was bounded in bytes alone, and net/http keeps each field as a map entry while the head is still being read. Ruled out: the number of connections, their buffers, and whole heads, which are answered and forgotten.

--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -210,6 +210,42 @@
 	}
 }
 
+// Guards against memory that a few hundred clients can take: the fields of a head that never ended took some twenty times
+// their bytes. Heads within the limit, one after the other or with a body behind them, are served.
+func TestHeadsWithManyFieldsAreRefused(t *testing.T) {
+	f := newFixture(t, 10)
+	head := func(fields int) string {
+		return "GET /v1/ready HTTP/1.1\r\nHost: n0\r\n" + strings.Repeat("a:\r\n", fields-1)
+	}
+	for _, tc := range []struct {
+		name, request string
+		want          string // the statuses of the responses
+	}{
+		{"many, without an end", head(maxHeadFields + 1), "400;"},
+		{"many", head(maxHeadFields+1) + "\r\n", "400;"},
+		{"two requests within the limit", head(maxHeadFields) + "\r\n" + head(maxHeadFields-1) + "Connection: close\r\n\r\n", "200;200;"},
+	} {
+		c, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(headerTimeout - time.Second)) // or it was refused as too slow
+		io.WriteString(c, tc.request)
+		text, err := io.ReadAll(c)
+		got := ""
+		for _, part := range strings.Split(string(text), "HTTP/1.1 ")[1:] {
+			got += part[:3] + ";"
+		}
+		if got != tc.want {
+			t.Errorf("%s: statuses %s, %v, want %s", tc.name, got, err, tc.want)
+		}
+	}
+	ws := f.open()
+	f.write(ws, strings.Replace(setup, `"offer"`, `"`+strings.Repeat("\\n", 2*maxHeadFields)+`"`+strings.Repeat("\n", 2*maxHeadFields), 1))
+	f.expect("submit " + key) // line ends of messages do not count
+}
+
 // Guards against a lost caller: a connection whose handshake had not been read yet, or only in part, was evicted while newer
 // ones that had sent nothing stayed open.
 func TestReceivingConnectionIsEvictedLast(t *testing.T) {
--- a/internal/callws/listener.go
+++ b/internal/callws/listener.go
@@ -34,6 +34,8 @@
 	listener *boundedListener
 	openedAt time.Time
 	readAt   atomic.Int64 // when bytes were last read, in Unix nanoseconds
+	isSocket atomic.Bool  // what is read is no head of a request any more
+	head     headCounter  // used by the reader only
 	// Guarded by listener.mu. claimed: it is a socket, or about to become one; evicted: it is being closed to make room;
 	// unreadAt: when unread input was last seen.
 	claimed, evicted bool
@@ -46,6 +48,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.claimed = !c.evicted
+	c.isSocket.Store(c.claimed)
 	return c.claimed
 }
 
@@ -54,14 +57,25 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.claimed = false
+	c.isSocket.Store(false)
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A request whose head has too many fields is an error, which the HTTP server answers with 400.
 func (c *trackedConn) Read(b []byte) (int, error) {
+	if c.head.tooLong { // the HTTP server may read on after the first error
+		return 0, errTooManyFields
+	}
 	n, err := c.in.Read(b)
 	if n > 0 {
 		c.readAt.Store(time.Now().UnixNano())
 	}
+	if c.isSocket.Load() {
+		return n, err
+	}
+	if c.head.add(b[:n]); c.head.tooLong {
+		time.Sleep(headRefusalDelay)
+		return 0, errTooManyFields
+	}
 	return n, err
 }
 
