Offices: calls at an office that the list removes are released there, not only to their callers

Cause: core.updateOffices told the callers alone, and the pool closed the connection at once, with all that was queued on it. Ruled out: a list that came late, and releases that the callers did not get. Related paths: releases of callers that had hung up just before a removal were discarded too. TestCutCalls and TestFullListOmitsOffice expected that the office hears nothing; they expect its release now, in its order.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -250,19 +250,23 @@
 	b.expect("bye c at 10 false")
 }
 
-// Calls at an office that died, restarted or left the list are released towards their callers.
+// Calls at an office that died, restarted or left the list are released towards their callers. One that left the list gets a
+// release too: another office may have come up at its address and taken the call.
 func TestCutCalls(t *testing.T) {
-	for _, end := range []func(b *harness){
-		func(b *harness) { b.officeLost(10, b.now+1) },
-		func(b *harness) { b.updateOffices([]Office{newOffice(10, 0, control.Removed, 0)}, false) },
-		func(b *harness) { b.updateOffices([]Office{newOffice(10, 0, control.Serving, b.now+1)}, false) },
+	for _, tc := range []struct {
+		end  func(b *harness)
+		want []string
+	}{
+		{func(b *harness) { b.officeLost(10, b.now+1) }, []string{"release a true"}},
+		{func(b *harness) { b.updateOffices([]Office{newOffice(10, 0, control.Removed, 0)}, false) }, []string{"bye a at 10 true", "release a true"}},
+		{func(b *harness) { b.updateOffices([]Office{newOffice(10, 0, control.Serving, b.now+1)}, false) }, []string{"release a true"}},
 	} {
 		b := newHarness(t)
 		b.submitCall("a", 3*time.Second)
 		b.attemptEstablished(10, "a", 0, nil)
 		b.outputs = nil
-		end(b)
-		b.expect("release a true")
+		tc.end(b)
+		b.expect(tc.want...)
 	}
 	// The list reports a start late: what was sent after it is established at the new process.
 	b := newHarness(t)
@@ -345,7 +349,7 @@
 	b.attemptEstablished(10, "a", 0, nil)
 	b.outputs = nil
 	b.updateOffices([]Office{newOffice(11, 1, control.Serving, 0)}, true)
-	b.expect("release a true")
+	b.expect("bye a at 10 true", "release a true") // another office may be at its address, and have the call
 	b.updateOffices([]Office{newOffice(11, 1, control.Serving, 0)}, true)
 	b.expect()
 }
--- a/internal/exchange/servers.go
+++ b/internal/exchange/servers.go
@@ -73,6 +73,11 @@
 		c.knownOffices[o.Server] = o
 		ev.Entries = append(ev.Entries, o.Entry)
 	}
+	for id := range cutBefore {
+		if c.knownOffices[id].State == control.Removed {
+			c.releaseCallsAt(id)
+		}
+	}
 	for id, o := range c.knownOffices {
 		if o.State == control.Removed && len(c.knownOffices) > maxDepartedServers {
 			delete(c.knownOffices, id)
@@ -85,3 +90,13 @@
 		c.officeLost(id, before)
 	}
 }
+
+// releaseCallsAt sends the office the releases of its established calls, which are about to be cut. Another office may have come
+// up at the address of one that has gone, and taken calls that were meant for it: they would run on without their callers.
+func (c *core) releaseCallsAt(server uint64) {
+	for _, cl := range c.callsInOrder() {
+		if cl.established && cl.server == server {
+			c.offices.Bye(server, cl.ID, cl.attempts-1, true)
+		}
+	}
+}
--- a/internal/office/link.go
+++ b/internal/office/link.go
@@ -27,7 +27,9 @@
 	pool            *Pool
 	server          uint64
 	addr            string
-	cancel          context.CancelFunc
+	cancel          context.CancelFunc // ends run
+	sessions        context.Context    // of the connections, which may outlast run
+	endSessions     context.CancelFunc
 	wakeup          chan struct{} // wakes run: an attempt waits, or the current session was found stale
 	current         *session
 	previous        *session // the replaced one, as long as attempts are outstanding on it
@@ -123,7 +125,11 @@
 		s := newSession(l, peer)
 		latest = s
 		l.pool.onConnected(s)
-		l.pool.group.Go(func() error { return s.serve(ctx) })
+		sessionCtx := l.sessions
+		if ctx.Err() != nil { // the link was dropped meanwhile
+			sessionCtx = ctx
+		}
+		l.pool.group.Go(func() error { return s.serve(sessionCtx) })
 	}
 }
 
--- a/internal/office/pool.go
+++ b/internal/office/pool.go
@@ -15,6 +15,8 @@
 const (
 	// maxWaitingAttempts and maxPendingReleases bound the attempts and the releases that wait for one connect.
 	maxWaitingAttempts, maxPendingReleases = 256, 256
+	// dropTimeout bounds the end of the connections to an office that is no longer used: what was sent before is written.
+	dropTimeout = writeTimeout
 )
 
 // Options configures a Pool.
@@ -63,6 +65,7 @@
 func (p *Pool) start(l *link) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	l.cancel = cancel
+	l.sessions, l.endSessions = context.WithCancel(p.ctx)
 	p.group.Go(func() error { l.run(ctx); return nil })
 }
 
@@ -100,11 +103,18 @@
 	}
 }
 
+// drop ends a link. Its connections end once the releases that were sent before have been written.
 func (p *Pool) drop(l *link) {
 	delete(p.links, l.server)
 	l.cancelProbe()
 	if l.cancel != nil {
 		l.cancel()
+		for _, s := range []*session{l.current, l.previous} {
+			if s != nil {
+				s.peer.Close()
+			}
+		}
+		time.AfterFunc(dropTimeout, l.endSessions)
 	}
 	l.failWaiting(control.ConnectionRefused)
 }
--- a/internal/office/releases_test.go
+++ b/internal/office/releases_test.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// Guards against a lost release: what was sent to an office just before the list removed it was discarded with its connection.
+func TestReleaseBeforeRemovalIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestPool(t)
+		office := <-b.connections
+		b.Bye(10, "9b1f03aa5c7e2d41", 0, true)
+		b.UpdateList(nil, true)
+		r := sip.NewReader(office)
+		readUntil(t, r, "BYE")
+		if _, err := r.Next(); err != io.EOF {
+			t.Errorf("after the release: %v", err)
+		}
+	})
+}
+
 // A release sent on a connection that had fallen silent was lost, as the silence was noticed more than a second later. It
 // is sent again on the next connection, but not if the office was heard after it.
 func TestReleaseOnSilentConnection(t *testing.T) {
--- a/lab/hostile/client.go
+++ b/lab/hostile/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/coder/websocket"
@@ -39,6 +40,7 @@
 	Refused  int     `json:"refused"` // with the advice to try again
 	Failed   int     `json:"failed"`
 	Missed   int     `json:"missed"` // no answer within the patience
+	Cut      int     `json:"cut"`    // accepted calls that were released before their time
 	P50MS    float64 `json:"p50_ms"` // of the time until an answer
 	P99MS    float64 `json:"p99_ms"`
 	MaxMS    float64 `json:"max_ms"`
@@ -49,6 +51,7 @@
 	id       string
 	accepted bool
 	refused  bool
+	cut      bool // no answer but a release before its time
 }
 
 // transport is a connection to one front.
@@ -90,6 +93,10 @@
 			current = nil
 			go connect()
 		case v := <-verdicts:
+			if v.cut {
+				r.Cut++
+				continue
+			}
 			at, ok := pending[v.id]
 			if !ok {
 				continue
@@ -199,6 +206,7 @@
 	if m.Status == 0 {
 		if string(m.Method) == "BYE" {
 			t.send(string(sip.Response(m, 200)))
+			return verdict{id: id, cut: strings.Contains(string(m.Get("Reason")), "cause=41")}, nil
 		}
 		return verdict{}, nil
 	}
@@ -218,7 +226,10 @@
 
 func (t wsTransport) next() (verdict, error) {
 	_, text, err := t.ws.Read(context.Background())
-	var m struct{ Type, ID string }
+	var m struct {
+		Type, ID string
+		Cut      bool
+	}
 	if err == nil {
 		err = json.Unmarshal(text, &m)
 	}
@@ -227,7 +238,7 @@
 		return verdict{}, err
 	}
 	if m.Type == "released" {
-		return verdict{}, nil
+		return verdict{id: m.ID, cut: m.Cut}, nil
 	}
 	return verdict{id: m.ID, accepted: m.Type == "stands", refused: m.Type == "refused"}, nil
 }
--- a/lab/hostile/hostile.go
+++ b/lab/hostile/hostile.go
@@ -14,7 +14,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"masthill/lab/host"
 	"masthill/lab/standin"
 )
 
@@ -76,19 +75,12 @@
 		return r, err
 	}
 	g.Go(func() error { return list.Run(ctx) })
-	wsAddr, err := freeAddress()
-	if err != nil {
-		return r, err
-	}
-	config := host.PlatformConfig(instanceName, 0, host.Site{Instances: 1, Servers: officeCount, Planned: 100}, list.Addr(), o.Seed)
-	settings := fmt.Sprintf("[callws]\nlisten = %q\n[callws.callers]\n%s = %q\n%s = %q\n", wsAddr, goodIdentity, goodToken, hostileIdentity, hostileToken)
-	instance := &host.Instance{Name: instanceName, Dir: o.Dir, Program: o.Program, Settings: settings, Config: config}
-	sipAddr, err := instance.Start(ctx, list.KnownList())
+	t, instance, err := startInstance(ctx, o, list, officeCount)
 	if err != nil {
 		return r, err
 	}
 	defer instance.Stop(true)
-	t := &target{sip: sipAddr, ws: wsAddr, clients: o.Clients, offices: offices}
+	t.offices = offices
 	memory := watchMemory(ctx, instance.PID())
 	good := goodClient(o, t)
 	if err := good.Start(); err != nil {
--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -72,3 +72,21 @@
 		})
 	}
 }
+
+// Guards against calls that run on without their caller: those at an office that had come up at the address of one that the list
+// then removed. Their callers were told that they had been cut, and no release was sent to the office.
+func TestCallsAtReplacedOfficeAreReleased(t *testing.T) {
+	for _, front := range []Front{SIP, WebSocket} {
+		t.Run(string(front), func(t *testing.T) {
+			r, err := RunReplacement(t.Context(), Options{Program: program, Lab: os.Args[0], Dir: t.TempDir(), GoodFront: front, Duration: 4 * time.Second,
+				Seed: 1, OfficeTime: 10 * time.Millisecond})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", r)
+			if r.Standing == 0 || r.Left > 0 {
+				t.Errorf("of %d calls at the new office %d still stand there", r.Standing, r.Left)
+			}
+		})
+	}
+}
--- a/lab/hostile/offices.go
+++ b/lab/hostile/offices.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,10 +31,41 @@
 	left       map[string]time.Time // when the client of a hostile call left
 	total      int64
 	afterLeft  int64
+	standing   map[string]bool // calls that have been answered and neither ended nor been released
+	callLength time.Duration
+	conns      map[net.Conn]bool
 }
 
 func newOffices(answerTime time.Duration) *offices {
-	return &offices{answerTime: answerTime, setUps: map[string]int{}, left: map[string]time.Time{}}
+	return &offices{answerTime: answerTime, setUps: map[string]int{}, left: map[string]time.Time{}, standing: map[string]bool{}, conns: map[net.Conn]bool{}, callLength: callLength}
+}
+
+// standingCalls returns the ids of the calls that stand.
+func (o *offices) standingCalls() (ids []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Keys(o.standing))
+}
+
+// stillStanding counts the calls of a list that still stand.
+func (o *offices) stillStanding(ids []string) (n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, id := range ids {
+		if o.standing[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// end ends a call, and tells whether it stood.
+func (o *offices) end(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	stood := o.standing[id]
+	delete(o.standing, id)
+	return stood
 }
 
 // clientLeft records that the client of hostile calls has closed its connection or cancelled them.
@@ -79,7 +112,15 @@
 // serve serves one connection of the instance.
 func (o *offices) serve(ctx context.Context, raw net.Conn) {
 	defer context.AfterFunc(ctx, func() { raw.Close() })()
-	defer raw.Close()
+	o.mu.Lock()
+	o.conns[raw] = true
+	o.mu.Unlock()
+	defer func() {
+		raw.Close()
+		o.mu.Lock()
+		delete(o.conns, raw)
+		o.mu.Unlock()
+	}()
 	out := &lockedWriter{Conn: raw}
 	go func() {
 		for ctx.Err() == nil && out.send("NOTIFY sip:state@net SIP/2.0\r\nX-State: x0:100000;x1:100000;util:0.1;queue:0\r\nContent-Length: 0\r\n\r\n") {
@@ -91,14 +132,25 @@
 		if err != nil {
 			return
 		}
+		id := string(m.Get("Call-ID"))
+		if string(m.Method) == "BYE" {
+			o.end(id)
+		}
 		if string(m.Method) != "INVITE" {
 			continue
 		}
-		id := string(m.Get("Call-ID"))
 		o.countSetUp(id, string(m.User()))
 		echo := string(sip.EchoHeaders(m))
-		time.AfterFunc(o.answerTime, func() { out.send("SIP/2.0 200 OK\r\n" + echo + "Content-Length: 2\r\n\r\nok") })
-		time.AfterFunc(o.answerTime+callLength, func() {
+		time.AfterFunc(o.answerTime, func() {
+			o.mu.Lock()
+			o.standing[id] = true
+			o.mu.Unlock()
+			out.send("SIP/2.0 200 OK\r\n" + echo + "Content-Length: 2\r\n\r\nok")
+		})
+		time.AfterFunc(o.answerTime+o.callLength, func() {
+			if !o.end(id) {
+				return
+			}
 			out.send(fmt.Sprintf("BYE sip:%s@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n", id, id))
 		})
 	}
