Core: records of calls that reached an office outlast those of a flood of cancelled calls

Cause: the table of final answers drops the oldest beyond 8,192, and cancelled calls enter it at 60,000 a second. Evidence: without the flood none of 36,000 ids that came again ran twice; with it most did. Ruled out: set-ups of clients that had left (none reached an office over 20 ms after that), and records that were not made. Fix: beyond the bounds, records of calls without an attempt go first. Related: WebSocket callers that send a call again, and repeated releases of offices, are told by the same table. Test: TestRecordOfAttemptedCallOutlastsAFlood; the same steps on the old table: 'invite a 0' in place of the recorded answer.

--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -10,16 +10,6 @@
 	"masthill/control/join"
 )
 
-// recordedAnswer is the final answer to a call, kept for callers that repeat its set-up.
-type recordedAnswer struct {
-	id, owner   string
-	fingerprint uint64 // of the set-up
-	answer      FinalAnswer
-	ended       bool // the call was established and has ended
-	cut         bool
-	at          int64
-}
-
 // submit handles a set-up: a new call is admitted, a repeated one joins its call or gets the recorded answer.
 func (c *core) submit(s Setup, caller Caller) {
 	if cl := c.calls[s.ID]; cl != nil {
@@ -33,7 +23,7 @@
 		}
 		return
 	}
-	if recorded := c.answers[s.ID]; recorded != nil {
+	if recorded := c.answers.get(s.ID); recorded != nil {
 		if recorded.owner != s.Owner || recorded.fingerprint != s.Fingerprint() { // another call with the same id
 			caller.Answer(s.ID, FinalAnswer{Kind: Failed})
 			return
@@ -114,7 +104,7 @@
 		c.loadBytes += len(answer.Description)
 	} else {
 		c.remove(cl)
-		c.recordAnswer(&recordedAnswer{id: cl.ID, owner: cl.Owner, fingerprint: cl.Fingerprint(), answer: answer, at: c.now})
+		c.recordAnswer(cl, recordedAnswer{answer: answer})
 	}
 	c.recordCall(cl, Record{AnswerKind: answer.Kind.String(), RetryAfter: answer.RetryAfter})
 	cl.caller.Answer(cl.ID, answer)
@@ -143,21 +133,10 @@
 	c.onRecord(r)
 }
 
-// recordAnswer keeps a final answer and removes the oldest ones beyond the bounds.
-func (c *core) recordAnswer(recorded *recordedAnswer) {
-	c.answers[recorded.id] = recorded
-	c.answerQueue = append(c.answerQueue, recorded)
-	c.answerBytes += len(recorded.answer.Description)
-	for len(c.answerQueue) > c.memoryBytes/answerMemoryDivisor/bytesPerAnswer || c.answerBytes > c.memoryBytes/answerMemoryDivisor ||
-		len(c.answerQueue) > 0 && c.now-c.answerQueue[0].at > int64(answerRetention) {
-		oldest := c.answerQueue[0]
-		c.answerQueue[0] = nil
-		c.answerQueue = c.answerQueue[1:]
-		c.answerBytes -= len(oldest.answer.Description)
-		if c.answers[oldest.id] == oldest {
-			delete(c.answers, oldest.id)
-		}
-	}
+// recordAnswer keeps the final answer to a call that is over.
+func (c *core) recordAnswer(cl *call, r recordedAnswer) {
+	r.id, r.owner, r.fingerprint, r.attempted, r.at = cl.ID, cl.Owner, cl.Fingerprint(), cl.attempts > 0, c.now
+	c.answers.add(&r)
 }
 
 func (c *core) giveUp(id, owner string, caller Caller) {
@@ -171,7 +150,7 @@
 	}
 	c.remove(cl)
 	c.unanswered--
-	c.recordAnswer(&recordedAnswer{id: id, owner: owner, fingerprint: cl.Fingerprint(), answer: FinalAnswer{Kind: Failed}, at: c.now})
+	c.recordAnswer(cl, recordedAnswer{answer: FinalAnswer{Kind: Failed}})
 	c.recordCall(cl, Record{AnswerKind: "left"})
 	c.dispatch(control.Event{Kind: control.Aborted, Call: id})
 	if cl.inFlight {
@@ -189,8 +168,7 @@
 // set-ups.
 func (c *core) endEstablished(cl *call, result Result, cut bool) {
 	c.remove(cl)
-	c.recordAnswer(&recordedAnswer{id: cl.ID, owner: cl.Owner, fingerprint: cl.Fingerprint(), answer: FinalAnswer{Kind: Established, Description: cl.officeDescription}, ended: true,
-		cut: cut, at: c.now})
+	c.recordAnswer(cl, recordedAnswer{answer: FinalAnswer{Kind: Established, Description: cl.officeDescription}, ended: true, cut: cut})
 	c.recordCall(cl, Record{AnswerKind: Established.String(), Cut: cut})
 	c.dispatch(control.Event{Kind: control.AttemptEnded, Call: cl.ID, Server: cl.server, Elapsed: c.now - cl.sentAt,
 		Outcome: result.Outcome, Report: result.Report, CallEnded: true})
@@ -212,7 +190,7 @@
 		if report != nil {
 			c.reportReceived(server, report)
 		}
-		if cl == nil && c.answers[id] == nil {
+		if cl == nil && c.answers.get(id) == nil {
 			c.onUnknownRelease(id, cut)
 		}
 		return
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// answerRetention is how long final answers are kept for callers that repeat a set-up: longer than any class's
-	// deadline. At the highest call rates of one instance that is a few thousand answers. answerMemoryDivisor bounds
-	// their descriptions as a fraction of the instance's memory, 1/24, and with bytesPerAnswer their number.
-	answerRetention, answerMemoryDivisor, bytesPerAnswer = 30 * time.Second, 24, 1 << 10
 	// releaseWaitMargin is added to the release wait that the controller is configured with: the controller counts
 	// from its event, while the required wait counts from when the CANCEL has been written.
 	releaseWaitMargin = 15 * int64(time.Millisecond)
@@ -76,9 +72,7 @@
 	knownOffices    map[uint64]Office
 	lastReceivedAt  map[uint64]int64 // when each server last sent anything
 	silenceCheckSet bool             // the timer for the next check is set
-	answers         map[string]*recordedAnswer
-	answerQueue     []*recordedAnswer // oldest first
-	answerBytes     int               // of the descriptions in them
+	answers         *answerTable
 
 	events      []control.Event // still to be dispatched, in order
 	dispatching bool
@@ -96,7 +90,7 @@
 		o.MemoryBytes = 192 << 20
 	}
 	c := &core{memoryBytes: o.MemoryBytes, modules: o.Join, clock: o.Now, log: o.Log, onRecord: o.Record, onUnknownRelease: o.OnUnknownRelease, controller: controller, settings: o.Settings,
-		calls: map[string]*call{}, knownOffices: map[uint64]Office{}, lastReceivedAt: map[uint64]int64{}, answers: map[string]*recordedAnswer{}}
+		calls: map[string]*call{}, knownOffices: map[uint64]Office{}, lastReceivedAt: map[uint64]int64{}, answers: newAnswerTable(o.MemoryBytes)}
 	if len(o.Join) > 0 {
 		controller.ExcludeServers(func(server uint64) bool { ok, _, _ := c.modules.HasCapacity(c.now, server); return !ok })
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -221,8 +221,8 @@
 	b.advance(answerRetention + time.Second)
 	b.submitCall("c", time.Second)
 	b.attemptEnded(10, "c", 0, Result{Outcome: control.Unavailable})
-	if b.answers["a"] != nil || len(b.answerQueue) != 1 {
-		t.Errorf("%d answers still recorded", len(b.answerQueue))
+	if b.answers.get("a") != nil || b.answers.len() != 1 {
+		t.Errorf("%d answers still recorded", b.answers.len())
 	}
 }
 
@@ -449,6 +449,26 @@
 	}
 }
 
+// Guards against a call that runs twice: the record of a call whose client had left was dropped for those of calls that another
+// client set up and cancelled at full speed, and the call was sent to an office again when its client came back.
+func TestRecordOfAttemptedCallOutlastsAFlood(t *testing.T) {
+	b := newHarness(t)
+	b.submitCall("a", 3*time.Second)
+	b.giveUp("a", "o", nil)
+	b.expect("invite a 0 at 10", "cancel a 0 at 10")
+	b.refusingAll = true // no attempt is made for the others
+	for k := range 2 * b.answers.maxAnswers {
+		b.submitCall(fmt.Sprint(k), 3*time.Second)
+	}
+	b.refusingAll = false
+	b.outputs = nil
+	b.submitCall("a", 3*time.Second)
+	b.expect("answer a failed  0ms")
+	if n := b.answers.len(); n > b.answers.maxAnswers {
+		t.Errorf("%d answers recorded, at most %d expected", n, b.answers.maxAnswers)
+	}
+}
+
 // While a caller is disconnected, its attempt in flight goes on but no other is sent. A caller that comes back rejoins
 // its call or gets the recorded answer.
 func TestDisconnectedCaller(t *testing.T) {
--- a/lab/hostile/attacks.go
+++ b/lab/hostile/attacks.go
@@ -71,10 +71,15 @@
 			return fmt.Sprintf("%s sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 %s\r\nContent-Length: 0\r\n\r\n", method, hexID(n), method)
 		})
 	}},
-	{"cancelled", SIP, "one client that sets up and cancels calls with ever new ids and numbers at full speed", func(ctx context.Context, t *target) {
-		flood(ctx, t, func(n int64) string {
-			return invite(hexID(n), number(n), longPatience) + fmt.Sprintf("CANCEL sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n", hexID(n))
-		})
+	{"cancelled", SIP, "one client that sets up and cancels calls with ever new ids and numbers at full speed", floodCancelled},
+	{"repeated", SIP, "the same, beside clients that leave in the middle of a set-up and come back with its id", func(ctx context.Context, t *target) {
+		var g sync.WaitGroup
+		g.Go(func() { floodCancelled(ctx, t) })
+		for n := int64(0); ctx.Err() == nil; n++ {
+			g.Go(func() { repeatCall(ctx, t, hexID(firstRepeated+n)) })
+			time.Sleep(repeatInterval)
+		}
+		g.Wait()
 	}},
 	{"impatient", SIP, "one client with set-ups of 1 ms patience at full speed", func(ctx context.Context, t *target) {
 		flood(ctx, t, func(n int64) string { return invite(hexID(n), number(n), shortPatience) })
@@ -245,3 +250,32 @@
 	c.Close()
 	t.offices.clientLeft(ids)
 }
+
+func floodCancelled(ctx context.Context, t *target) {
+	flood(ctx, t, func(n int64) string {
+		return invite(hexID(n), number(n), longPatience) + fmt.Sprintf("CANCEL sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n", hexID(n))
+	})
+}
+
+const (
+	// firstRepeated is beyond the ids of a flood.
+	firstRepeated = 1 << 40
+	// repeatInterval is the time between two clients that come back, repeatPause how long each is away.
+	repeatInterval, repeatPause = 100 * time.Millisecond, time.Second
+)
+
+// repeatCall sets a call up, leaves while its attempt is out, and comes back with the same id.
+func repeatCall(ctx context.Context, t *target, id string) {
+	for visit := range 2 {
+		c, err := net.DialTimeout("tcp", t.sip, time.Second)
+		if err != nil {
+			return
+		}
+		io.WriteString(c, invite(id, number(1), longPatience))
+		for deadline := time.Now().Add(repeatPause); t.offices.setUpsOf(id) <= visit && time.Now().Before(deadline) && ctx.Err() == nil; {
+			time.Sleep(time.Millisecond)
+		}
+		c.Close()
+		time.Sleep(repeatPause)
+	}
+}
--- a/lab/hostile/offices.go
+++ b/lab/hostile/offices.go
@@ -40,6 +40,13 @@
 	return &offices{answerTime: answerTime, setUps: map[string]int{}, left: map[string]time.Time{}, standing: map[string]bool{}, conns: map[net.Conn]bool{}, callLength: callLength}
 }
 
+// setUpsOf returns how many set-ups of a hostile call have reached offices.
+func (o *offices) setUpsOf(id string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.setUps[id]
+}
+
 // standingCalls returns the ids of the calls that stand.
 func (o *offices) standingCalls() (ids []string) {
 	o.mu.Lock()
