Readers, writers and core: yield after a millisecond's work only, and pause for 4 KiB of it

Seen: TestIdleClientsDoNotExhaustDescriptors failed in the second whole run of the test script, beside load, and then with the race detector in each run: 15 to 42 descriptors held, want 48. A yield after each single answer lets ends of connections be noticed before the next ones are accepted, whose clients have gone too by then. Ruled out: the pauses (2 of 2 pass with them alone), the timers of calls, and the machine's ports (runs alternated). Fix: writers and the core yield when a batch took 1 ms. A turn needs 4 KiB of input too, so that a reader which only waits for the processor is not taken for a flood.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,6 +24,8 @@
 	// answerMargin is how long before its caller's deadline the core ends a call: the answer must be written and read
 	// in full before the deadline, on a processor core that other instances share.
 	answerMargin = 25 * time.Millisecond
+	// yieldAfter is how long the core may handle events before it lets others run.
+	yieldAfter = time.Millisecond
 )
 
 // Options configures an Exchange.
@@ -103,14 +105,11 @@
 		batch, x.inbox = x.inbox, batch[:0]
 		x.spaceFreed.Broadcast()
 		x.mu.Unlock()
-		for k, f := range batch {
-			x.core.tick()
-			f()
-			batch[k] = nil
+		took := x.handle(batch)
+		if took >= yieldAfter {
+			runtime.Gosched() // or the core and a busy connection keep a processor core to themselves
 		}
-		x.core.tick()
 		if len(batch) > 0 {
-			runtime.Gosched() // or the core and a busy connection keep a processor core to themselves
 			continue
 		}
 		timer.Reset(x.core.untilNextTimer())
@@ -123,6 +122,18 @@
 	}
 }
 
+// handle handles events in order, and the timers that are due, and returns how long that took.
+func (x *Exchange) handle(batch []func()) time.Duration {
+	x.core.tick()
+	began := x.core.now
+	for k, f := range batch {
+		f()
+		batch[k] = nil
+		x.core.tick()
+	}
+	return time.Duration(x.core.now - began)
+}
+
 // RunDue handles all queued events and due timers and returns the time until the next timer. It replaces Run where the
 // clock is simulated; it must be called after every event that is handed in.
 func (x *Exchange) RunDue() time.Duration {
--- a/internal/sip/input.go
+++ b/internal/sip/input.go
@@ -73,13 +73,13 @@
 	i.buffer = b
 	err := i.raw.Read(i.readFunc)
 	i.buffer = nil
-	returnedAt := time.Now()
-	i.turn.readReturned(returnedAt.Sub(calledAt), returnedAt)
 	if err == nil {
 		err = i.err
 	} else {
 		i.n = 0
 	}
+	returnedAt := time.Now()
+	i.turn.readReturned(i.n, returnedAt.Sub(calledAt), returnedAt)
 	i.recordEnd(err)
 	return i.n, err
 }
--- a/internal/sip/queue.go
+++ b/internal/sip/queue.go
@@ -18,6 +18,8 @@
 	readPauseBytes = 64 << 10
 	// closeCheckInterval is how often a reader that waits for its peer to read checks whether the peer has closed its side.
 	closeCheckInterval = 25 * time.Millisecond
+	// yieldAfter is how long a writer may take for a batch before it lets others run.
+	yieldAfter = time.Millisecond
 )
 
 // Queue holds the messages to be written to a peer, bounded in bytes.
@@ -90,8 +92,11 @@
 		for _, b := range batch {
 			size += len(b)
 		}
+		began := time.Now()
 		err := write(batch)
-		runtime.Gosched() // or the writer and a busy reader keep a processor core to themselves
+		if time.Since(began) >= yieldAfter {
+			runtime.Gosched() // or the writer and a busy reader keep a processor core to themselves
+		}
 		q.mu.Lock()
 		q.size -= size
 		if err == nil {
