Listener: the system buffers at most 64 KiB for a client that does not read

Cause: the program's queue is bounded, the system's send buffer was not (up to 4 MB a connection). Evidence: the queues of the instance's sockets in /proc/net/tcp. Ruled out: the process's own memory (42 MB) and unread input (4.2 MB). Fix: SO_SNDBUF of 64 KiB on each connection of both fronts. New: the attacks sip/deaf and ws/deaf. Test: TestSystemBuffersLittleForClientThatReadsNothing, red before (over 512 KiB written), green now.

--- a/internal/listener/bounded.go
+++ b/internal/listener/bounded.go
@@ -8,6 +8,10 @@
 	"masthill/internal/descriptors"
 )
 
+// sendBufferBytes bounds what the system buffers for a client that does not read. Its own bound is several megabytes, and
+// what it buffers counts towards the memory limit.
+const sendBufferBytes = 64 << 10
+
 // Bounded is a listener whose connections hold no more descriptors than its limiter allows: at the limit nothing is
 // accepted, and clients wait in the kernel's queue until a connection is closed. The front has a lower limit of its own,
 // at which it closes idle connections to make room; this one also covers the connections that are still being closed.
@@ -65,6 +69,9 @@
 		return nil, err
 	}
 	tcp, ok := c.(*net.TCPConn)
+	if ok { // an error leaves the system's own bounds in place
+		tcp.SetWriteBuffer(sendBufferBytes)
+	}
 	if !ok { // can't happen with a TCP listener
 		c.Close()
 		b.release()
--- a/internal/listener/bounded_test.go
+++ b/internal/listener/bounded_test.go
@@ -160,3 +160,32 @@
 		t.Errorf("%d shortages", shortages)
 	}
 }
+
+// Guards against memory that the system takes for clients that read nothing: it buffered up to four megabytes for each.
+func TestSystemBuffersLittleForClientThatReadsNothing(t *testing.T) {
+	const maxBuffered = 512 << 10 // on both sides together, on loopback
+	b := openBounded(t, 1)
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	peer, err := dialer.Dial("tcp", b.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c, err := b.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	written := 0
+	for err = nil; err == nil && written <= maxBuffered; {
+		c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		var n int
+		n, err = c.Write(make([]byte, 16<<10))
+		written += n
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes written to a client that reads nothing: %v", written, err)
+	}
+}
--- a/lab/hostile/attacks.go
+++ b/lab/hostile/attacks.go
@@ -55,6 +55,9 @@
 	{"fields", SIP, "many clients with heads of very many short fields", func(ctx context.Context, t *target) {
 		manyClients(ctx, t, t.sip, "OPTIONS sip:ping@net SIP/2.0\r\n"+strings.Repeat("a:\r\n", longBody/4)+"Content-Length: 0\r\n\r\n", holding)
 	}},
+	{"deaf", SIP, "many clients that send requests and read no answer", func(ctx context.Context, t *target) {
+		manyClients(ctx, t, t.sip, strings.Repeat("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ping\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n", deafRequests), deaf)
+	}},
 	{"tests", SIP, "one client with readiness tests at full speed", func(ctx context.Context, t *target) {
 		flood(ctx, t, func(int64) string {
 			return "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ping\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
@@ -100,7 +103,7 @@
 		manyClients(ctx, t, t.ws, upgradeHead("X-Long: " + strings.Repeat("x", longBody) + "\r\n")[:longBody], holding)
 	}},
 	{"half-frames", WebSocket, "many callers that stop half way through a large message", func(ctx context.Context, t *target) {
-		manySockets(ctx, t)
+		manySockets(ctx, t, frame(textFrame, longBody, strings.Repeat("x", longBody-1)), holding)
 	}},
 	{"fields", WebSocket, "many clients with heads of very many short fields, which stop before the end", func(ctx context.Context, t *target) {
 		manyClients(ctx, t, t.ws, strings.TrimSuffix(upgradeHead(manyFields()), "\r\n"), holding)
@@ -127,6 +130,9 @@
 	{"impatient", WebSocket, "one caller with calls of 1 ms patience at full speed", func(ctx context.Context, t *target) {
 		floodSocket(ctx, t, func(n int64) string { return callMessage(fmt.Sprint("h", n), number(n), shortPatience) })
 	}},
+	{"deaf", WebSocket, "many callers that send messages and read no answer", func(ctx context.Context, t *target) {
+		manySockets(ctx, t, strings.Repeat(textMessage(`{"type":"hangup","id":"h"}`), deafRequests), deaf)
+	}},
 	{"ready", WebSocket, "one client with readiness tests at full speed", func(ctx context.Context, t *target) {
 		floodAddress(ctx, t, t.ws, func(int64) string { return "GET /v1/ready HTTP/1.1\r\nHost: n0\r\n\r\n" })
 	}},
@@ -206,6 +212,17 @@
 	}
 }
 
+// deafRequests is how many requests a client sends that reads no answer: more than the buffers of the system hold.
+const deafRequests = 100_000
+
+// deaf writes a text, reads nothing and waits until the other side closes.
+func deaf(ctx context.Context, c net.Conn, text string) {
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	if _, err := io.WriteString(c, text); err == nil {
+		<-ctx.Done()
+	}
+}
+
 // flood sends messages over one connection to the platform's front as fast as the instance reads them, and reads the answers.
 func flood(ctx context.Context, t *target, message func(n int64) string) {
 	floodAddress(ctx, t, t.sip, message)
--- a/lab/hostile/sockets.go
+++ b/lab/hostile/sockets.go
@@ -62,8 +62,8 @@
 	return nil
 }
 
-// manySockets keeps t.clients sockets open until ctx ends, on each of which a large message stops half way.
-func manySockets(ctx context.Context, t *target) {
+// manySockets is manyClients with sockets of the hostile caller.
+func manySockets(ctx context.Context, t *target, frames string, write func(ctx context.Context, c net.Conn, text string)) {
 	var g sync.WaitGroup
 	for range t.clients {
 		g.Go(func() {
@@ -75,7 +75,7 @@
 				}
 				t.sent.Add(1)
 				stop := context.AfterFunc(ctx, func() { c.Close() })
-				holding(ctx, c, frame(textFrame, longBody, strings.Repeat("x", longBody-1)))
+				write(ctx, c, frames)
 				stop()
 				c.Close()
 			}
@@ -107,10 +107,12 @@
 	}
 }
 
+// textMessage is a whole text message.
+func textMessage(text string) string { return frame(textFrame, len(text), text) }
+
 func floodSocket(ctx context.Context, t *target, message func(n int64) string) {
 	floodFrames(ctx, t, func(n int64) string {
-		text := message(n)
-		return frame(textFrame, len(text), text)
+		return textMessage(message(n))
 	})
 }
 
