--- a/internal/callws/callws_test.go
+++ b/internal/callws/callws_test.go
@@ -402,16 +402,21 @@
 	h.lines <- what + " " + string(b)
 }
 
-func TestServerConnection(t *testing.T) {
-	got := make(chan *websocket.Conn, 1)
-	addr := netcase.ServeHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+// serveServer serves the protocol for servers, and returns its address and the sockets that are opened.
+func serveServer(t *testing.T) (addr string, sockets chan *websocket.Conn) {
+	sockets = make(chan *websocket.Conn, 1)
+	return netcase.ServeHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{serverProtocol}})
 		if err != nil {
 			t.Error(err)
 			return
 		}
-		got <- ws
-	})
+		sockets <- ws
+	}), sockets
+}
+
+func TestServerConnection(t *testing.T) {
+	addr, got := serveServer(t)
 	peer, err := Dial(office.Fields{"spare", "cpu"})(t.Context(), "ws://"+addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/callws/message_test.go
+++ b/internal/callws/message_test.go
@@ -4,15 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/coder/websocket"
-
 	"masthill/internal/exchange"
-	"masthill/internal/netcase"
 	"masthill/internal/office"
 )
 
@@ -67,15 +63,7 @@
 
 // Guards against the same towards a server: it closed its connection, with all set-ups on it, over one that was too long.
 func TestLongAttemptIsNotSent(t *testing.T) {
-	got := make(chan *websocket.Conn, 1)
-	addr := netcase.ServeHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{serverProtocol}})
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		got <- ws
-	})
+	addr, got := serveServer(t)
 	peer, err := Dial(office.Fields{})(t.Context(), "ws://"+addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sip/conn_test.go
+++ b/internal/sip/conn_test.go
@@ -98,23 +98,28 @@
 	})
 }
 
-// serveLoopback returns a connection over loopback: the peer's end, and this side's, which is served with handle.
-func serveLoopback(t *testing.T, limits Limits, handle func(c *Conn, m *Message)) (net.Conn, *Conn, chan Reason) {
+// loopbackPair returns both ends of a connection over loopback. The peer's end is closed with the test.
+func loopbackPair(t *testing.T) (peer, ours net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	peer, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
+	if peer, err = net.Dial("tcp", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { peer.Close() })
-	ours, err := l.Accept()
-	if err != nil {
+	if ours, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
+	return peer, ours
+}
+
+// serveLoopback returns a connection over loopback: the peer's end, and this side's, which is served with handle.
+func serveLoopback(t *testing.T, limits Limits, handle func(c *Conn, m *Message)) (net.Conn, *Conn, chan Reason) {
+	t.Helper()
+	peer, ours := loopbackPair(t)
 	limits.WriteTimeout = time.Second
 	c, reason := NewConn(ours, limits), make(chan Reason, 1)
 	go func() {
--- a/internal/sip/turn_test.go
+++ b/internal/sip/turn_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"testing"
 	"time"
 )
@@ -41,20 +40,7 @@
 
 // Guards against the same in reads of a socket.
 func TestInputPausesAfterATurn(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	peer, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	c, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	peer, c := loopbackPair(t)
 	defer c.Close()
 	in := NewInput(c)
 	io.WriteString(peer, "xx")
--- a/lab/hostile/attacks.go
+++ b/lab/hostile/attacks.go
@@ -9,8 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"masthill/internal/sip"
 )
 
 // target is the instance under attack.
@@ -47,29 +45,29 @@
 // Attacks are all attacks.
 var Attacks = []Attack{
 	{"slow", SIP, "many clients that write a large request slowly", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.sip, longInvite(""), slowly)
+		manyClients(ctx, t, openSIP, longInvite(""), slowly)
 	}},
 	{"half", SIP, "many clients that stop half way through a large request", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.sip, longInvite("")[:longBody], holding)
+		manyClients(ctx, t, openSIP, longInvite("")[:longBody], holding)
 	}},
 	{"fields", SIP, "many clients with heads of very many short fields", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.sip, "OPTIONS sip:ping@net SIP/2.0\r\n"+strings.Repeat("a:\r\n", longBody/4)+"Content-Length: 0\r\n\r\n", holding)
+		manyClients(ctx, t, openSIP, "OPTIONS sip:ping@net SIP/2.0\r\n"+strings.Repeat("a:\r\n", longBody/4)+"Content-Length: 0\r\n\r\n", holding)
 	}},
 	{"deaf", SIP, "many clients that send requests and read no answer", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.sip, strings.Repeat("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ping\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n", deafRequests), deaf)
+		manyClients(ctx, t, openSIP, strings.Repeat("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ping\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n", deafRequests), deaf)
 	}},
 	{"tests", SIP, "one client with readiness tests at full speed", func(ctx context.Context, t *target) {
-		flood(ctx, t, func(int64) string {
+		flood(ctx, t, openSIP, func(int64) string {
 			return "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ping\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
 		})
 	}},
 	{"unsound", SIP, "one client with invalid set-ups at full speed, each with names of its own", func(ctx context.Context, t *target) {
-		flood(ctx, t, func(n int64) string {
+		flood(ctx, t, openSIP, func(n int64) string {
 			return strings.Replace(invite(hexID(n), number(n), callPatience), "open-log", fmt.Sprint("class-", n), 1)
 		})
 	}},
 	{"unknown", SIP, "one client that ends and cancels unknown calls at full speed", func(ctx context.Context, t *target) {
-		flood(ctx, t, func(n int64) string {
+		flood(ctx, t, openSIP, func(n int64) string {
 			method := []string{"BYE", "CANCEL"}[n%2]
 			return fmt.Sprintf("%s sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 %s\r\nContent-Length: 0\r\n\r\n", method, hexID(n), method)
 		})
@@ -85,7 +83,7 @@
 		g.Wait()
 	}},
 	{"impatient", SIP, "one client with set-ups of 1 ms patience at full speed", func(ctx context.Context, t *target) {
-		flood(ctx, t, func(n int64) string { return invite(hexID(n), number(n), shortPatience) })
+		flood(ctx, t, openSIP, func(n int64) string { return invite(hexID(n), number(n), shortPatience) })
 	}},
 	{"unread", SIP, "clients that write set-ups and leave, and come back with the same ids", func(ctx context.Context, t *target) {
 		for ctx.Err() == nil {
@@ -97,19 +95,19 @@
 		}
 	}},
 	{"slow", WebSocket, "many clients that write a large head slowly", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.ws, upgradeHead("X-Long: "+strings.Repeat("x", longBody)+"\r\n"), slowly)
+		manyClients(ctx, t, openHTTP, upgradeHead("X-Long: "+strings.Repeat("x", longBody)+"\r\n"), slowly)
 	}},
 	{"half", WebSocket, "many clients that stop half way through a large head", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.ws, upgradeHead("X-Long: " + strings.Repeat("x", longBody) + "\r\n")[:longBody], holding)
+		manyClients(ctx, t, openHTTP, upgradeHead("X-Long: " + strings.Repeat("x", longBody) + "\r\n")[:longBody], holding)
 	}},
 	{"half-frames", WebSocket, "many callers that stop half way through a large message", func(ctx context.Context, t *target) {
-		manySockets(ctx, t, frame(textFrame, longBody, strings.Repeat("x", longBody-1)), holding)
+		manyClients(ctx, t, openRawSocket, frame(textFrame, longBody, strings.Repeat("x", longBody-1)), holding)
 	}},
 	{"fields", WebSocket, "many clients with heads of very many short fields, which stop before the end", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.ws, strings.TrimSuffix(upgradeHead(manyFields()), "\r\n"), holding)
+		manyClients(ctx, t, openHTTP, strings.TrimSuffix(upgradeHead(manyFields()), "\r\n"), holding)
 	}},
 	{"fields-whole", WebSocket, "many clients with whole heads of very many short fields", func(ctx context.Context, t *target) {
-		manyClients(ctx, t, t.ws, upgradeHead(manyFields()), holding)
+		manyClients(ctx, t, openHTTP, upgradeHead(manyFields()), holding)
 	}},
 	{"unknown", WebSocket, "one caller that ends unknown calls at full speed", func(ctx context.Context, t *target) {
 		floodSocket(ctx, t, func(n int64) string { return fmt.Sprintf(`{"type":"hangup","id":"h%d"}`, n) })
@@ -131,10 +129,10 @@
 		floodSocket(ctx, t, func(n int64) string { return callMessage(fmt.Sprint("h", n), number(n), shortPatience) })
 	}},
 	{"deaf", WebSocket, "many callers that send messages and read no answer", func(ctx context.Context, t *target) {
-		manySockets(ctx, t, strings.Repeat(textMessage(`{"type":"hangup","id":"h"}`), deafRequests), deaf)
+		manyClients(ctx, t, openRawSocket, strings.Repeat(textMessage(`{"type":"hangup","id":"h"}`), deafRequests), deaf)
 	}},
 	{"ready", WebSocket, "one client with readiness tests at full speed", func(ctx context.Context, t *target) {
-		floodAddress(ctx, t, t.ws, func(int64) string { return "GET /v1/ready HTTP/1.1\r\nHost: n0\r\n\r\n" })
+		flood(ctx, t, openHTTP, func(int64) string { return "GET /v1/ready HTTP/1.1\r\nHost: n0\r\n\r\n" })
 	}},
 	{"pings", WebSocket, "one caller with pings at full speed", floodPings},
 	{"unread", WebSocket, "callers that write calls and leave", func(ctx context.Context, t *target) {
@@ -168,29 +166,6 @@
 	return b.String()
 }
 
-// manyClients keeps t.clients connections open until ctx ends, on each of which write sends a text; each that ends is
-// opened again.
-func manyClients(ctx context.Context, t *target, addr, text string, write func(ctx context.Context, c net.Conn, text string)) {
-	var g sync.WaitGroup
-	for range t.clients {
-		g.Go(func() {
-			for ctx.Err() == nil {
-				c, err := net.DialTimeout("tcp", addr, time.Second)
-				if err != nil {
-					time.Sleep(reconnectPause)
-					continue
-				}
-				t.sent.Add(1)
-				stop := context.AfterFunc(ctx, func() { c.Close() })
-				write(ctx, c, text)
-				stop()
-				c.Close()
-			}
-		})
-	}
-	g.Wait()
-}
-
 // slowly writes most of a text at once and the rest byte by byte.
 func slowly(ctx context.Context, c net.Conn, text string) {
 	if _, err := io.WriteString(c, text[:len(text)-100]); err != nil {
@@ -223,33 +198,6 @@
 	}
 }
 
-// flood sends messages over one connection to the platform's front as fast as the instance reads them, and reads the answers.
-func flood(ctx context.Context, t *target, message func(n int64) string) {
-	floodAddress(ctx, t, t.sip, message)
-}
-
-func floodAddress(ctx context.Context, t *target, addr string, message func(n int64) string) {
-	for ctx.Err() == nil {
-		c, err := net.DialTimeout("tcp", addr, time.Second)
-		if err != nil {
-			time.Sleep(reconnectPause)
-			continue
-		}
-		stop := context.AfterFunc(ctx, func() { c.Close() })
-		go io.Copy(io.Discard, c)
-		for err = nil; err == nil; {
-			var b strings.Builder
-			for b.Len() < sip.MaxMessage {
-				b.WriteString(message(t.ids.Add(1)))
-				t.sent.Add(1)
-			}
-			_, err = io.WriteString(c, b.String())
-		}
-		stop()
-		c.Close()
-	}
-}
-
 // leaveUnread writes set-ups and closes the connection at once, with a reset where the answers are unread.
 func leaveUnread(ctx context.Context, t *target, first int64) {
 	c, err := net.DialTimeout("tcp", t.sip, time.Second)
@@ -269,7 +217,7 @@
 }
 
 func floodCancelled(ctx context.Context, t *target) {
-	flood(ctx, t, func(n int64) string {
+	flood(ctx, t, openSIP, func(n int64) string {
 		return invite(hexID(n), number(n), longPatience) + fmt.Sprintf("CANCEL sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n", hexID(n))
 	})
 }
--- a/lab/hostile/sockets.go
+++ b/lab/hostile/sockets.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -62,62 +61,17 @@
 	return nil
 }
 
-// manySockets is manyClients with sockets of the hostile caller.
-func manySockets(ctx context.Context, t *target, frames string, write func(ctx context.Context, c net.Conn, text string)) {
-	var g sync.WaitGroup
-	for range t.clients {
-		g.Go(func() {
-			for ctx.Err() == nil {
-				c, err := openRawSocket(ctx, t)
-				if err != nil {
-					time.Sleep(reconnectPause)
-					continue
-				}
-				t.sent.Add(1)
-				stop := context.AfterFunc(ctx, func() { c.Close() })
-				write(ctx, c, frames)
-				stop()
-				c.Close()
-			}
-		})
-	}
-	g.Wait()
-}
-
-// floodFrames sends frames over one socket as fast as the instance reads them, and reads the answers.
-func floodFrames(ctx context.Context, t *target, next func(n int64) string) {
-	for ctx.Err() == nil {
-		c, err := openRawSocket(ctx, t)
-		if err != nil {
-			time.Sleep(reconnectPause)
-			continue
-		}
-		stop := context.AfterFunc(ctx, func() { c.Close() })
-		go io.Copy(io.Discard, c)
-		for err = nil; err == nil; {
-			var b strings.Builder
-			for b.Len() < 16<<10 {
-				b.WriteString(next(t.ids.Add(1)))
-				t.sent.Add(1)
-			}
-			_, err = io.WriteString(c, b.String())
-		}
-		stop()
-		c.Close()
-	}
-}
-
 // textMessage is a whole text message.
 func textMessage(text string) string { return frame(textFrame, len(text), text) }
 
 func floodSocket(ctx context.Context, t *target, message func(n int64) string) {
-	floodFrames(ctx, t, func(n int64) string {
+	flood(ctx, t, openRawSocket, func(n int64) string {
 		return textMessage(message(n))
 	})
 }
 
 func floodPings(ctx context.Context, t *target) {
-	floodFrames(ctx, t, func(int64) string { return frame(pingFrame, 1, "x") })
+	flood(ctx, t, openRawSocket, func(int64) string { return frame(pingFrame, 1, "x") })
 }
 
 // leaveSocketUnread writes calls and closes the socket's connection at once.
